--- /dev/null
+++ b/balance/balancer.h
@@ -0,0 +1,75 @@
+/* Steering by routing token: what to do with each packet of a caller.
+ *
+ * Packets of an open flow go to the boot that their token names; whoever
+ * receives them needs to know nothing else. An opening goes to an upstream
+ * chosen here, under whose token the flow then runs. One owner; no I/O, clock
+ * or thread. */
+#ifndef RG_BALANCE_BALANCER_H
+#define RG_BALANCE_BALANCER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "balance/pool.h"
+#include "balance/routes.h"
+#include "balance/segment.h"
+#include "balance/tally.h"
+#include "common/log.h"
+
+struct rg_balancer_opts {
+    struct rg_name data_centre;
+    uint64_t flow_age_ms;     /* longest life of a flow */
+    uint64_t stale_ms;        /* a view older than this is not relied upon to
+                                 refuse */
+    size_t tracked_flows;     /* most flows tracked at once */
+    uint64_t seed;            /* of the random choices */
+    const struct rg_log *log; /* borrowed */
+};
+
+enum rg_steer_kind {
+    RG_STEER_DROP,
+    RG_STEER_FORWARD, /* to `boot`, with `token` in the packet */
+    RG_STEER_REFUSE,  /* answer the caller with a reset */
+};
+
+struct rg_steer {
+    enum rg_steer_kind kind;
+    const struct rg_boot *boot; /* valid until the balancer is next called */
+    uint32_t token;
+};
+
+struct rg_balancer;
+
+struct rg_balancer *rg_balancer_create(const struct rg_balancer_opts *opts,
+                                       uint64_t now_ms);
+void rg_balancer_destroy(struct rg_balancer *b);
+
+/* Takes over a table of routes if it is newer than the one in force; an older
+ * one is destroyed. Returns true if it is now in force. */
+bool rg_balancer_set_routes(struct rg_balancer *b, struct rg_routes *routes);
+
+/* Version in force, 0 for none. */
+uint64_t rg_balancer_version(const struct rg_balancer *b);
+
+/* The upstreams; changed by whoever follows the store. */
+struct rg_pool *rg_balancer_pool(struct rg_balancer *b);
+
+/* The view was complete and confirmed by the store at `at_ms`. */
+void rg_balancer_fresh(struct rg_balancer *b, uint64_t at_ms);
+
+/* True once there are routes and the upstreams have been listed. */
+bool rg_balancer_ready(const struct rg_balancer *b);
+
+struct rg_steer rg_balancer_packet(struct rg_balancer *b,
+                                   const struct rg_segment *segment,
+                                   uint64_t now_ms);
+
+/* Time passes; call it every RG_BALANCER_TICK_MS or so. */
+#define RG_BALANCER_TICK_MS 100
+void rg_balancer_tick(struct rg_balancer *b, uint64_t now_ms);
+
+struct rg_tally *rg_balancer_tally(struct rg_balancer *b);
+size_t rg_balancer_tracked(const struct rg_balancer *b);
+
+#endif
--- /dev/null
+++ b/balance/choose.h
@@ -0,0 +1,50 @@
+/* Choice of an upstream for a new flow, from what this instance sees: its own
+ * open work there, the upstream's answers to callers, its entry and its
+ * place. */
+#ifndef RG_BALANCE_CHOOSE_H
+#define RG_BALANCE_CHOOSE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "balance/pool.h"
+#include "common/rand.h"
+
+/* Why an upstream was chosen. */
+enum rg_choose_rule {
+    RG_CHOOSE_NONE,    /* no upstream can take the flow */
+    RG_CHOOSE_BEST,    /* least expected wait */
+    RG_CHOOSE_EJECTED, /* all are ejected: the one left alone longest */
+};
+
+struct rg_choose_opts {
+    uint32_t service;
+    struct rg_boot *const *avoid; /* tried for this flow; NULL entries skip */
+    size_t avoid_count;
+    uint64_t now_ms;
+    uint32_t overdue_ms;  /* an opening without an answer for this long is
+                             evidence against its upstream */
+    struct rg_rand *rand; /* borrowed; breaks ties */
+};
+
+struct rg_choice_made {
+    struct rg_boot *boot; /* NULL for RG_CHOOSE_NONE */
+    enum rg_choose_rule rule;
+    double cost; /* of the chosen, in requests ahead */
+};
+
+struct rg_choice_made rg_choose(const struct rg_pool *pool,
+                                const struct rg_choose_opts *opts);
+
+/* Evidence. An opening was sent to `b`. */
+void rg_boot_asked(struct rg_boot *b, uint64_t now_ms);
+/* An opening was repeated: `b` did not answer the last one. */
+void rg_boot_unanswered(struct rg_boot *b, uint64_t now_ms);
+/* A caller heard from `b`. */
+void rg_boot_alive(struct rg_boot *b, uint64_t now_ms);
+/* A request was answered after `ms`. */
+void rg_boot_answered(struct rg_boot *b, double ms, uint64_t now_ms);
+bool rg_boot_ejected(const struct rg_boot *b, uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/balance/follow.c
@@ -0,0 +1,198 @@
+#include "balance/follow.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/mem.h"
+
+/* Shares of the bound on a view's lag. A change may fall into a pause, then
+ * into a watch on a connection that has fallen silent; the call after that
+ * must still be answered in time. */
+#define PAUSE_PERCENT 23
+#define WATCH_PERCENT 40
+#define CALL_PERCENT 19
+#define CONNECT_PERCENT 8
+
+/* Pauses after failures: a store that comes back is asked by all at once. */
+#define RETRY_FIRST_MS 80
+#define RETRY_MOST_MS 500
+
+struct rg_follow {
+    struct rg_follow_opts opts;
+    struct rg_rand rand;
+    bool listing; /* else watching */
+    bool complete;
+    char after[RG_FOLLOW_KEY_MAX + 1];
+    uint64_t listing_revision; /* of the listing's first page */
+    uint64_t revision;
+    uint64_t not_before_ms; /* no call before */
+    uint64_t fresh_ms;
+    uint64_t returned_ms; /* first answer after the last failure */
+    uint32_t failures;    /* in a row */
+};
+
+static uint32_t
+percent(uint32_t whole, uint32_t share)
+{
+    return (uint32_t)((uint64_t)whole * share / 100);
+}
+
+static void
+restart_listing(struct rg_follow *f)
+{
+    f->listing = true;
+    f->after[0] = '\0';
+}
+
+static void
+answered(struct rg_follow *f, uint64_t now_ms)
+{
+    if (f->failures > 0) {
+        f->returned_ms = now_ms;
+    }
+    f->failures = 0;
+    f->fresh_ms = now_ms;
+}
+
+struct rg_follow_step
+rg_follow_next(struct rg_follow *f, uint64_t now_ms)
+{
+    if (now_ms < f->not_before_ms) {
+        return (struct rg_follow_step){.kind = RG_FOLLOW_WAIT,
+                                       .at_ms = f->not_before_ms};
+    }
+    if (f->listing) {
+        return (struct rg_follow_step){.kind = RG_FOLLOW_LIST,
+                                       .after = f->after,
+                                       .timeout_ms = f->opts.call_ms};
+    }
+    return (struct rg_follow_step){
+        .kind = RG_FOLLOW_WATCH,
+        .revision = f->revision,
+        .wait_ms = f->opts.watch_ms,
+        .timeout_ms = f->opts.watch_ms + f->opts.call_ms,
+    };
+}
+
+bool
+rg_follow_first_page(const struct rg_follow *f)
+{
+    return f->after[0] == '\0';
+}
+
+bool
+rg_follow_listed(struct rg_follow *f, const char *last_key, bool more,
+                 uint64_t revision, uint64_t now_ms)
+{
+    answered(f, now_ms);
+    if (rg_follow_first_page(f)) {
+        f->listing_revision = revision;
+    }
+    if (more && last_key[0] != '\0') {
+        snprintf(f->after, sizeof(f->after), "%s", last_key);
+        return false;
+    }
+    f->listing = false;
+    f->complete = true;
+    f->revision = f->listing_revision;
+    return true;
+}
+
+void
+rg_follow_watched(struct rg_follow *f, uint64_t revision, bool changes,
+                  uint64_t now_ms)
+{
+    answered(f, now_ms);
+    if (revision > f->revision) {
+        f->revision = revision;
+    }
+    if (changes) {
+        f->not_before_ms = now_ms + f->opts.pause_ms;
+    }
+}
+
+void
+rg_follow_forgotten(struct rg_follow *f, uint64_t now_ms)
+{
+    answered(f, now_ms);
+    restart_listing(f);
+}
+
+void
+rg_follow_failed(struct rg_follow *f, uint64_t now_ms)
+{
+    uint64_t most = f->opts.retry_first_ms;
+
+    for (uint32_t i = 0; i < f->failures && most < f->opts.retry_most_ms; i++)
+    {
+        most *= 2;
+    }
+    if (most > f->opts.retry_most_ms) {
+        most = f->opts.retry_most_ms;
+    }
+    f->failures++;
+    f->not_before_ms =
+        now_ms + most / 4 + rg_rand_below(&f->rand, (uint32_t)(most * 3 / 4));
+}
+
+void
+rg_follow_paused(struct rg_follow *f, uint64_t now_ms)
+{
+    f->failures++;
+    f->not_before_ms = now_ms;
+}
+
+bool
+rg_follow_complete(const struct rg_follow *f)
+{
+    return f->complete;
+}
+
+uint64_t
+rg_follow_fresh_ms(const struct rg_follow *f)
+{
+    return f->fresh_ms;
+}
+
+uint64_t
+rg_follow_keep_ms(const struct rg_follow *f, uint64_t now_ms)
+{
+    uint64_t until = f->returned_ms + f->opts.settle_ms;
+
+    if (f->returned_ms == 0 || now_ms >= until) {
+        return 0;
+    }
+    return until - now_ms;
+}
+
+struct rg_follow_opts
+rg_follow_opts_for(uint32_t bound_ms, uint32_t settle_ms)
+{
+    return (struct rg_follow_opts){
+        .pause_ms = percent(bound_ms, PAUSE_PERCENT),
+        .watch_ms = percent(bound_ms, WATCH_PERCENT),
+        .call_ms = percent(bound_ms, CALL_PERCENT),
+        .connect_ms = percent(bound_ms, CONNECT_PERCENT),
+        .retry_first_ms = RETRY_FIRST_MS,
+        .retry_most_ms = RETRY_MOST_MS,
+        .settle_ms = settle_ms,
+    };
+}
+
+struct rg_follow *
+rg_follow_create(const struct rg_follow_opts *opts)
+{
+    struct rg_follow *f = rg_calloc(1, sizeof(*f));
+
+    f->opts = *opts;
+    f->rand.state = opts->seed;
+    restart_listing(f);
+    return f;
+}
+
+void
+rg_follow_destroy(struct rg_follow *f)
+{
+    free(f);
+}
--- /dev/null
+++ b/balance/follow.h
@@ -0,0 +1,90 @@
+/* Following the store: which call to make next, and how fresh the view is.
+ *
+ * Lists all keys, then watches them from the revision of the listing's first
+ * page on, with a pause after each return so that one call carries many
+ * changes. A listing starts again when the store has forgotten the history.
+ * Calls that fail are repeated with growing, random pauses. No I/O; time is
+ * passed in; one owner. */
+#ifndef RG_BALANCE_FOLLOW_H
+#define RG_BALANCE_FOLLOW_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/rand.h"
+
+/* Longest key a store may hold, bytes. */
+#define RG_FOLLOW_KEY_MAX 200
+
+struct rg_follow_opts {
+    uint32_t pause_ms;       /* after a watch that brought changes */
+    uint32_t watch_ms;       /* longest wait of one watch */
+    uint32_t call_ms;        /* limit of a call, beyond its wait */
+    uint32_t connect_ms;     /* limit of opening a connection */
+    uint32_t retry_first_ms; /* longest first pause after a failure */
+    uint32_t retry_most_ms;  /* longest pause after failures */
+    uint32_t settle_ms;      /* after an outage: time for entries to return */
+    uint64_t seed;
+};
+
+enum rg_follow_kind {
+    RG_FOLLOW_WAIT, /* nothing to call before at_ms */
+    RG_FOLLOW_LIST,
+    RG_FOLLOW_WATCH,
+};
+
+/* What to do next. */
+struct rg_follow_step {
+    enum rg_follow_kind kind;
+    uint64_t at_ms;      /* of a wait */
+    const char *after;   /* of a listing: the key before the page, or "" */
+    uint64_t revision;   /* of a watch: changes after this one */
+    uint32_t wait_ms;    /* of a watch */
+    uint32_t timeout_ms; /* of the call */
+};
+
+struct rg_follow;
+
+/* Times for a view that must never lag behind the store by `bound_ms`, even
+ * if a connection falls silent; sets no seed. */
+struct rg_follow_opts rg_follow_opts_for(uint32_t bound_ms,
+                                         uint32_t settle_ms);
+
+struct rg_follow *rg_follow_create(const struct rg_follow_opts *opts);
+void rg_follow_destroy(struct rg_follow *f);
+
+struct rg_follow_step rg_follow_next(struct rg_follow *f, uint64_t now_ms);
+
+/* True if the listing that a page belongs to begins with it. */
+bool rg_follow_first_page(const struct rg_follow *f);
+
+/* A page arrived. `last_key` is the last on it; `more` says that others
+ * follow. Returns true if the listing is complete. */
+bool rg_follow_listed(struct rg_follow *f, const char *last_key, bool more,
+                      uint64_t revision, uint64_t now_ms);
+
+/* A watch returned. */
+void rg_follow_watched(struct rg_follow *f, uint64_t revision, bool changes,
+                       uint64_t now_ms);
+
+/* The store no longer has the history a watch asked for. */
+void rg_follow_forgotten(struct rg_follow *f, uint64_t now_ms);
+
+/* A call failed or went unanswered. */
+void rg_follow_failed(struct rg_follow *f, uint64_t now_ms);
+
+/* The process did not run for a while: calls in progress are worthless. */
+void rg_follow_paused(struct rg_follow *f, uint64_t now_ms);
+
+/* True once a listing has been complete. */
+bool rg_follow_complete(const struct rg_follow *f);
+
+/* Time of the last answer, 0 for none: the view is this old at most. */
+uint64_t rg_follow_fresh_ms(const struct rg_follow *f);
+
+/* How long an upstream whose entry vanished now may still be used: entries
+ * lapse while the store is away and return soon after it. 0 if the store has
+ * been in reach for long enough. */
+uint64_t rg_follow_keep_ms(const struct rg_follow *f, uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/balance/pool.h
@@ -0,0 +1,112 @@
+/* The upstreams an instance knows: every boot that may still hold flows, by
+ * routing token, and those that new flows may go to, by service.
+ *
+ * A boot outlives its entry in the store by `retain_ms`, so that packets of
+ * its flows still find it. One owner; no I/O; time is passed in. */
+#ifndef RG_BALANCE_POOL_H
+#define RG_BALANCE_POOL_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/addr.h"
+#include "common/log.h"
+#include "common/str.h"
+
+/* What an upstream says of itself. */
+struct rg_boot_report {
+    struct rg_name id;
+    uint64_t wire_id; /* the identity put before packets sent to it */
+    uint64_t boot_ms; /* wall clock of its start; 0 if it does not say */
+    struct rg_name service;
+    struct rg_name data_centre;
+    struct rg_addr addr;
+    uint32_t slots; /* requests it works on at once, at least 1 */
+    bool draining;
+    uint32_t cold_left_ms; /* time until it has warmed up */
+};
+
+enum rg_boot_state {
+    RG_BOOT_READY,
+    RG_BOOT_DRAINING, /* keeps its flows, gets no new ones */
+    RG_BOOT_MISSING,  /* its entry lapsed; usable until keep_until_ms */
+    RG_BOOT_GONE,     /* only packets of its flows go there */
+};
+
+struct rg_boot {
+    struct rg_name id;
+    uint64_t wire_id;
+    uint64_t boot_ms;
+    uint32_t token;
+    uint32_t service; /* index, see rg_pool_service() */
+    struct rg_addr addr;
+    bool local;     /* in this instance's data centre */
+    bool ambiguous; /* its token names an older boot too: no new flows */
+    uint8_t state;  /* enum rg_boot_state */
+    uint32_t slots;
+    uint64_t revision;      /* of the entry it was read from */
+    uint64_t keep_until_ms; /* MISSING: usable until; GONE: kept until */
+    uint64_t cold_until_ms;
+    uint32_t listing; /* the last listing that named it */
+    uint32_t refs;    /* tracked flows that point here */
+
+    /* Evidence from callers' packets. */
+    uint32_t open_work;  /* openings and requests of this instance there now */
+    uint32_t unanswered; /* openings repeated since the last sign of life */
+    uint64_t unanswered_ms; /* when the last of them was seen */
+    uint32_t ejections;     /* in a row */
+    uint64_t ejected_until_ms;
+    uint64_t last_trial_ms;    /* last opening sent while ejected */
+    uint64_t last_alive_ms;    /* last sign of life */
+    uint64_t waiting_since_ms; /* oldest opening without an answer, 0: none */
+    double latency_ms;         /* mean time from request to answer, 0: none */
+    uint64_t latency_at_ms;
+};
+
+struct rg_pool_opts {
+    struct rg_name data_centre;
+    uint64_t retain_ms;       /* life of a boot after its entry */
+    const struct rg_log *log; /* borrowed */
+};
+
+struct rg_pool;
+
+struct rg_pool *rg_pool_create(const struct rg_pool_opts *opts);
+void rg_pool_destroy(struct rg_pool *p);
+
+/* Index of a service, made if unknown. */
+uint32_t rg_pool_service(struct rg_pool *p, const struct rg_name *name);
+
+/* An upstream's entry as of `revision`; older ones than known are ignored. A
+ * boot whose token names another known boot is ambiguous and gets no flows. */
+void rg_pool_report(struct rg_pool *p, const struct rg_boot_report *report,
+                    uint64_t revision, uint64_t now_ms);
+
+/* The entry of an upstream is no more as of `revision`. With `keep_ms`, one
+ * that was not draining stays usable for that long, since entries lapse when
+ * the store is away. */
+void rg_pool_remove(struct rg_pool *p, const struct rg_name *id,
+                    uint64_t revision, uint64_t keep_ms, uint64_t now_ms);
+
+/* A whole listing: entries named between the two calls stand, others are
+ * removed as by rg_pool_remove(). */
+void rg_pool_begin_listing(struct rg_pool *p);
+void rg_pool_end_listing(struct rg_pool *p, uint64_t keep_ms, uint64_t now_ms);
+
+/* Drops what has outlived its time. Call it a few times a second. */
+void rg_pool_tick(struct rg_pool *p, uint64_t now_ms);
+
+/* NULL if no known boot has this token. */
+struct rg_boot *rg_pool_by_token(const struct rg_pool *p, uint32_t token);
+
+/* Boots of a service with an entry, READY, DRAINING or MISSING. Valid until
+ * the next call that changes the pool. */
+struct rg_boot *const *rg_pool_boots(const struct rg_pool *p, uint32_t service,
+                                     size_t *count);
+
+/* Boots with an entry, and all that are known. */
+size_t rg_pool_listed(const struct rg_pool *p);
+size_t rg_pool_known(const struct rg_pool *p);
+
+#endif
--- /dev/null
+++ b/balance/routes.c
@@ -0,0 +1,129 @@
+#include "balance/routes.h"
+
+#include <stdlib.h>
+
+#include "common/mem.h"
+#include "common/rand.h"
+
+struct rg_routes {
+    uint64_t version;
+    struct rg_route *routes;
+    size_t count;
+    uint32_t *slots; /* index + 1 by address, 0 if free */
+    size_t size;     /* a power of two */
+};
+
+static size_t
+slot_of(const struct rg_routes *r, uint32_t ip, uint16_t port)
+{
+    return rg_mix64((uint64_t)ip << 16 | port) & (r->size - 1);
+}
+
+static void
+place(struct rg_routes *r, size_t index)
+{
+    const struct rg_route *route = &r->routes[index];
+    size_t i = slot_of(r, route->ip, route->port);
+
+    if (rg_routes_find(r, route->ip, route->port)) {
+        return;
+    }
+    while (r->slots[i]) {
+        i = (i + 1) & (r->size - 1);
+    }
+    r->slots[i] = (uint32_t)index + 1;
+}
+
+struct rg_routes *
+rg_routes_create(uint64_t version, struct rg_route *routes, size_t count)
+{
+    struct rg_routes *r = rg_calloc(1, sizeof(*r));
+
+    r->version = version;
+    r->routes = routes;
+    r->count = count;
+    r->size = 16;
+    while (r->size < count * 2) {
+        r->size *= 2;
+    }
+    r->slots = rg_calloc(r->size, sizeof(*r->slots));
+    for (size_t i = 0; i < count; i++) {
+        place(r, i);
+    }
+    return r;
+}
+
+void
+rg_routes_destroy(struct rg_routes *r)
+{
+    if (r) {
+        free(r->routes);
+        free(r->slots);
+        free(r);
+    }
+}
+
+uint64_t
+rg_routes_version(const struct rg_routes *r)
+{
+    return r->version;
+}
+
+size_t
+rg_routes_count(const struct rg_routes *r)
+{
+    return r->count;
+}
+
+struct rg_route *
+rg_routes_at(struct rg_routes *r, size_t i)
+{
+    return &r->routes[i];
+}
+
+const struct rg_route *
+rg_routes_find(const struct rg_routes *r, uint32_t ip, uint16_t port)
+{
+    for (size_t i = slot_of(r, ip, port); r->slots[i];
+         i = (i + 1) & (r->size - 1)) {
+        const struct rg_route *route = &r->routes[r->slots[i] - 1];
+        if (route->ip == ip && route->port == port) {
+            return route;
+        }
+    }
+    return NULL;
+}
+
+bool
+rg_route_pick(const struct rg_route *route, uint64_t hash,
+              uint32_t *service_index)
+{
+    uint64_t total = 0;
+
+    for (uint8_t i = 0; i < route->share_count; i++) {
+        total += route->shares[i].weight;
+    }
+    if (total == 0) {
+        return false;
+    }
+    uint64_t at = rg_mix64(hash) % total;
+    for (uint8_t i = 0; i < route->share_count; i++) {
+        if (at < route->shares[i].weight) {
+            *service_index = route->shares[i].service_index;
+            return true;
+        }
+        at -= route->shares[i].weight;
+    }
+    return false;
+}
+
+bool
+rg_route_allows(const struct rg_route *route, uint32_t service_index)
+{
+    for (uint8_t i = 0; i < route->share_count; i++) {
+        if (route->shares[i].service_index == service_index) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/balance/tally.h
@@ -0,0 +1,58 @@
+/* Counters and latency histograms of steering, with their names. */
+#ifndef RG_BALANCE_TALLY_H
+#define RG_BALANCE_TALLY_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/text.h"
+
+enum rg_tally_counter {
+    RG_TALLY_PACKETS,
+    RG_TALLY_MALFORMED,
+    RG_TALLY_OPENINGS,
+    RG_TALLY_OPENINGS_REPEATED,
+    RG_TALLY_OPENINGS_MOVED,
+    RG_TALLY_FORWARDED,
+    RG_TALLY_REFUSED_NO_ROUTE,
+    RG_TALLY_REFUSED_NO_UPSTREAM,
+    RG_TALLY_REFUSED_DEAD_UPSTREAM,
+    RG_TALLY_DROPPED_NOT_READY,
+    RG_TALLY_DROPPED_STALE_VIEW,
+    RG_TALLY_DROPPED_UNKNOWN_TOKEN,
+    RG_TALLY_DROPPED_NO_TOKEN,
+    RG_TALLY_DROPPED_WRONG_SERVICE,
+    RG_TALLY_DISCARDED,
+    RG_TALLY_UNTRACKED,
+    RG_TALLY_EJECTIONS,
+    RG_TALLY_SEND_FAILED,
+    RG_TALLY_STORE_CALLS,
+    RG_TALLY_STORE_FAILURES,
+    RG_TALLY_STORE_RELISTED,
+    RG_TALLY_ENTRIES_UNREADABLE,
+    RG_TALLY_CONFIGS_UNREADABLE,
+    RG_TALLY_COUNTERS,
+};
+
+enum rg_tally_histogram {
+    RG_TALLY_OPENING_MS, /* opening to the caller's next packet */
+    RG_TALLY_ANSWER_MS,  /* request to the first byte of its answer */
+    RG_TALLY_HISTOGRAMS,
+};
+
+/* Bucket i counts values below 2^i ms; the last counts the rest. */
+#define RG_TALLY_BUCKETS 14
+
+struct rg_tally {
+    uint64_t counters[RG_TALLY_COUNTERS];
+    uint64_t buckets[RG_TALLY_HISTOGRAMS][RG_TALLY_BUCKETS];
+    uint64_t sum_ms[RG_TALLY_HISTOGRAMS];
+};
+
+void rg_tally_observe(struct rg_tally *t, enum rg_tally_histogram h,
+                      uint64_t ms);
+
+/* Appends everything in the Prometheus text format. */
+void rg_tally_print(const struct rg_tally *t, struct rg_text *out);
+
+#endif
--- a/common/log.c
+++ b/common/log.c
@@ -1,4 +1,5 @@
 #include "common/log.h"
+#include "common/log_queue.h"
 
 #include <stdarg.h>
 #include <stdio.h>
@@ -19,7 +20,7 @@
 
 static int
 print_header(char *line, size_t size, const struct rg_log *log,
-             enum rg_log_level level, const char *id)
+             enum rg_log_level level, const char *id, const char *end)
 {
     struct timeval tv;
     struct tm tm;
@@ -28,10 +29,32 @@
     gettimeofday(&tv, NULL);
     gmtime_r(&tv.tv_sec, &tm);
     strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &tm);
-    return snprintf(line, size, "<%d>1 %s.%03dZ %s %s %d %s [rg m=\"%s\"] ",
+    return snprintf(line, size, "<%d>1 %s.%03dZ %s %s %d %s [rg m=\"%s\"%s",
                     LOG_FACILITY | (int)level, stamp, (int)(tv.tv_usec / 1000),
                     log->host ? log->host : "-", log->app, (int)getpid(), id,
-                    log->module ? log->module : "-");
+                    log->module ? log->module : "-", end);
+}
+
+/* Ends the line that starts at `line`, free of control characters behind
+ * `from`, and passes it on. */
+static void
+emit(const struct rg_log *log, enum rg_log_level level, char *line,
+     size_t from)
+{
+    size_t end = strlen(line);
+
+    for (size_t i = from; i < end; i++) {
+        if ((unsigned char)line[i] < ' ') {
+            line[i] = ' ';
+        }
+    }
+    line[end] = '\n';
+    if (log->queue) {
+        rg_log_queue_add(log->queue, level, line, end + 1);
+        return;
+    }
+    ssize_t written = write(STDOUT_FILENO, line, end + 1);
+    (void)written; /* nowhere left to report a failing standard output */
 }
 
 void
@@ -44,22 +67,35 @@
     if (!log || level > log->level) {
         return;
     }
-    int len = print_header(line, sizeof(line) - 1, log, level, id);
+    int len = print_header(line, sizeof(line) - 1, log, level, id, "] ");
     if (len < 0 || (size_t)len >= sizeof(line) - 1) {
         return;
     }
     va_start(ap, format);
     vsnprintf(line + len, sizeof(line) - 1 - (size_t)len, format, ap);
     va_end(ap);
-    size_t end = strlen(line);
-    for (size_t i = (size_t)len; i < end; i++) {
-        if ((unsigned char)line[i] < ' ') {
-            line[i] = ' ';
-        }
+    emit(log, level, line, (size_t)len);
+}
+
+void
+rg_log_event(const struct rg_log *log, enum rg_log_level level, const char *id,
+             const char *params, ...)
+{
+    char line[LOG_LINE_MAX];
+    va_list ap;
+
+    if (!log || level > log->level) {
+        return;
     }
-    line[end] = '\n';
-    ssize_t written = write(STDERR_FILENO, line, end + 1);
-    (void)written; /* nowhere left to report a failing standard error */
+    int len = print_header(line, sizeof(line) - 2, log, level, id, " ");
+    if (len < 0 || (size_t)len >= sizeof(line) - 2) {
+        return;
+    }
+    va_start(ap, params);
+    vsnprintf(line + len, sizeof(line) - 2 - (size_t)len, params, ap);
+    va_end(ap);
+    strcat(line, "]");
+    emit(log, level, line, (size_t)len);
 }
 
 int
--- /dev/null
+++ b/common/log_queue.c
@@ -0,0 +1,104 @@
+#include "common/log_queue.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/mem.h"
+
+/* Bytes held while the reader of the log is slow. */
+#define QUEUE_BYTES (64 * 1024)
+
+struct rg_log_queue {
+    int fd;
+    uint32_t lines_per_s;
+    uint32_t credit;    /* lines that may be taken now */
+    uint64_t credit_ms; /* when credit was last given */
+    uint64_t suppressed;
+    uint64_t reported; /* of the suppressed */
+    size_t len;
+    char bytes[QUEUE_BYTES];
+};
+
+void
+rg_log_queue_add(struct rg_log_queue *q, enum rg_log_level level,
+                 const char *line, size_t len)
+{
+    bool bounded = level > RG_LOG_WARNING;
+
+    if ((bounded && q->credit == 0) || q->len + len > sizeof(q->bytes)) {
+        q->suppressed++;
+        return;
+    }
+    if (bounded) {
+        q->credit--;
+    }
+    memcpy(q->bytes + q->len, line, len);
+    q->len += len;
+}
+
+static void
+give_credit(struct rg_log_queue *q, uint64_t now_ms)
+{
+    uint64_t add = (now_ms - q->credit_ms) * q->lines_per_s / 1000;
+
+    if (add == 0) {
+        return;
+    }
+    uint64_t credit = q->credit + add;
+    q->credit = credit > q->lines_per_s ? q->lines_per_s : (uint32_t)credit;
+    q->credit_ms = now_ms;
+}
+
+void
+rg_log_flush(const struct rg_log *log, uint64_t now_ms)
+{
+    struct rg_log_queue *q = log->queue;
+
+    give_credit(q, now_ms);
+    if (q->suppressed > q->reported && q->credit > 0) {
+        uint64_t count = q->suppressed - q->reported;
+        q->reported = q->suppressed;
+        rg_log_event(log, RG_LOG_NOTICE, "SUPPRESSED", "lines=\"%llu\"",
+                     (unsigned long long)count);
+    }
+    if (q->len == 0) {
+        return;
+    }
+    ssize_t written = write(q->fd, q->bytes, q->len);
+    if (written <= 0) {
+        return; /* kept for the next flush; what does not fit is counted */
+    }
+    q->len -= (size_t)written;
+    memmove(q->bytes, q->bytes + written, q->len);
+}
+
+uint64_t
+rg_log_suppressed(const struct rg_log_queue *q)
+{
+    return q->suppressed;
+}
+
+struct rg_log_queue *
+rg_log_queue_create(int fd, uint32_t lines_per_s)
+{
+    struct rg_log_queue *q = rg_calloc(1, sizeof(*q));
+    int flags = fcntl(fd, F_GETFL);
+
+    if (flags >= 0) {
+        fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+    }
+    q->fd = fd;
+    q->lines_per_s = lines_per_s;
+    q->credit = lines_per_s;
+    return q;
+}
+
+void
+rg_log_queue_destroy(struct rg_log_queue *q)
+{
+    free(q);
+}
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -3,9 +3,9 @@
 #define RG_CTL_CTL_H
 
 #include "common/err.h"
-#include "platform/edit.h"
-#include "platform/http.h"
-#include "platform/store.h"
+#include "store/edit.h"
+#include "store/http.h"
+#include "store/store.h"
 
 #define CTL_ADMINS_MAX 4096
 
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -2,7 +2,7 @@
  *
  * The main task owns the libuv loop, the core, the packet socket, the peer
  * connections and the admin server. The platform task is a thread that owns
- * all calls to the store; the two talk by messages (daemon/platform.h). */
+ * all calls to the store; the two talk by messages (daemon/store_task.h). */
 #ifndef RG_DAEMON_DAEMON_H
 #define RG_DAEMON_DAEMON_H
 
@@ -14,7 +14,7 @@
 
 struct rg_packet_io;
 struct rg_peer;
-struct rg_platform;
+struct rg_store_task;
 struct rg_admin;
 
 /* State of the main task; only it may touch this. */
@@ -31,7 +31,7 @@
     struct rg_state *state;
     struct rg_packet_io *packets;
     struct rg_peer *peer;
-    struct rg_platform *platform;
+    struct rg_store_task *platform;
     struct rg_admin *admin;
     bool store_ok; /* the last call of the store succeeded */
     bool stopping;
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -11,7 +11,7 @@
 #include "daemon/daemon.h"
 #include "daemon/packet_io.h"
 #include "daemon/peer.h"
-#include "daemon/platform.h"
+#include "daemon/store_task.h"
 
 enum exit_code {
     EXIT_OK = 0,
@@ -96,7 +96,7 @@
     }
     d->stopping = true;
     rg_packet_io_flush(d->packets);
-    rg_platform_destroy(d->platform);
+    rg_store_task_destroy(d->platform);
     d->platform = NULL;
     rg_peer_destroy(d->peer);
     rg_admin_destroy(d->admin);
@@ -164,7 +164,7 @@
 
     rg_core_tick(d->core, rg_daemon_now_ms());
     if (d->platform) {
-        rg_platform_set_watch(
+        rg_store_task_set_watch(
             d->platform,
             rg_core_watches_store(d->core, d->settings.store.watchers));
     }
@@ -273,7 +273,7 @@
         return report(d, &err, "START", EXIT_RUNTIME);
     }
     d->store_ok = true;
-    d->platform = rg_platform_create(d);
+    d->platform = rg_store_task_create(d);
     start_loop(d);
     rg_log(&d->log, RG_LOG_NOTICE, "STARTED", "version %s", RG_VERSION);
     uv_run(&d->loop, UV_RUN_DEFAULT);
--- a/daemon/platform.c
+++ b/daemon/store_task.c
@@ -1,4 +1,4 @@
-#include "daemon/platform.h"
+#include "daemon/store_task.h"
 
 #include <pthread.h>
 #include <stdlib.h>
@@ -6,7 +6,7 @@
 #include <time.h>
 
 #include "common/mem.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 /* Waits after failures grow from the first to the last of these. */
 #define BACKOFF_MIN_MS 200
@@ -35,7 +35,7 @@
     bool ok;
 };
 
-struct rg_platform {
+struct rg_store_task {
     struct rg_daemon *d;
     struct rg_store *store;
     struct rg_rand rand; /* of the platform task */
@@ -66,7 +66,7 @@
 
 /* Sleeps; false once the task is to stop. */
 static bool
-pause_task(struct rg_platform *p, uint32_t ms)
+pause_task(struct rg_store_task *p, uint32_t ms)
 {
     struct timespec until;
 
@@ -83,7 +83,7 @@
 /* Hands an event to the main task and waits until it is handled. Returns the
  * section it needs next; empty for none. */
 static struct rg_name
-post(struct rg_platform *p, const struct event *event)
+post(struct rg_store_task *p, const struct event *event)
 {
     struct rg_name missing;
 
@@ -100,7 +100,7 @@
 }
 
 static void
-post_status(struct rg_platform *p, bool ok)
+post_status(struct rg_store_task *p, bool ok)
 {
     struct event e = {.kind = EVENT_STATUS, .ok = ok};
 
@@ -109,7 +109,7 @@
 
 /* Fetches the sections a head needs. False if the store failed. */
 static bool
-fetch_sections(struct rg_platform *p, struct rg_name missing)
+fetch_sections(struct rg_store_task *p, struct rg_name missing)
 {
     char key[128];
 
@@ -136,7 +136,7 @@
 /* One watch of the head. Returns how long to wait before the next one; a
  * failure doubles `*backoff`. */
 static uint32_t
-watch_once(struct rg_platform *p, uint64_t *revision, uint32_t *backoff)
+watch_once(struct rg_store_task *p, uint64_t *revision, uint32_t *backoff)
 {
     struct rg_store_value v;
     uint32_t wait_ms = p->d->settings.store.watch_ms;
@@ -161,7 +161,7 @@
 }
 
 static bool
-list_instances(struct rg_platform *p)
+list_instances(struct rg_store_task *p)
 {
     struct rg_store_instance *list;
     size_t count;
@@ -181,7 +181,7 @@
 }
 
 static bool
-is_watching(struct rg_platform *p)
+is_watching(struct rg_store_task *p)
 {
     pthread_mutex_lock(&p->lock);
     bool watch = p->watch;
@@ -192,7 +192,7 @@
 /* Time until the list is due again: spread out, so that instances started
  * together do not ask together. */
 static uint32_t
-list_period(struct rg_platform *p, bool listed, bool watching)
+list_period(struct rg_store_task *p, bool listed, bool watching)
 {
     uint32_t period = watching ? INSTANCES_MS : INSTANCES_MS * IDLE_FACTOR;
 
@@ -205,7 +205,7 @@
 static void *
 run(void *ctx)
 {
-    struct rg_platform *p = ctx;
+    struct rg_store_task *p = ctx;
     uint64_t revision = 0;
     uint32_t backoff = BACKOFF_MIN_MS;
     uint64_t list_due_ms = 0;
@@ -227,7 +227,7 @@
  */
 
 static void
-take_instances(struct rg_platform *p, const struct event *e)
+take_instances(struct rg_store_task *p, const struct event *e)
 {
     struct rg_addr *addrs = rg_calloc(e->instance_count, sizeof(*addrs));
     size_t count = 0;
@@ -256,7 +256,7 @@
 static void
 on_event(uv_async_t *async)
 {
-    struct rg_platform *p = async->data;
+    struct rg_store_task *p = async->data;
     struct rg_daemon *d = p->d;
 
     pthread_mutex_lock(&p->lock);
@@ -288,8 +288,8 @@
     pthread_mutex_unlock(&p->lock);
 }
 
-struct rg_platform *
-rg_platform_create(struct rg_daemon *d)
+struct rg_store_task *
+rg_store_task_create(struct rg_daemon *d)
 {
     const struct rg_settings_store *s = &d->settings.store;
     struct rg_store_opts opts = {
@@ -303,7 +303,7 @@
     if (s->urls_count == 0) {
         return NULL;
     }
-    struct rg_platform *p = rg_calloc(1, sizeof(*p));
+    struct rg_store_task *p = rg_calloc(1, sizeof(*p));
     p->d = d;
     p->store = rg_store_http_create(&opts);
     p->rand.state =
@@ -320,7 +320,7 @@
 static void
 on_closed(uv_handle_t *handle)
 {
-    struct rg_platform *p = handle->data;
+    struct rg_store_task *p = handle->data;
 
     pthread_mutex_destroy(&p->lock);
     pthread_cond_destroy(&p->changed);
@@ -328,7 +328,7 @@
 }
 
 void
-rg_platform_destroy(struct rg_platform *p)
+rg_store_task_destroy(struct rg_store_task *p)
 {
     if (!p) {
         return;
@@ -344,7 +344,7 @@
 }
 
 void
-rg_platform_set_watch(struct rg_platform *p, bool watch)
+rg_store_task_set_watch(struct rg_store_task *p, bool watch)
 {
     pthread_mutex_lock(&p->lock);
     p->watch = watch;
--- /dev/null
+++ b/edge/http_client.c
@@ -0,0 +1,286 @@
+#include "edge/http_client.h"
+
+#include <http_parser.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/mem.h"
+#include "common/text.h"
+
+#define READ_BYTES 16384
+#define REQUEST_MAX 1024
+
+/* One connection. It outlives the client's interest in it until libuv has
+ * closed it. */
+struct conn {
+    uv_tcp_t tcp;
+    uv_connect_t connect;
+    uv_write_t write;
+    struct rg_http_client *client; /* NULL once given up */
+    bool open;
+    http_parser parser;
+    char read[READ_BYTES];
+    char request[REQUEST_MAX];
+};
+
+struct rg_http_client {
+    struct rg_http_client_opts opts;
+    uv_timer_t timer;
+    struct conn *conn; /* NULL: none */
+    bool busy;
+    bool keep; /* the server keeps the connection */
+    uint32_t timeout_ms;
+    struct rg_text body;
+    char path[REQUEST_MAX];
+};
+
+static void
+free_conn(uv_handle_t *handle)
+{
+    free(handle->data);
+}
+
+static void
+drop_conn(struct rg_http_client *c)
+{
+    if (c->conn) {
+        c->conn->client = NULL;
+        uv_close((uv_handle_t *)&c->conn->tcp, free_conn);
+        c->conn = NULL;
+    }
+}
+
+static void
+finish(struct rg_http_client *c, unsigned status, const char *error)
+{
+    struct rg_http_answer answer = {
+        .status = status,
+        .body = {c->body.s ? c->body.s : "", c->body.len},
+        .error = error,
+    };
+
+    if (!c->busy) {
+        return;
+    }
+    c->busy = false;
+    uv_timer_stop(&c->timer);
+    if (status == 0 || !c->keep) {
+        drop_conn(c);
+    }
+    c->opts.cb(c->opts.ctx, &answer);
+    if (!c->busy) {
+        rg_text_clear(&c->body);
+    }
+}
+
+void
+rg_http_client_reset(struct rg_http_client *c, const char *why)
+{
+    drop_conn(c);
+    finish(c, 0, why);
+}
+
+static void
+on_timeout(uv_timer_t *timer)
+{
+    rg_http_client_reset(timer->data, "timed out");
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t len)
+{
+    struct rg_http_client *c = ((struct conn *)parser->data)->client;
+
+    if (c->body.len + len > c->opts.body_most) {
+        return 1;
+    }
+    memcpy(rg_text_reserve(&c->body, len), at, len);
+    c->body.len += len;
+    c->body.s[c->body.len] = '\0';
+    return 0;
+}
+
+/* Stops parsing, so that the callback may use the connection again. */
+static int
+on_complete(http_parser *parser)
+{
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+static void
+on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+    struct conn *conn = handle->data;
+
+    (void)size;
+    *buf = uv_buf_init(conn->read, sizeof(conn->read));
+}
+
+static void
+take_bytes(struct conn *conn, size_t len)
+{
+    struct rg_http_client *c = conn->client;
+
+    if (!c->busy) {
+        drop_conn(c); /* bytes nobody asked for */
+        return;
+    }
+    http_parser_execute(&conn->parser, &parser_settings, conn->read, len);
+    enum http_errno error = HTTP_PARSER_ERRNO(&conn->parser);
+    if (error == HPE_PAUSED) {
+        c->keep = http_should_keep_alive(&conn->parser);
+        finish(c, conn->parser.status_code, NULL);
+        return;
+    }
+    if (error != HPE_OK) {
+        rg_http_client_reset(c, http_errno_description(error));
+    }
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
+{
+    struct conn *conn = stream->data;
+
+    (void)buf;
+    if (!conn->client) {
+        return;
+    }
+    if (len < 0) {
+        rg_http_client_reset(conn->client, uv_strerror((int)len));
+        return;
+    }
+    if (len > 0) {
+        take_bytes(conn, (size_t)len);
+    }
+}
+
+static void
+on_written(uv_write_t *write, int status)
+{
+    struct conn *conn = write->data;
+
+    if (status < 0 && conn->client) {
+        rg_http_client_reset(conn->client, uv_strerror(status));
+    }
+}
+
+static void
+send_request(struct conn *conn)
+{
+    struct rg_http_client *c = conn->client;
+    char host[RG_ADDR_TEXT_MAX];
+
+    int len = snprintf(conn->request, sizeof(conn->request),
+                       "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", c->path,
+                       rg_addr_text(&c->opts.server, host));
+    uv_buf_t buf = uv_buf_init(conn->request, (unsigned)len);
+    http_parser_init(&conn->parser, HTTP_RESPONSE);
+    conn->parser.data = conn;
+    conn->write.data = conn;
+    uv_timer_start(&c->timer, on_timeout, c->timeout_ms, 0);
+    int rc =
+        uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1, on_written);
+    if (rc < 0) {
+        rg_http_client_reset(c, uv_strerror(rc));
+    }
+}
+
+static void
+on_connected(uv_connect_t *connect, int status)
+{
+    struct conn *conn = connect->data;
+
+    if (!conn->client) {
+        return;
+    }
+    if (status < 0) {
+        rg_http_client_reset(conn->client, uv_strerror(status));
+        return;
+    }
+    conn->open = true;
+    uv_tcp_nodelay(&conn->tcp, 1);
+    uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+    send_request(conn);
+}
+
+static void
+open_conn(struct rg_http_client *c)
+{
+    struct conn *conn = rg_calloc(1, sizeof(*conn));
+    struct sockaddr_storage sa;
+
+    rg_addr_to_sock(&c->opts.server, &sa);
+    conn->client = c;
+    conn->tcp.data = conn;
+    conn->connect.data = conn;
+    uv_tcp_init(c->opts.loop, &conn->tcp);
+    c->conn = conn;
+    uv_timer_start(&c->timer, on_timeout, c->opts.connect_ms, 0);
+    int rc = uv_tcp_connect(&conn->connect, &conn->tcp,
+                            (const struct sockaddr *)&sa, on_connected);
+    if (rc < 0) {
+        /* Not from here: the callback must come later. */
+        uv_timer_start(&c->timer, on_timeout, 0, 0);
+    }
+}
+
+void
+rg_http_client_get(struct rg_http_client *c, const char *path,
+                   uint32_t timeout_ms)
+{
+    rg_text_clear(&c->body);
+    c->busy = true;
+    c->keep = false;
+    c->timeout_ms = timeout_ms;
+    snprintf(c->path, sizeof(c->path), "%s", path);
+    if (c->conn) {
+        send_request(c->conn);
+    }
+    else {
+        open_conn(c);
+    }
+}
+
+bool
+rg_http_client_busy(const struct rg_http_client *c)
+{
+    return c->busy;
+}
+
+struct rg_http_client *
+rg_http_client_create(const struct rg_http_client_opts *opts)
+{
+    struct rg_http_client *c = rg_calloc(1, sizeof(*c));
+
+    c->opts = *opts;
+    uv_timer_init(opts->loop, &c->timer);
+    c->timer.data = c;
+    return c;
+}
+
+static void
+free_client(uv_handle_t *handle)
+{
+    struct rg_http_client *c = handle->data;
+
+    rg_text_clear(&c->body);
+    free(c);
+}
+
+void
+rg_http_client_destroy(struct rg_http_client *c)
+{
+    if (c) {
+        c->busy = false;
+        drop_conn(c);
+        uv_close((uv_handle_t *)&c->timer, free_client);
+    }
+}
--- /dev/null
+++ b/edge/main.c
@@ -0,0 +1,444 @@
+/* rattangap-edge: the daemon of an entry instance whose flows carry routing
+ * tokens. */
+#include <argp.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+#include <uv.h>
+
+#include "balance/balancer.h"
+#include "balance/follow.h"
+#include "balance/token.h"
+#include "common/err.h"
+#include "common/log.h"
+#include "common/mem.h"
+#include "edge/edge.h"
+#include "edge/http_server.h"
+#include "edge/packet_port.h"
+#include "edge/sync.h"
+#include "options/edge.gen.h"
+#include "options/settings.h"
+
+enum exit_code {
+    EXIT_OK = 0,
+    EXIT_RUNTIME = 1,
+    EXIT_SETTINGS = 2,
+    EXIT_USAGE = 64, /* as argp itself uses */
+};
+
+/* Where the settings file is named if the command line does not. */
+#define SETTINGS_VARIABLE "RATTANGAP_SETTINGS"
+
+/* A task that did not run for this long was paused: what it was waiting for is
+ * worthless. */
+#define PAUSE_MS 800
+/* After a stop signal: the fabric needs this long to send packets elsewhere,
+ * and a flow's packets are this far apart at most. */
+#define STOP_LEAST_MS 1600
+#define STOP_IDLE_MS 500
+/* Time kept from the grace for ending itself. */
+#define STOP_RESERVE_MS 400
+/* How often the settings file is looked at for a change without a signal. */
+#define SETTINGS_POLL_MS 2000
+
+struct edge {
+    uv_loop_t loop;
+    uv_timer_t tick;
+    uv_timer_t settings_poll;
+    uv_signal_t signals[3];
+    const char *settings_path;
+    struct rg_edge settings;
+    struct rg_log log;
+    struct rg_balancer *balancer;
+    struct rg_packet_port *packets;
+    struct rg_http_server *health;
+    struct rg_http_server *metrics;
+    struct rg_sync *sync;
+    uint64_t started_ms;
+    uint64_t last_turn_ms; /* the task ran */
+    uint64_t stop_ms;      /* a stop signal came, 0: none */
+    bool was_ready;
+    bool closing;
+};
+
+const char *argp_program_version = "rattangap-edge " RG_VERSION;
+
+struct arguments {
+    const char *settings;
+    bool check;
+};
+
+static const struct argp_option options[] = {
+    {"settings", 's', "FILE", 0,
+     "Settings of this instance; default: the file named by the environment "
+     "variable " SETTINGS_VARIABLE,
+     0},
+    {"check", 'c', NULL, 0, "Check the settings and exit", 0},
+    {0},
+};
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+    struct arguments *a = state->input;
+
+    switch (key) {
+    case 's':
+        a->settings = arg;
+        return 0;
+    case 'c':
+        a->check = true;
+        return 0;
+    case ARGP_KEY_END:
+        if (!a->settings) {
+            argp_error(state,
+                       "--settings FILE or " SETTINGS_VARIABLE " is required");
+        }
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp argp = {
+    .options = options,
+    .parser = parse_option,
+    .doc = "Layer-4 load balancer of one entry instance, steering by routing "
+           "tokens.",
+};
+
+/* Counts the time the host was suspended too, so that it shows as a pause. */
+uint64_t
+rg_edge_now_ms(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_BOOTTIME, &ts);
+    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+/* Differs between instances and starts; seeds random choices. */
+static uint64_t
+wall_us(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_REALTIME, &ts);
+    return (uint64_t)ts.tv_sec * 1000000 + (uint64_t)ts.tv_nsec / 1000;
+}
+
+/* --- settings ------------------------------------------------------------ */
+
+static bool
+load_settings(struct rg_edge *out, const char *path, struct rg_err *err)
+{
+    size_t len;
+    RG_AUTO_FREE char *text = rg_read_file(path, &len, err);
+
+    memset(out, 0, sizeof(*out));
+    return text &&
+           rg_opt_load(&rg_edge_options, out, (struct rg_str){text, len}, err);
+}
+
+/* The log's level and bounds can change while running; all else needs a
+ * restart. A file that cannot be read leaves the old settings in force. */
+static void
+reload(struct edge *e, const char *why)
+{
+    RG_ERR_AUTO err = {.file = e->settings_path};
+    struct rg_edge fresh;
+
+    if (load_settings(&fresh, e->settings_path, &err)) {
+        e->log.level = (enum rg_log_level)(fresh.log_level + RG_LOG_ERR);
+        rg_log_event(&e->log, RG_LOG_NOTICE, "RELOADED", "why=\"%s\"", why);
+    }
+    else {
+        RG_AUTO_FREE char *text = rg_err_text(&err);
+        rg_log(&e->log, RG_LOG_ERR, "SETTINGS", "kept the old ones: %s", text);
+    }
+    rg_opt_clear(&rg_edge_options, &fresh);
+}
+
+/* --- stopping ------------------------------------------------------------ */
+
+static void
+close_all(struct edge *e)
+{
+    if (e->closing) {
+        return;
+    }
+    e->closing = true;
+    rg_log_event(&e->log, RG_LOG_NOTICE, "STOPPED", "flows=\"%zu\"",
+                 rg_balancer_tracked(e->balancer));
+    rg_sync_destroy(e->sync);
+    rg_packet_port_destroy(e->packets);
+    rg_http_server_destroy(e->health);
+    rg_http_server_destroy(e->metrics);
+    uv_close((uv_handle_t *)&e->tick, NULL);
+    for (int i = 0; i < 3; i++) {
+        uv_close((uv_handle_t *)&e->signals[i], NULL);
+    }
+    uv_stop(&e->loop);
+}
+
+/* Forwards until the fabric sends nothing more, or the grace is over. */
+static bool
+may_stop(const struct edge *e, uint64_t now)
+{
+    uint64_t since = now - e->stop_ms;
+    uint64_t idle = now - rg_packet_port_last_ms(e->packets);
+
+    if (since + STOP_RESERVE_MS >= e->settings.grace_ms) {
+        return true;
+    }
+    return since >= STOP_LEAST_MS && idle >= STOP_IDLE_MS;
+}
+
+static void
+on_signal(uv_signal_t *handle, int signum)
+{
+    struct edge *e = handle->data;
+
+    if (signum == SIGHUP) {
+        reload(e, "signal");
+        return;
+    }
+    if (e->stop_ms != 0) {
+        close_all(e); /* asked twice */
+        return;
+    }
+    e->stop_ms = rg_edge_now_ms();
+    rg_log_event(&e->log, RG_LOG_NOTICE, "STOPPING",
+                 "signal=\"%d\" flows=\"%zu\"", signum,
+                 rg_balancer_tracked(e->balancer));
+}
+
+/* --- turns of the task --------------------------------------------------- */
+
+static void
+on_turn(void *ctx, uint64_t now)
+{
+    struct edge *e = ctx;
+    uint64_t gap = now - e->last_turn_ms;
+
+    e->last_turn_ms = now;
+    if (gap < PAUSE_MS) {
+        return;
+    }
+    rg_log_event(&e->log, RG_LOG_NOTICE, "PAUSED", "ms=\"%llu\"",
+                 (unsigned long long)gap);
+    rg_packet_port_discard(e->packets);
+    rg_sync_paused(e->sync);
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+    struct edge *e = timer->data;
+    uint64_t now = rg_edge_now_ms();
+
+    on_turn(e, now);
+    rg_balancer_tick(e->balancer, now);
+    bool ready = rg_balancer_ready(e->balancer);
+    if (ready && !e->was_ready) {
+        e->was_ready = true;
+        rg_log_event(&e->log, RG_LOG_NOTICE, "READY",
+                     "after_ms=\"%llu\" version=\"%llu\" upstreams=\"%zu\"",
+                     (unsigned long long)(now - e->started_ms),
+                     (unsigned long long)rg_balancer_version(e->balancer),
+                     rg_pool_listed(rg_balancer_pool(e->balancer)));
+    }
+    if (e->stop_ms != 0 && may_stop(e, now)) {
+        close_all(e);
+    }
+    rg_log_flush(&e->log, now);
+}
+
+/* --- HTTP ---------------------------------------------------------------- */
+
+static unsigned
+answer_health(void *ctx, const char *path, struct rg_text *body)
+{
+    const struct edge *e = ctx;
+
+    (void)path;
+    (void)body;
+    return rg_balancer_ready(e->balancer) && e->stop_ms == 0 ? 200 : 503;
+}
+
+static unsigned
+answer_metrics(void *ctx, const char *path, struct rg_text *body)
+{
+    const struct edge *e = ctx;
+    const struct rg_pool *pool = rg_balancer_pool(e->balancer);
+
+    (void)path;
+    rg_tally_print(rg_balancer_tally(e->balancer), body);
+    rg_text_add(body,
+                "# TYPE rattangap_config_version gauge\n"
+                "rattangap_config_version %llu\n"
+                "# TYPE rattangap_upstreams gauge\n"
+                "rattangap_upstreams{listed=\"yes\"} %zu\n"
+                "rattangap_upstreams{listed=\"no\"} %zu\n"
+                "# TYPE rattangap_flows_tracked gauge\n"
+                "rattangap_flows_tracked %zu\n"
+                "# TYPE rattangap_log_suppressed counter\n"
+                "rattangap_log_suppressed %llu\n",
+                (unsigned long long)rg_balancer_version(e->balancer),
+                rg_pool_listed(pool),
+                rg_pool_known(pool) - rg_pool_listed(pool),
+                rg_balancer_tracked(e->balancer),
+                (unsigned long long)rg_log_suppressed(e->log.queue));
+    return 200;
+}
+
+/* --- start --------------------------------------------------------------- */
+
+static void
+open_ports(struct edge *e, struct rg_err *err)
+{
+    struct rg_packet_port_opts packets = {
+        .loop = &e->loop,
+        .address = e->settings.packet_address,
+        .balancer = e->balancer,
+        .on_turn = on_turn,
+        .ctx = e,
+    };
+    struct rg_http_server_opts health = {
+        .loop = &e->loop,
+        .address = e->settings.health_address,
+        .setting = "health_address",
+        .handler = answer_health,
+        .ctx = e,
+    };
+    struct rg_http_server_opts metrics = {
+        .loop = &e->loop,
+        .address = e->settings.metrics_address,
+        .setting = "metrics_address",
+        .handler = answer_metrics,
+        .ctx = e,
+    };
+
+    e->packets = rg_packet_port_create(&packets, err);
+    e->health = rg_http_server_create(&health, err);
+    if (metrics.address.port != 0) {
+        e->metrics = rg_http_server_create(&metrics, err);
+    }
+}
+
+static void
+start_sync(struct edge *e, uint64_t seed)
+{
+    const struct rg_edge *set = &e->settings;
+    uint32_t bound =
+        set->drain_ms < set->apply_ms ? set->drain_ms : set->apply_ms;
+    struct rg_sync_opts sync = {
+        .loop = &e->loop,
+        .store = set->store.address,
+        .follow = rg_follow_opts_for(bound, set->store.settle_ms),
+        .balancer = e->balancer,
+        .log = &e->log,
+    };
+
+    sync.follow.seed = seed;
+    e->sync = rg_sync_create(&sync);
+}
+
+static void
+start_timers(struct edge *e)
+{
+    static const int signums[] = {SIGTERM, SIGINT, SIGHUP};
+
+    uv_timer_init(&e->loop, &e->tick);
+    e->tick.data = e;
+    uv_timer_start(&e->tick, on_tick, RG_BALANCER_TICK_MS,
+                   RG_BALANCER_TICK_MS);
+    for (int i = 0; i < 3; i++) {
+        uv_signal_init(&e->loop, &e->signals[i]);
+        e->signals[i].data = e;
+        uv_signal_start(&e->signals[i], on_signal, signums[i]);
+    }
+}
+
+static struct rg_balancer *
+create_balancer(struct edge *e, uint64_t seed)
+{
+    const struct rg_edge *set = &e->settings;
+    struct rg_balancer_opts opts = {
+        .data_centre = set->data_centre,
+        .flow_age_ms = set->flow_age_ms,
+        .stale_ms = set->apply_ms,
+        .tracked_flows = set->tracked_flows,
+        .seed = seed,
+        .log = &e->log,
+    };
+
+    return rg_balancer_create(&opts, e->started_ms);
+}
+
+static int
+run(struct edge *e)
+{
+    RG_ERR_AUTO err = {.file = e->settings_path};
+    uint64_t seed = rg_token_of(rg_name_str(&e->settings.name), wall_us());
+
+    uv_loop_init(&e->loop);
+    e->balancer = create_balancer(e, seed);
+    open_ports(e, &err);
+    if (rg_err_any(&err)) {
+        RG_AUTO_FREE char *text = rg_err_text(&err);
+        rg_log(&e->log, RG_LOG_ERR, "START", "%s", text);
+        rg_log_flush(&e->log, e->started_ms);
+        return EXIT_RUNTIME;
+    }
+    start_sync(e, seed + 1);
+    start_timers(e);
+    rg_log_event(&e->log, RG_LOG_NOTICE, "STARTED",
+                 "version=\"%s\" data_centre=\"%s\"", RG_VERSION,
+                 e->settings.data_centre.s);
+    uv_run(&e->loop, UV_RUN_DEFAULT);
+    /* Handles that were closed are freed in one more turn. */
+    uv_run(&e->loop, UV_RUN_NOWAIT);
+    rg_log_flush(&e->log, rg_edge_now_ms());
+    rg_balancer_destroy(e->balancer);
+    return EXIT_OK;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arguments args = {.settings = getenv(SETTINGS_VARIABLE)};
+    static struct edge e;
+    RG_ERR_AUTO err = {0};
+
+    argp_parse(&argp, argc, argv, 0, NULL, &args);
+    signal(SIGPIPE, SIG_IGN);
+    e.started_ms = rg_edge_now_ms();
+    e.last_turn_ms = e.started_ms;
+    e.settings_path = args.settings;
+    err.file = args.settings;
+    if (!load_settings(&e.settings, args.settings, &err)) {
+        RG_AUTO_FREE char *text = rg_err_text(&err);
+        fputs(text, stderr);
+        return EXIT_SETTINGS;
+    }
+    if (args.check) {
+        rg_opt_clear(&rg_edge_options, &e.settings);
+        return EXIT_OK;
+    }
+    e.log = (struct rg_log){
+        .app = "rattangap-edge",
+        .host = e.settings.name.s,
+        .level = (enum rg_log_level)(e.settings.log_level + RG_LOG_ERR),
+        .queue =
+            rg_log_queue_create(STDOUT_FILENO, e.settings.log_lines_per_s),
+    };
+    int code = run(&e);
+    rg_log_queue_destroy(e.log.queue);
+    rg_opt_clear(&rg_edge_options, &e.settings);
+    return code;
+}
--- /dev/null
+++ b/edge/packet_port.c
@@ -0,0 +1,246 @@
+#include "edge/packet_port.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/mem.h"
+#include "edge/edge.h"
+#include "platform/packet.h"
+
+#define BATCH 16
+/* A packet is at most a header and 1,200 bytes; a longer one is malformed. */
+#define DATAGRAM_MAX 1536
+#define SOCKET_BUFFER_BYTES (1024 * 1024)
+/* Batches taken before other work of the loop gets its turn. */
+#define BATCHES_PER_TURN 8
+
+#define DISCARD_BATCHES_MOST 1024
+
+struct rg_packet_port {
+    struct rg_packet_port_opts opts;
+    int fd;
+    uv_poll_t poll;
+    uint64_t last_ms;
+    struct mmsghdr in[BATCH];
+    struct iovec in_iov[BATCH];
+    uint8_t data[BATCH][DATAGRAM_MAX];
+    unsigned out_count;
+    struct mmsghdr out[BATCH];
+    struct iovec out_iov[BATCH][2];
+    struct sockaddr_storage out_to[BATCH];
+    uint8_t prefix[BATCH][RG_WIRE_PREFIX_LEN];
+    uint8_t reset[BATCH][RG_WIRE_HEADER_LEN];
+};
+
+static struct msghdr *
+next_out(struct rg_packet_port *p)
+{
+    unsigned i = p->out_count++;
+
+    p->out[i].msg_hdr = (struct msghdr){
+        .msg_name = &p->out_to[i],
+        .msg_iov = p->out_iov[i],
+    };
+    return &p->out[i].msg_hdr;
+}
+
+static void
+send_on(struct rg_packet_port *p, uint8_t *data, size_t len,
+        const struct rg_steer *steer)
+{
+    unsigned i = p->out_count;
+    struct msghdr *m = next_out(p);
+
+    rg_wire_set_token(data, steer->token);
+    rg_wire_prefix(p->prefix[i], steer->boot->wire_id);
+    p->out_iov[i][0] = (struct iovec){p->prefix[i], RG_WIRE_PREFIX_LEN};
+    p->out_iov[i][1] = (struct iovec){data, len};
+    m->msg_iovlen = 2;
+    m->msg_namelen = rg_addr_to_sock(&steer->boot->addr, &p->out_to[i]);
+}
+
+/* Callers take packets at the port that this instance does. */
+static void
+send_reset(struct rg_packet_port *p, const struct rg_segment *segment)
+{
+    unsigned i = p->out_count;
+    struct msghdr *m = next_out(p);
+    struct sockaddr_in *to = (struct sockaddr_in *)&p->out_to[i];
+
+    rg_wire_reset(p->reset[i], segment);
+    *to = (struct sockaddr_in){
+        .sin_family = AF_INET,
+        .sin_port = htons(p->opts.address.port),
+        .sin_addr.s_addr = htonl(segment->flow.caller_ip),
+    };
+    p->out_iov[i][0] = (struct iovec){p->reset[i], RG_WIRE_HEADER_LEN};
+    m->msg_iovlen = 1;
+    m->msg_namelen = sizeof(*to);
+}
+
+static void
+flush(struct rg_packet_port *p)
+{
+    struct rg_tally *tally = rg_balancer_tally(p->opts.balancer);
+    unsigned sent = 0;
+
+    while (sent < p->out_count) {
+        int n =
+            sendmmsg(p->fd, p->out + sent, p->out_count - sent, MSG_DONTWAIT);
+        if (n > 0) {
+            sent += (unsigned)n;
+        }
+        else if (errno != EINTR) {
+            /* This one is lost; those behind it may still go. */
+            tally->counters[RG_TALLY_SEND_FAILED]++;
+            sent++;
+        }
+    }
+    p->out_count = 0;
+}
+
+static void
+take(struct rg_packet_port *p, uint8_t *data, size_t len, uint64_t now_ms)
+{
+    struct rg_segment segment;
+
+    if (!rg_wire_decode(&segment, data, len)) {
+        rg_balancer_tally(p->opts.balancer)->counters[RG_TALLY_MALFORMED]++;
+        return;
+    }
+    struct rg_steer steer =
+        rg_balancer_packet(p->opts.balancer, &segment, now_ms);
+    switch (steer.kind) {
+    case RG_STEER_FORWARD:
+        send_on(p, data, len, &steer);
+        break;
+    case RG_STEER_REFUSE:
+        send_reset(p, &segment);
+        break;
+    case RG_STEER_DROP:
+        break;
+    }
+}
+
+static int
+receive(struct rg_packet_port *p)
+{
+    for (int i = 0; i < BATCH; i++) {
+        p->in_iov[i] = (struct iovec){p->data[i], DATAGRAM_MAX};
+        p->in[i].msg_hdr = (struct msghdr){
+            .msg_iov = &p->in_iov[i],
+            .msg_iovlen = 1,
+        };
+    }
+    return recvmmsg(p->fd, p->in, BATCH, MSG_DONTWAIT, NULL);
+}
+
+static void
+on_readable(uv_poll_t *poll, int status, int events)
+{
+    struct rg_packet_port *p = poll->data;
+
+    (void)status;
+    (void)events;
+    p->opts.on_turn(p->opts.ctx, rg_edge_now_ms());
+    for (int turn = 0; turn < BATCHES_PER_TURN; turn++) {
+        int count = receive(p);
+        if (count <= 0) {
+            return;
+        }
+        p->last_ms = rg_edge_now_ms();
+        for (int i = 0; i < count; i++) {
+            take(p, p->data[i], p->in[i].msg_len, p->last_ms);
+        }
+        flush(p);
+        if (count < BATCH) {
+            return;
+        }
+    }
+}
+
+void
+rg_packet_port_discard(struct rg_packet_port *p)
+{
+    uint64_t *lost =
+        &rg_balancer_tally(p->opts.balancer)->counters[RG_TALLY_DISCARDED];
+    int count;
+
+    /* Bounded, since packets may arrive as fast as they are dropped. */
+    for (int turn = 0; turn < DISCARD_BATCHES_MOST; turn++) {
+        count = receive(p);
+        *lost += count > 0 ? (uint64_t)count : 0;
+        if (count < BATCH) {
+            return;
+        }
+    }
+}
+
+static int
+open_socket(const struct rg_addr *addr)
+{
+    struct sockaddr_storage sa;
+    socklen_t len = rg_addr_to_sock(addr, &sa);
+    int size = SOCKET_BUFFER_BYTES;
+    int fd =
+        socket(sa.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    if (fd < 0) {
+        return -1;
+    }
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    if (bind(fd, (struct sockaddr *)&sa, len) != 0) {
+        int saved = errno;
+        close(fd);
+        errno = saved;
+        return -1;
+    }
+    return fd;
+}
+
+struct rg_packet_port *
+rg_packet_port_create(const struct rg_packet_port_opts *opts,
+                      struct rg_err *err)
+{
+    int fd = open_socket(&opts->address);
+
+    if (fd < 0) {
+        rg_err_add(err, "packet_address", "an address this host can bind",
+                   "%s", strerror(errno));
+        return NULL;
+    }
+    struct rg_packet_port *p = rg_calloc(1, sizeof(*p));
+    p->opts = *opts;
+    p->fd = fd;
+    uv_poll_init(opts->loop, &p->poll, fd);
+    p->poll.data = p;
+    uv_poll_start(&p->poll, UV_READABLE, on_readable);
+    return p;
+}
+
+static void
+on_closed(uv_handle_t *handle)
+{
+    struct rg_packet_port *p = handle->data;
+
+    close(p->fd);
+    free(p);
+}
+
+void
+rg_packet_port_destroy(struct rg_packet_port *p)
+{
+    if (p) {
+        uv_close((uv_handle_t *)&p->poll, on_closed);
+    }
+}
+
+uint64_t
+rg_packet_port_last_ms(const struct rg_packet_port *p)
+{
+    return p->last_ms;
+}
--- /dev/null
+++ b/edge/sync.c
@@ -0,0 +1,232 @@
+#include "edge/sync.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "common/mem.h"
+#include "edge/edge.h"
+#include "edge/http_client.h"
+#include "platform/kv.h"
+
+/* Largest answer taken: a page of items, or many changes of the document. */
+#define BODY_MOST (16 * 1024 * 1024)
+/* An unreadable entry takes its upstream out of use after this time, unless
+ * the upstream has written again. */
+#define UNREADABLE_KEEP_MS 1500
+
+struct rg_sync {
+    struct rg_sync_opts opts;
+    struct rg_follow *follow;
+    struct rg_http_client *client;
+    uv_timer_t timer;
+    enum rg_follow_kind calling; /* the call in progress */
+    bool reachable;              /* the last call was answered */
+    uint64_t called_ms;
+};
+
+static void step(struct rg_sync *s);
+
+static uint64_t *
+counters(struct rg_sync *s)
+{
+    return rg_balancer_tally(s->opts.balancer)->counters;
+}
+
+static void
+note_unreadable(struct rg_sync *s, const struct rg_kv_change *c)
+{
+    bool routes = c->what == RG_KV_BAD_ROUTES;
+
+    counters(s)[routes ? RG_TALLY_CONFIGS_UNREADABLE
+                       : RG_TALLY_ENTRIES_UNREADABLE]++;
+    rg_log_event(s->opts.log, RG_LOG_WARNING, "UNREADABLE",
+                 "kind=\"%s\" id=\"%s\" revision=\"%llu\" why=\"%s\"",
+                 routes ? "config" : "upstream", c->id.s,
+                 (unsigned long long)c->revision, c->why);
+}
+
+static void
+on_change(void *ctx, const struct rg_kv_change *c)
+{
+    struct rg_sync *s = ctx;
+    struct rg_pool *pool = rg_balancer_pool(s->opts.balancer);
+    uint64_t now = rg_edge_now_ms();
+
+    switch (c->what) {
+    case RG_KV_ROUTES:
+        rg_balancer_set_routes(s->opts.balancer, c->routes);
+        break;
+    case RG_KV_UPSTREAM:
+        rg_pool_report(pool, &c->report, c->revision, now);
+        break;
+    case RG_KV_UPSTREAM_REMOVED:
+        rg_pool_remove(pool, &c->id, c->revision,
+                       rg_follow_keep_ms(s->follow, now), now);
+        break;
+    case RG_KV_BAD_UPSTREAM:
+        rg_pool_remove(pool, &c->id, c->revision, UNREADABLE_KEEP_MS, now);
+        note_unreadable(s, c);
+        break;
+    case RG_KV_BAD_ROUTES:
+        note_unreadable(s, c);
+        break;
+    case RG_KV_OTHER:
+        break;
+    }
+}
+
+static void
+note_reachable(struct rg_sync *s, bool reachable, const char *why)
+{
+    if (s->reachable == reachable) {
+        return;
+    }
+    s->reachable = reachable;
+    rg_log_event(s->opts.log, RG_LOG_NOTICE,
+                 reachable ? "STORE_BACK" : "STORE_LOST",
+                 "why=\"%s\" version=\"%llu\" view_age_ms=\"%llu\"", why,
+                 (unsigned long long)rg_balancer_version(s->opts.balancer),
+                 (unsigned long long)(rg_edge_now_ms() -
+                                      rg_follow_fresh_ms(s->follow)));
+}
+
+static void
+failed(struct rg_sync *s, const char *why)
+{
+    counters(s)[RG_TALLY_STORE_FAILURES]++;
+    note_reachable(s, false, why);
+    rg_follow_failed(s->follow, rg_edge_now_ms());
+}
+
+static void
+take_answer(struct rg_sync *s, struct rg_str body)
+{
+    struct rg_pool *pool = rg_balancer_pool(s->opts.balancer);
+    struct rg_kv_answer answer;
+    uint64_t now = rg_edge_now_ms();
+    bool listing = s->calling == RG_FOLLOW_LIST;
+
+    if (listing && rg_follow_first_page(s->follow)) {
+        rg_pool_begin_listing(pool);
+    }
+    if (!rg_kv_decode(body, on_change, s, &answer)) {
+        failed(s, "unreadable answer");
+        return;
+    }
+    if (!listing) {
+        rg_follow_watched(s->follow, answer.revision, answer.changes > 0, now);
+    }
+    else if (rg_follow_listed(s->follow, answer.last_key, answer.more,
+                              answer.revision, now))
+    {
+        rg_pool_end_listing(pool, rg_follow_keep_ms(s->follow, now), now);
+    }
+    note_reachable(s, true, "answered");
+    if (rg_follow_complete(s->follow)) {
+        /* The answer tells what stood when the call arrived, at the least. */
+        rg_balancer_fresh(s->opts.balancer, now);
+    }
+}
+
+static void
+on_answer(void *ctx, const struct rg_http_answer *answer)
+{
+    struct rg_sync *s = ctx;
+
+    if (answer->status == 200) {
+        take_answer(s, answer->body);
+    }
+    else if (answer->status == 410) {
+        counters(s)[RG_TALLY_STORE_RELISTED]++;
+        rg_log_event(s->opts.log, RG_LOG_NOTICE, "STORE_RELISTED",
+                     "why=\"history is gone\"");
+        rg_follow_forgotten(s->follow, rg_edge_now_ms());
+    }
+    else if (answer->status == 0) {
+        failed(s, answer->error);
+    }
+    else {
+        char why[32];
+        snprintf(why, sizeof(why), "status %u", answer->status);
+        failed(s, why);
+    }
+    step(s);
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+    step(timer->data);
+}
+
+static void
+step(struct rg_sync *s)
+{
+    char path[RG_KV_PATH_MAX];
+    uint64_t now = rg_edge_now_ms();
+    struct rg_follow_step next = rg_follow_next(s->follow, now);
+
+    if (rg_http_client_busy(s->client)) {
+        return;
+    }
+    if (next.kind == RG_FOLLOW_WAIT) {
+        uv_timer_start(&s->timer, on_timer, next.at_ms - now, 0);
+        return;
+    }
+    counters(s)[RG_TALLY_STORE_CALLS]++;
+    s->calling = next.kind;
+    s->called_ms = now;
+    rg_kv_path(path, &next);
+    rg_http_client_get(s->client, path, next.timeout_ms);
+}
+
+void
+rg_sync_paused(struct rg_sync *s)
+{
+    rg_follow_paused(s->follow, rg_edge_now_ms());
+    if (rg_http_client_busy(s->client)) {
+        rg_http_client_reset(s->client, "the process was paused");
+    }
+    else {
+        step(s);
+    }
+}
+
+struct rg_sync *
+rg_sync_create(const struct rg_sync_opts *opts)
+{
+    struct rg_sync *s = rg_calloc(1, sizeof(*s));
+    struct rg_http_client_opts client = {
+        .loop = opts->loop,
+        .server = opts->store,
+        .connect_ms = opts->follow.connect_ms,
+        .body_most = BODY_MOST,
+        .cb = on_answer,
+        .ctx = s,
+    };
+
+    s->opts = *opts;
+    s->reachable = true;
+    s->follow = rg_follow_create(&opts->follow);
+    s->client = rg_http_client_create(&client);
+    uv_timer_init(opts->loop, &s->timer);
+    s->timer.data = s;
+    step(s);
+    return s;
+}
+
+static void
+on_closed(uv_handle_t *handle)
+{
+    free(handle->data);
+}
+
+void
+rg_sync_destroy(struct rg_sync *s)
+{
+    if (s) {
+        rg_http_client_destroy(s->client);
+        rg_follow_destroy(s->follow);
+        uv_close((uv_handle_t *)&s->timer, on_closed);
+    }
+}
--- a/options/opt.c
+++ b/options/opt.c
@@ -1,6 +1,7 @@
 #include "options/opt.h"
 
 #include <json-c/json.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -70,6 +71,27 @@
     memcpy(out, &narrow, sizeof(narrow));
 }
 
+static void
+load_duration(struct load *l, const struct rg_opt *row, void *out,
+              struct json_object *o, const char *path)
+{
+    double unit_ms = row->type == RG_OPT_SECONDS ? 1000 : 1;
+    double ms = ceil(json_object_get_double(o) * unit_ms);
+    char expected[96];
+
+    if ((json_object_is_type(o, json_type_int) ||
+         json_object_is_type(o, json_type_double)) &&
+        ms >= 0 && ms <= (double)row->max)
+    {
+        uint32_t whole = (uint32_t)ms;
+        memcpy(out, &whole, sizeof(whole));
+        return;
+    }
+    snprintf(expected, sizeof(expected), "a number from 0 to %.15g",
+             (double)row->max / unit_ms);
+    rg_err_add(l->err, path, expected, "%s", json_object_to_json_string(o));
+}
+
 static void
 load_choice(struct load *l, const struct rg_opt *row, void *out,
             struct json_object *o, const char *path)
@@ -189,6 +211,10 @@
     case RG_OPT_U64:
         load_number(l, row, out, o, path);
         break;
+    case RG_OPT_SECONDS:
+    case RG_OPT_MILLIS:
+        load_duration(l, row, out, o, path);
+        break;
     case RG_OPT_CHOICE:
         load_choice(l, row, out, o, path);
         break;
@@ -213,6 +239,8 @@
 
     switch (row->type) {
     case RG_OPT_U32:
+    case RG_OPT_SECONDS:
+    case RG_OPT_MILLIS:
     case RG_OPT_CHOICE:
         memcpy(out, &narrow, sizeof(narrow));
         break;
--- a/options/opt.h
+++ b/options/opt.h
@@ -16,13 +16,15 @@
 enum rg_opt_type {
     RG_OPT_U32,
     RG_OPT_U64,
-    RG_OPT_TEXT,   /* char *, owned */
-    RG_OPT_NAME,   /* struct rg_name */
-    RG_OPT_ADDR,   /* struct rg_addr, "ip:port" */
-    RG_OPT_IP,     /* uint8_t[RG_IP_LEN] */
-    RG_OPT_CHOICE, /* uint32_t, index into choices */
-    RG_OPT_OBJECT, /* nested struct */
-    RG_OPT_LIST,   /* pointer and size_t count, owned */
+    RG_OPT_SECONDS, /* uint32_t of milliseconds; a number of seconds */
+    RG_OPT_MILLIS,  /* uint32_t; fractions are allowed and rounded up */
+    RG_OPT_TEXT,    /* char *, owned */
+    RG_OPT_NAME,    /* struct rg_name */
+    RG_OPT_ADDR,    /* struct rg_addr, "ip:port" */
+    RG_OPT_IP,      /* uint8_t[RG_IP_LEN] */
+    RG_OPT_CHOICE,  /* uint32_t, index into choices */
+    RG_OPT_OBJECT,  /* nested struct */
+    RG_OPT_LIST,    /* pointer and size_t count, owned */
 };
 
 struct rg_opt_table;
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -16,7 +16,7 @@
 #include <unistd.h>
 
 #include "common/mem.h"
-#include "platform/http.h"
+#include "store/http.h"
 #include "standin/common.h"
 
 #define ARGS_MAX 1200
--- a/platform/edit.c
+++ b/store/edit.c
@@ -1,4 +1,4 @@
-#include "platform/edit.h"
+#include "store/edit.h"
 
 #include <json-c/json.h>
 #include <stdio.h>
--- a/platform/edit.h
+++ b/store/edit.h
@@ -1,12 +1,12 @@
 /* Editing the configuration in the store: one section at a time, accepted by
  * one compare-and-swap of the head. Blocks. */
-#ifndef RG_PLATFORM_EDIT_H
-#define RG_PLATFORM_EDIT_H
+#ifndef RG_STORE_EDIT_H
+#define RG_STORE_EDIT_H
 
 #include "common/err.h"
 #include "common/rand.h"
 #include "config/config.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 /* Everything the head names, as read from the store. */
 struct rg_document {
--- a/platform/http.c
+++ b/store/http.c
@@ -1,4 +1,4 @@
-#include "platform/http.h"
+#include "store/http.h"
 
 #include <curl/curl.h>
 #include <stdatomic.h>
--- a/platform/http.h
+++ b/store/http.h
@@ -1,8 +1,8 @@
 /* Blocking HTTP calls, over libcurl. Used by the daemon's platform task, the
  * operators' tool and the experiment tool; never by a task that must not
  * wait. */
-#ifndef RG_PLATFORM_HTTP_H
-#define RG_PLATFORM_HTTP_H
+#ifndef RG_STORE_HTTP_H
+#define RG_STORE_HTTP_H
 
 #include <stddef.h>
 #include <stdint.h>
--- a/platform/store.h
+++ b/store/store.h
@@ -1,7 +1,7 @@
 /* The platform's store, behind a table of functions so that a site's own
  * store is one file. All calls block. */
-#ifndef RG_PLATFORM_STORE_H
-#define RG_PLATFORM_STORE_H
+#ifndef RG_STORE_STORE_H
+#define RG_STORE_STORE_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/platform/store_http.c
+++ b/store/store_http.c
@@ -4,8 +4,8 @@
 #include <string.h>
 
 #include "common/mem.h"
-#include "platform/http.h"
-#include "platform/store.h"
+#include "store/http.h"
+#include "store/store.h"
 
 #define URL_MAX 512
 #define TOKEN_MAX 512
--- a/test/test_edit.c
+++ b/test/test_edit.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "common/mem.h"
-#include "platform/edit.h"
+#include "store/edit.h"
 
 #define KEYS_MAX 64
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -182,6 +182,8 @@
     note = c_comment(field["doc"])
     if kind in ("u32", "u64"):
         return f"{note}uint{INTS[kind]}_t {name};\n"
+    if kind in ("seconds", "millis"):
+        return f"{note}uint32_t {name};\n"
     if kind == "choice":
         return f"{note}uint32_t {name}; /* index of the choice */\n"
     if kind == "text":
@@ -204,7 +206,7 @@
     kind = field["type"]
     parts = kind.split(":")
     base = parts[0]
-    row = f'{{.key = "{field["name"]}", '
+    row = f'{{.key = "{field.get("key", field["name"])}", '
     if base == "list":
         row += f".type = RG_OPT_LIST, .item = RG_OPT_{parts[1].upper()}, "
         row += f".max = {parts[-1]}, "
@@ -219,6 +221,8 @@
     if base in ("u32", "u64"):
         row += f".min = {field['min']}U, .max = {field['max']}ULL, "
         row += f".fallback = {field.get('default', 0)}U, "
+    if base in ("seconds", "millis"):
+        row += f".max = {field['max']}ULL, .fallback = {field['default']}U, "
     if base == "choice":
         row += f".choices = {owner}_{field['name']}_choices, "
         row += f".fallback = {field['choices'].index(field['default'])}, "
@@ -274,6 +278,7 @@
     check = "--check" in sys.argv[1:]
     files = messages(json.loads((ROOT / "schema/messages.json").read_text()))
     for name, target in (("settings", "options/settings"),
+                         ("edge", "options/edge"),
                          ("document", "config/document")):
         schema = json.loads((ROOT / f"schema/{name}.json").read_text())
         files.update(objects(schema, f"{name}.json", target))
--- a/tools/packages.sh
+++ b/tools/packages.sh
@@ -8,6 +8,7 @@
     pkg-config python3 spin gnuplot-nox curl ca-certificates
     libuv1-dev libmsgpack-dev libjson-c-dev libglib2.0-dev
     libmicrohttpd-dev libcurl4-openssl-dev libxxhash-dev
+    libhttp-parser-dev nettle-dev
 )
 
 missing=()
