balance: take turns among equal upstreams, and learn failures from callers

A caller's acknowledgements show that an answer is far quicker and shorter than its route's usual one, or does not come; both count against the upstream. Idle upstreams now take turns, slowness counts from 1.5 times the mean on, and several silent upstreams of one data centre put all of it under suspicion.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -1,6 +1,7 @@
 #include "balance/balancer.h"
 
 #include <arpa/inet.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -24,6 +25,10 @@
 #define OVERDUE_TIMES 4
 #define OVERDUE_LEAST_MS 25
 #define OVERDUE_MOST_MS 180
+/* A request is overdue after this many times its route's usual time to an
+ * answer, and no sooner than the least. */
+#define REQUEST_LATE_TIMES 8
+#define REQUEST_LATE_LEAST_MS 250
 #define OPENING_GAIN 0.05
 
 struct rg_balancer {
@@ -34,6 +39,7 @@
     struct rg_rand rand;
     struct rg_tally tally;
     double opening_ms; /* usual time from opening to the caller's answer */
+    uint64_t choices;  /* made so far */
     uint64_t started_ms;
     uint64_t fresh_ms; /* the store confirmed the view, 0: never */
     uint64_t now_ms;
@@ -78,7 +84,7 @@
     static const char *const rules[] = {
         [RG_CHOOSE_NONE] = "none",
         [RG_CHOOSE_BEST] = "best",
-        [RG_CHOOSE_EJECTED] = "all-ejected",
+        [RG_CHOOSE_TRIAL] = "trial",
     };
     char flow[FLOW_TEXT_MAX];
 
@@ -151,6 +157,25 @@
     }
 }
 
+/* A request that waits far longer than its route's usual counts as failed,
+ * once. */
+static void
+note_overdue(struct rg_balancer *b, struct rg_track *t)
+{
+    if (t->state != RG_TRACK_REQUEST || t->overdue) {
+        return;
+    }
+    const struct rg_route *route =
+        rg_routes_find(b->routes, t->flow.service_ip, t->flow.service_port);
+    double usual = route ? route->usual_ms : 0;
+    double limit = fmax(REQUEST_LATE_TIMES * usual, REQUEST_LATE_LEAST_MS);
+    if (usual > 0 && (double)(b->now_ms - t->since_ms) > limit) {
+        t->overdue = true;
+        count(b, RG_TALLY_REQUESTS_OVERDUE);
+        rg_boot_outcome(t->boot, true, b->now_ms);
+    }
+}
+
 static bool
 expired(void *ctx, struct rg_track *t)
 {
@@ -160,8 +185,9 @@
         [RG_TRACK_REQUEST] = REQUEST_LIFE_MS,
         [RG_TRACK_CLOSED] = CLOSED_LIFE_MS,
     };
-    const struct rg_balancer *b = ctx;
+    struct rg_balancer *b = ctx;
 
+    note_overdue(b, t);
     if (b->now_ms - t->last_ms < life_ms[t->state]) {
         return false;
     }
@@ -229,6 +255,7 @@
         .avoid = t ? t->tried : NULL,
         .avoid_count = t ? RG_TRACK_TRIES_MAX : 0,
         .now_ms = b->now_ms,
+        .number = ++b->choices,
         .overdue_ms = overdue_ms(b),
         .rand = &b->rand,
     };
@@ -354,6 +381,7 @@
     uint64_t ms = b->now_ms - t->since_ms;
     rg_tally_observe(&b->tally, RG_TALLY_ANSWER_MS, ms);
     rg_boot_answered(t->boot, (double)ms, b->now_ms);
+    t->answer_ms = (uint32_t)ms;
     set_track_state(t, RG_TRACK_IDLE, b->now_ms);
 }
 
@@ -371,13 +399,41 @@
     t->last_seq = s->seq;
     t->repeats = 0;
     if (t->state == RG_TRACK_IDLE) {
+        t->request_ack = t->last_ack;
+        t->answer_ms = RG_TRACK_UNANSWERED;
+        t->overdue = false;
         set_track_state(t, RG_TRACK_REQUEST, b->now_ms);
     }
 }
 
+/* The caller has closed its side: what it got is complete. */
+static void
+note_closed(struct rg_balancer *b, struct rg_track *t,
+            const struct rg_segment *s, struct rg_route *route)
+{
+    char flow[FLOW_TEXT_MAX];
+    uint32_t bytes = t->last_ack - t->request_ack;
+    bool failed = false;
+
+    if (t->state == RG_TRACK_CLOSED || t->answer_ms == RG_TRACK_UNANSWERED) {
+        return;
+    }
+    double ms = fmax((double)t->answer_ms - b->opening_ms, 0);
+    failed = rg_route_answered(route, ms, bytes);
+    rg_boot_outcome(t->boot, failed, b->now_ms);
+    if (failed) {
+        count(b, RG_TALLY_ANSWERS_ERROR_LIKE);
+    }
+    rg_log_event(b->opts.log, failed ? RG_LOG_INFO : RG_LOG_DEBUG, "CLOSED",
+                 "flow=\"%s\" upstream=\"%s\" answer_ms=\"%u\" bytes=\"%u\" "
+                 "usual_ms=\"%.1f\" usual_bytes=\"%.0f\" error_like=\"%d\"",
+                 flow_text(&s->flow, flow), t->boot->id.s, t->answer_ms, bytes,
+                 route->usual_ms, route->usual_bytes, failed);
+}
+
 static void
 note_packet(struct rg_balancer *b, struct rg_track *t,
-            const struct rg_segment *s)
+            const struct rg_segment *s, struct rg_route *route)
 {
     t->last_ms = b->now_ms;
     if (t->state == RG_TRACK_OPENING) {
@@ -385,6 +441,9 @@
     }
     note_progress(b, t, s);
     note_data(b, t, s);
+    if (s->fin) {
+        note_closed(b, t, s, route);
+    }
     if (s->fin || s->reset) {
         set_track_state(t, RG_TRACK_CLOSED, b->now_ms);
     }
@@ -406,7 +465,7 @@
 {
     struct rg_track *t = rg_tracks_find(b->tracks, &s->flow);
     struct rg_boot *boot = rg_pool_by_token(b->pool, s->token);
-    const struct rg_route *route =
+    struct rg_route *route =
         rg_routes_find(b->routes, s->flow.service_ip, s->flow.service_port);
 
     if (s->token == RG_TOKEN_NONE) {
@@ -429,7 +488,7 @@
         move_track(b, t, boot);
     }
     if (t) {
-        note_packet(b, t, s);
+        note_packet(b, t, s, route);
     }
     return forward(b, boot);
 }
@@ -469,6 +528,9 @@
                  (unsigned long long)version,
                  (unsigned long long)rg_balancer_version(b),
                  rg_routes_count(routes));
+    if (b->routes) {
+        rg_routes_inherit(routes, b->routes);
+    }
     rg_routes_destroy(b->routes);
     b->routes = routes;
     return true;
--- a/balance/choose.c
+++ b/balance/choose.c
@@ -9,10 +9,14 @@
 #define EJECT_MOST_MS 8000
 
 /* Costs, in units of one request ahead. */
+#define COST_EQUAL 0.02  /* a smaller difference is none */
 #define COST_COLD 1.6    /* times: a cold upstream is slower */
 #define COST_REMOTE 0.35 /* another data centre: delay and traffic between */
-#define COST_OVERDUE 6.0 /* its oldest opening waits too long for an answer   \
-                          */
+#define COST_SUSPECT 3.0 /* its data centre may be cut off */
+#define COST_EJECTED 4.0 /* ejected, but so are most */
+#define COST_OVERDUE                                                          \
+    6.0 /* its oldest opening waits too long for an answer                    \
+         */
 #define COST_UNANSWERED                                                       \
     3.0 /* an opening was repeated since it last answered */
 
@@ -21,13 +25,27 @@
 /* An opening without an answer for longer was given up by its caller. */
 #define WAITING_LIFE_MS 1600
 
+/* Silent upstreams of one data centre that put all of it under suspicion. */
+#define SUSPECT_FROM 2
+/* Pause between openings that try a data centre under suspicion. */
+#define SUSPECT_TRIAL_MS 1500
+
 /* Share of a new answer in the mean latency. */
 #define LATENCY_GAIN 0.15
 /* Without answers a slow upstream's latency is forgotten by half in this
  * time, so that it is tried again. */
 #define LATENCY_HALF_MS 2500.0
+/* Cost of an upstream all of whose requests fail. */
+#define COST_FAILING 10.0
+/* Share of a new outcome in the share of failures. */
+#define FAILING_GAIN 0.2
+/* Failures are forgotten by half in this time. */
+#define FAILING_HALF_MS 4000.0
+
 /* Bounds of an upstream's latency, relative to its service. */
-#define SLOW_LEAST 0.6
+/* Less than this is chance, not slowness; a quick upstream is not preferred
+ * either, since errors are quick. */
+#define SLOW_FROM 1.5
 #define SLOW_MOST 12.0
 
 /* Upstreams looked at for one choice; of more, a random run is. */
@@ -62,7 +80,6 @@
     }
     b->ejections++;
     b->ejected_until_ms = now_ms + pause;
-    b->last_trial_ms = now_ms;
 }
 
 void
@@ -73,6 +90,8 @@
     b->ejected_until_ms = 0;
     b->waiting_since_ms = 0;
     b->last_alive_ms = now_ms;
+    b->place->alive_ms = now_ms;
+    b->place->suspect = false;
 }
 
 void
@@ -85,6 +104,25 @@
     rg_boot_alive(b, now_ms);
 }
 
+double
+rg_boot_failing(const struct rg_boot *b, uint64_t now_ms)
+{
+    if (b->failing <= 0) {
+        return 0;
+    }
+    double age = (double)(now_ms - b->failing_ms);
+    return b->failing * exp2(-age / FAILING_HALF_MS);
+}
+
+void
+rg_boot_outcome(struct rg_boot *b, bool failed, uint64_t now_ms)
+{
+    double before = rg_boot_failing(b, now_ms);
+
+    b->failing = before + FAILING_GAIN * ((failed ? 1 : 0) - before);
+    b->failing_ms = now_ms;
+}
+
 /* Mean latency of a service's upstreams, 0 if none has answered. */
 static double
 service_latency(struct rg_boot *const *boots, size_t count)
@@ -111,7 +149,16 @@
     double ratio = b->latency_ms / mean_ms;
     double age = (double)(now_ms - b->latency_at_ms);
     ratio = 1 + (ratio - 1) * exp2(-age / LATENCY_HALF_MS);
-    return fmin(fmax(ratio, SLOW_LEAST), SLOW_MOST);
+    return fmin(fmax(ratio / SLOW_FROM, 1), SLOW_MOST);
+}
+
+static bool
+is_overdue(const struct rg_boot *b, const struct rg_choose_opts *opts)
+{
+    uint64_t age = opts->now_ms - b->waiting_since_ms;
+
+    return b->waiting_since_ms != 0 && age <= WAITING_LIFE_MS &&
+           age > opts->overdue_ms;
 }
 
 /* True if the oldest opening it has not answered counts against it. One that
@@ -134,21 +181,53 @@
     double cost = ((double)b->open_work + 1) / (double)b->slots;
 
     cost *= slowness(b, mean_ms, opts->now_ms);
-    if (opts->now_ms < b->cold_until_ms) {
+    if (opts->now_ms < b->cold_until_ms && b->open_work > 0) {
         cost *= COST_COLD;
     }
     if (!b->local) {
         cost += COST_REMOTE;
     }
+    cost += COST_FAILING * rg_boot_failing(b, opts->now_ms);
     if (keeps_waiting(b, opts)) {
         cost += COST_OVERDUE;
     }
     if (opts->now_ms - b->unanswered_ms < UNANSWERED_LIFE_MS) {
         cost += COST_UNANSWERED * b->unanswered;
     }
+    if (b->place->suspect) {
+        cost += COST_SUSPECT;
+    }
+    if (rg_boot_ejected(b, opts->now_ms)) {
+        cost += COST_EJECTED;
+    }
     return cost;
 }
 
+/* Suspects a data centre when several of its upstreams keep an opening
+ * waiting and none has answered since the first of these was sent. */
+static void
+judge_places(struct rg_boot *const *boots, size_t count,
+             const struct rg_choose_opts *opts)
+{
+    for (size_t i = 0; i < count; i++) {
+        struct rg_boot *first = boots[i];
+        if (first->place->suspect || !is_overdue(first, opts) ||
+            first->place->alive_ms >= first->waiting_since_ms)
+        {
+            continue;
+        }
+        size_t silent = 0;
+        for (size_t n = 0; n < count; n++) {
+            silent +=
+                boots[n]->place == first->place && is_overdue(boots[n], opts);
+        }
+        if (silent >= SUSPECT_FROM) {
+            first->place->suspect = true;
+            first->place->trial_ms = opts->now_ms;
+        }
+    }
+}
+
 static bool
 tried(const struct rg_choose_opts *opts, const struct rg_boot *b)
 {
@@ -167,36 +246,87 @@
            !b->ambiguous;
 }
 
-struct rg_choice_made
-rg_choose(const struct rg_pool *pool, const struct rg_choose_opts *opts)
+/* A suspected data centre is tried now and then. */
+static bool
+place_is_due(const struct rg_boot *b, uint64_t now_ms)
+{
+    return b->place->suspect &&
+           now_ms - b->place->trial_ms >= SUSPECT_TRIAL_MS;
+}
+
+/* Of equal costs the one chosen longest ago is taken, so that idle upstreams
+ * take turns. */
+static bool
+is_better(const struct rg_choice_made *best, const struct rg_boot *b,
+          double cost)
+{
+    if (!best->boot || cost < best->cost - COST_EQUAL) {
+        return true;
+    }
+    return cost < best->cost + COST_EQUAL && b->chosen < best->boot->chosen;
+}
+
+/* True if most upstreams that take flows are ejected: then the fault may lie
+ * elsewhere, and leaving all of them out would load the rest beyond use. */
+static bool
+most_are_ejected(struct rg_boot *const *boots, size_t count, uint64_t now_ms)
+{
+    size_t ejected = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        ejected += rg_boot_ejected(boots[i], now_ms);
+    }
+    return ejected * 2 > count;
+}
+
+/* Fills `out` with upstreams of the service that take flows, from a random one
+ * on; returns their number. */
+static size_t
+candidates(const struct rg_pool *pool, const struct rg_choose_opts *opts,
+           struct rg_boot *out[LOOK_AT_MOST])
 {
     size_t count;
     struct rg_boot *const *boots = rg_pool_boots(pool, opts->service, &count);
-    size_t look = count < LOOK_AT_MOST ? count : LOOK_AT_MOST;
-    size_t from = count ? rg_rand_below(opts->rand, (uint32_t)count) : 0;
-    double mean_ms = service_latency(boots, look);
-    struct rg_choice_made best = {.rule = RG_CHOOSE_NONE};
-    struct rg_boot *ejected = NULL;
+    size_t from = rg_rand_below(opts->rand, (uint32_t)count);
+    size_t found = 0;
 
-    for (size_t n = 0; n < look; n++) {
+    for (size_t n = 0; n < count && found < LOOK_AT_MOST; n++) {
         struct rg_boot *b = boots[(from + n) % count];
-        if (!takes_flows(b) || tried(opts, b)) {
-            continue;
+        if (takes_flows(b)) {
+            out[found++] = b;
         }
-        if (rg_boot_ejected(b, opts->now_ms)) {
-            if (!ejected || b->last_trial_ms < ejected->last_trial_ms) {
-                ejected = b;
-            }
+    }
+    return found;
+}
+
+struct rg_choice_made
+rg_choose(const struct rg_pool *pool, const struct rg_choose_opts *opts)
+{
+    struct rg_boot *boots[LOOK_AT_MOST];
+    size_t count = candidates(pool, opts, boots);
+    double mean_ms = service_latency(boots, count);
+    bool use_ejected = most_are_ejected(boots, count, opts->now_ms);
+    struct rg_choice_made best = {.rule = RG_CHOOSE_NONE};
+
+    judge_places(boots, count, opts);
+    for (size_t n = 0; n < count; n++) {
+        struct rg_boot *b = boots[n];
+        if (tried(opts, b) ||
+            (rg_boot_ejected(b, opts->now_ms) && !use_ejected)) {
             continue;
         }
+        if (place_is_due(b, opts->now_ms)) {
+            b->place->trial_ms = opts->now_ms;
+            best = (struct rg_choice_made){b, RG_CHOOSE_TRIAL, 0};
+            break;
+        }
         double cost = cost_of(b, mean_ms, opts);
-        if (!best.boot || cost < best.cost) {
+        if (is_better(&best, b, cost)) {
             best = (struct rg_choice_made){b, RG_CHOOSE_BEST, cost};
         }
     }
-    if (!best.boot && ejected) {
-        ejected->last_trial_ms = opts->now_ms;
-        best = (struct rg_choice_made){ejected, RG_CHOOSE_EJECTED, 0};
+    if (best.boot) {
+        best.boot->chosen = opts->number;
     }
     return best;
 }
--- a/balance/choose.h
+++ b/balance/choose.h
@@ -13,9 +13,9 @@
 
 /* Why an upstream was chosen. */
 enum rg_choose_rule {
-    RG_CHOOSE_NONE,    /* no upstream can take the flow */
-    RG_CHOOSE_BEST,    /* least expected wait */
-    RG_CHOOSE_EJECTED, /* all are ejected: the one left alone longest */
+    RG_CHOOSE_NONE,  /* no upstream can take the flow */
+    RG_CHOOSE_BEST,  /* least expected wait */
+    RG_CHOOSE_TRIAL, /* shows whether a suspected data centre is back */
 };
 
 struct rg_choose_opts {
@@ -23,6 +23,7 @@
     struct rg_boot *const *avoid; /* tried for this flow; NULL entries skip */
     size_t avoid_count;
     uint64_t now_ms;
+    uint64_t number;      /* of this choice, rising */
     uint32_t overdue_ms;  /* an opening without an answer for this long is
                              evidence against its upstream */
     struct rg_rand *rand; /* borrowed; breaks ties */
@@ -45,6 +46,10 @@
 void rg_boot_alive(struct rg_boot *b, uint64_t now_ms);
 /* A request was answered after `ms`. */
 void rg_boot_answered(struct rg_boot *b, double ms, uint64_t now_ms);
+/* A request there failed, by what its caller saw, or not. */
+void rg_boot_outcome(struct rg_boot *b, bool failed, uint64_t now_ms);
+/* Share of recent requests that failed. */
+double rg_boot_failing(const struct rg_boot *b, uint64_t now_ms);
 bool rg_boot_ejected(const struct rg_boot *b, uint64_t now_ms);
 
 #endif
--- a/balance/pool.c
+++ b/balance/pool.c
@@ -26,6 +26,8 @@
     struct rg_pool_opts opts;
     struct service *services;
     size_t service_count;
+    struct rg_place **places; /* each made once and kept */
+    size_t place_count;
     struct table by_token;
     struct table by_id; /* boots with an entry */
     struct rg_boot **all;
@@ -176,6 +178,22 @@
     }
 }
 
+static struct rg_place *
+place_of(struct rg_pool *p, const struct rg_name *name)
+{
+    for (size_t i = 0; i < p->place_count; i++) {
+        if (rg_name_eq(&p->places[i]->name, name)) {
+            return p->places[i];
+        }
+    }
+    p->places = rg_realloc(p->places,
+                           (p->place_count + 1) * sizeof(struct rg_place *));
+    struct rg_place *made = rg_calloc(1, sizeof(*made));
+    made->name = *name;
+    p->places[p->place_count++] = made;
+    return made;
+}
+
 /* --- boots --------------------------------------------------------------- */
 
 static const char *const state_words[] = {
@@ -279,6 +297,7 @@
     struct rg_boot *b = boot_of(p, r, now_ms);
     b->wire_id = r->wire_id;
     b->addr = r->addr;
+    b->place = place_of(p, &r->data_centre);
     b->local = rg_name_eq(&r->data_centre, &p->opts.data_centre);
     b->slots = r->slots;
     b->revision = revision;
@@ -395,6 +414,10 @@
     for (size_t i = 0; i < p->service_count; i++) {
         free(p->services[i].boots);
     }
+    for (size_t i = 0; i < p->place_count; i++) {
+        free(p->places[i]);
+    }
+    free(p->places);
     free(p->services);
     free(p->by_token.slots);
     free(p->by_id.slots);
--- a/balance/pool.h
+++ b/balance/pool.h
@@ -34,6 +34,15 @@
     RG_BOOT_GONE,     /* only packets of its flows go there */
 };
 
+/* What is known of a data centre's upstreams as a whole: a cut of the network
+ * shows on all of them at once. */
+struct rg_place {
+    struct rg_name name;
+    uint64_t alive_ms; /* last sign of life of one of them */
+    uint64_t trial_ms; /* last opening sent there while it is suspect */
+    bool suspect;      /* several did not answer, and none since */
+};
+
 struct rg_boot {
     struct rg_name id;
     uint64_t wire_id;
@@ -41,7 +50,8 @@
     uint32_t token;
     uint32_t service; /* index, see rg_pool_service() */
     struct rg_addr addr;
-    bool local;     /* in this instance's data centre */
+    struct rg_place *place; /* its data centre; the pool's */
+    bool local;             /* in this instance's data centre */
     bool ambiguous; /* its token names an older boot too: no new flows */
     uint8_t state;  /* enum rg_boot_state */
     uint32_t slots;
@@ -57,10 +67,12 @@
     uint64_t unanswered_ms; /* when the last of them was seen */
     uint32_t ejections;     /* in a row */
     uint64_t ejected_until_ms;
-    uint64_t last_trial_ms;    /* last opening sent while ejected */
+    uint64_t chosen;           /* number of the last choice that fell on it */
     uint64_t last_alive_ms;    /* last sign of life */
     uint64_t waiting_since_ms; /* oldest opening without an answer, 0: none */
-    double latency_ms;         /* mean time from request to answer, 0: none */
+    double failing;            /* share of late requests that failed, decays */
+    uint64_t failing_ms;
+    double latency_ms; /* mean time from request to answer, 0: none */
     uint64_t latency_at_ms;
 };
 
--- a/balance/routes.c
+++ b/balance/routes.c
@@ -1,10 +1,18 @@
 #include "balance/routes.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 #include "common/mem.h"
 #include "common/rand.h"
 
+/* Relative step of a running median for each answer. */
+#define MEDIAN_STEP 0.03
+#define MEDIAN_LEAST 0.1
+/* An answer below both shares of the usual looks like an error. */
+#define ERROR_MS_SHARE 0.35
+#define ERROR_BYTES_SHARE 0.5
+
 struct rg_routes {
     uint64_t version;
     struct rg_route *routes;
@@ -81,12 +89,12 @@
     return &r->routes[i];
 }
 
-const struct rg_route *
+struct rg_route *
 rg_routes_find(const struct rg_routes *r, uint32_t ip, uint16_t port)
 {
     for (size_t i = slot_of(r, ip, port); r->slots[i];
          i = (i + 1) & (r->size - 1)) {
-        const struct rg_route *route = &r->routes[r->slots[i] - 1];
+        struct rg_route *route = &r->routes[r->slots[i] - 1];
         if (route->ip == ip && route->port == port) {
             return route;
         }
@@ -94,6 +102,46 @@
     return NULL;
 }
 
+void
+rg_routes_inherit(struct rg_routes *r, const struct rg_routes *before)
+{
+    for (size_t i = 0; i < r->count; i++) {
+        struct rg_route *route = &r->routes[i];
+        const struct rg_route *old =
+            rg_routes_find(before, route->ip, route->port);
+        if (old) {
+            route->usual_ms = old->usual_ms;
+            route->usual_bytes = old->usual_bytes;
+        }
+    }
+}
+
+/* Moves a running median towards a value. */
+static void
+move_median(double *median, double value)
+{
+    if (*median == 0) {
+        *median = value;
+    }
+    else if (value > *median) {
+        *median *= 1 + MEDIAN_STEP;
+    }
+    else {
+        *median *= 1 - MEDIAN_STEP;
+    }
+}
+
+bool
+rg_route_answered(struct rg_route *route, double ms, double bytes)
+{
+    bool error_like = ms < ERROR_MS_SHARE * route->usual_ms &&
+                      bytes < ERROR_BYTES_SHARE * route->usual_bytes;
+
+    move_median(&route->usual_ms, fmax(ms, MEDIAN_LEAST));
+    move_median(&route->usual_bytes, fmax(bytes, MEDIAN_LEAST));
+    return error_like;
+}
+
 bool
 rg_route_pick(const struct rg_route *route, uint64_t hash,
               uint32_t *service_index)
--- a/balance/routes.h
+++ b/balance/routes.h
@@ -33,6 +33,9 @@
     uint8_t share_count;
     uint32_t timeout_ms; /* a request's deadline, 0 if none is set */
     struct rg_route_share shares[RG_ROUTE_SPLIT_MAX];
+    /* Medians of what callers got here, 0 before the first. */
+    double usual_ms;    /* from request to answer, without the way there */
+    double usual_bytes; /* of an answer */
 };
 
 struct rg_routes;
@@ -48,8 +51,15 @@
 struct rg_route *rg_routes_at(struct rg_routes *r, size_t i);
 
 /* NULL if no route has this address. */
-const struct rg_route *rg_routes_find(const struct rg_routes *r, uint32_t ip,
-                                      uint16_t port);
+struct rg_route *rg_routes_find(const struct rg_routes *r, uint32_t ip,
+                                uint16_t port);
+
+/* Takes over the medians of routes that `before` has too. */
+void rg_routes_inherit(struct rg_routes *r, const struct rg_routes *before);
+
+/* An answer as a caller got it. Updates the medians. Returns true if it looks
+ * like an error rather than an answer: far quicker and shorter than usual. */
+bool rg_route_answered(struct rg_route *route, double ms, double bytes);
 
 /* Index of the service a flow with this hash goes to: the same on every
  * instance that holds this version, in proportion to the weights. Returns
--- a/balance/track.h
+++ b/balance/track.h
@@ -16,6 +16,8 @@
 /* Upstreams tried for one opening: the first and one for each copy. */
 #define RG_TRACK_TRIES_MAX 3
 
+#define RG_TRACK_UNANSWERED UINT32_MAX
+
 enum rg_track_state {
     RG_TRACK_OPENING, /* no packet but openings yet */
     RG_TRACK_IDLE,    /* open, no request waits for an answer */
@@ -31,8 +33,11 @@
     uint64_t last_ms;                          /* last packet */
     uint32_t last_seq;                         /* of the last data */
     uint32_t last_ack;
-    uint8_t state;   /* enum rg_track_state */
-    uint8_t repeats; /* the last data came again this often */
+    uint32_t request_ack; /* last_ack when the request was sent */
+    uint32_t answer_ms;   /* of the last request, RG_TRACK_UNANSWERED: none */
+    uint8_t state;        /* enum rg_track_state */
+    uint8_t repeats;      /* the last data came again this often */
+    bool overdue;         /* its request has been counted as failed */
 };
 
 struct rg_tracks;
--- /dev/null
+++ b/test/fake_service.h
@@ -0,0 +1,347 @@
+/* A service without a network, for tests of load: callers, several balancers
+ * behind a hash, and upstreams with slots, stepped a millisecond at a time.
+ * Everything is drawn from one seed. */
+#ifndef RG_TEST_FAKE_SERVICE_H
+#define RG_TEST_FAKE_SERVICE_H
+
+#include <glib.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "balance/balancer.h"
+#include "common/rand.h"
+
+#define FAKE_BALANCERS_MAX 8
+#define FAKE_UPSTREAMS_MAX 64
+#define FAKE_FLOWS_MAX 4096
+#define FAKE_SERVICE_IP 0xc6120001
+#define FAKE_SERVICE_PORT 443
+#define FAKE_RTT_MS 7
+#define FAKE_ANSWER_BYTES 1000
+#define FAKE_ERROR_BYTES 150
+#define FAKE_DEADLINE_MS 800
+#define FAKE_AIM_MS 120
+
+enum fake_condition {
+    FAKE_WELL,
+    FAKE_DARK,  /* takes nothing, says nothing */
+    FAKE_ERROR, /* answers at once, with an error */
+    FAKE_MUTE,  /* opens flows and takes requests, never answers */
+    FAKE_SLOW,  /* five times the work */
+};
+
+struct fake_upstream {
+    struct rg_name id;
+    enum fake_condition condition;
+    uint64_t cold_until_ms; /* work takes twice as long */
+    uint32_t running;
+    uint32_t served;
+};
+
+enum fake_phase {
+    FAKE_FREE,
+    FAKE_OPENING, /* sent an opening */
+    FAKE_QUEUED,  /* its request waits at the upstream */
+    FAKE_RUNNING,
+    FAKE_ANSWERED, /* the answer is on its way */
+};
+
+struct fake_flow {
+    enum fake_phase phase;
+    struct rg_flow_id id;
+    uint64_t born_ms; /* when the caller wanted an answer */
+    uint64_t next_ms; /* next step of the phase */
+    uint32_t copies;
+    uint32_t ack;
+    int upstream; /* -1: none answers */
+    uint32_t token;
+    bool error;
+};
+
+struct fake_service {
+    struct rg_balancer *balancers[FAKE_BALANCERS_MAX];
+    int balancer_count;
+    struct fake_upstream upstreams[FAKE_UPSTREAMS_MAX];
+    int upstream_count;
+    uint32_t slots;
+    double work_ms; /* mean */
+    struct fake_flow flows[FAKE_FLOWS_MAX];
+    struct rg_rand rand;
+    uint64_t now_ms;
+    uint16_t next_port;
+    /* What callers saw. */
+    uint32_t asked;
+    uint32_t in_aim;
+    uint32_t late;
+    uint32_t errors;
+    uint32_t refused;
+    uint32_t lost;
+};
+
+static inline double
+fake_uniform(struct fake_service *s)
+{
+    return (double)(rg_rand_next(&s->rand) >> 11) / 9007199254740992.0;
+}
+
+static inline struct rg_name
+fake_name(const char *format, int i)
+{
+    struct rg_name n;
+    char text[32];
+
+    snprintf(text, sizeof(text), format, i);
+    g_assert_true(rg_name_set(&n, rg_str_of(text)));
+    return n;
+}
+
+static inline void
+fake_report(struct fake_service *s, int i, uint64_t revision)
+{
+    struct rg_boot_report r = {
+        .id = s->upstreams[i].id,
+        .wire_id = (uint64_t)i + 1,
+        .boot_ms = 1000 + (uint64_t)i,
+        .service = fake_name("shop", 0),
+        .data_centre = fake_name("dc%d", 0),
+        .slots = s->slots,
+    };
+
+    if (s->upstreams[i].cold_until_ms > s->now_ms) {
+        r.cold_left_ms = (uint32_t)(s->upstreams[i].cold_until_ms - s->now_ms);
+    }
+    rg_addr_parse(&r.addr, "10.0.0.1:80");
+    for (int b = 0; b < s->balancer_count; b++) {
+        rg_pool_report(rg_balancer_pool(s->balancers[b]), &r, revision,
+                       s->now_ms);
+    }
+}
+
+static inline struct fake_service *
+fake_service_create(int balancers, int upstreams, uint64_t seed)
+{
+    struct fake_service *s = g_new0(struct fake_service, 1);
+
+    s->rand.state = seed;
+    s->now_ms = 10000;
+    s->balancer_count = balancers;
+    s->upstream_count = upstreams;
+    s->slots = 2;
+    s->work_ms = 22;
+    for (int b = 0; b < balancers; b++) {
+        struct rg_balancer_opts opts = {
+            .data_centre = fake_name("dc%d", 0),
+            .flow_age_ms = 60000,
+            .stale_ms = 3000,
+            .tracked_flows = 4096,
+            .seed = seed + (uint64_t)b,
+        };
+        struct rg_route *route = calloc(1, sizeof(*route));
+        route->ip = FAKE_SERVICE_IP;
+        route->port = FAKE_SERVICE_PORT;
+        route->share_count = 1;
+        route->shares[0] = (struct rg_route_share){
+            .service = fake_name("shop", 0), .weight = 1};
+        s->balancers[b] = rg_balancer_create(&opts, s->now_ms);
+        rg_balancer_set_routes(s->balancers[b], rg_routes_create(1, route, 1));
+        rg_balancer_fresh(s->balancers[b], s->now_ms);
+    }
+    for (int i = 0; i < upstreams; i++) {
+        s->upstreams[i].id = fake_name("u-%x", i + 1);
+        fake_report(s, i, 1);
+    }
+    return s;
+}
+
+static inline void
+fake_service_destroy(struct fake_service *s)
+{
+    for (int b = 0; b < s->balancer_count; b++) {
+        rg_balancer_destroy(s->balancers[b]);
+    }
+    g_free(s);
+}
+
+static inline struct rg_steer
+fake_send(struct fake_service *s, struct fake_flow *f,
+          struct rg_segment segment)
+{
+    int b = f->id.caller_port % s->balancer_count;
+
+    segment.flow = f->id;
+    return rg_balancer_packet(s->balancers[b], &segment, s->now_ms);
+}
+
+static inline void
+fake_end(struct fake_service *s, struct fake_flow *f, uint32_t *outcome)
+{
+    (void)s;
+    (*outcome)++;
+    f->phase = FAKE_FREE;
+}
+
+static inline void
+fake_open(struct fake_service *s, struct fake_flow *f)
+{
+    static const uint32_t waits_ms[] = {200, 400, 800};
+    struct rg_segment syn = {.opening = true, .ack = f->copies};
+    struct rg_steer steer = fake_send(s, f, syn);
+
+    if (steer.kind == RG_STEER_REFUSE) {
+        fake_end(s, f, &s->refused);
+        return;
+    }
+    f->upstream = -1;
+    if (steer.kind == RG_STEER_FORWARD) {
+        int i = (int)steer.boot->wire_id - 1;
+        if (s->upstreams[i].condition != FAKE_DARK) {
+            f->upstream = i;
+            f->token = steer.token;
+            f->phase = FAKE_QUEUED;
+            f->next_ms = s->now_ms + FAKE_RTT_MS;
+            return;
+        }
+    }
+    f->next_ms = s->now_ms + waits_ms[f->copies];
+    f->copies++;
+}
+
+static inline void
+fake_start_work(struct fake_service *s, struct fake_flow *f)
+{
+    struct fake_upstream *u = &s->upstreams[f->upstream];
+    double ms = s->work_ms * (0.4 + 1.2 * fake_uniform(s));
+
+    if (u->condition == FAKE_ERROR) {
+        f->error = true;
+        f->phase = FAKE_ANSWERED;
+        f->next_ms = s->now_ms + FAKE_RTT_MS + 1;
+        return;
+    }
+    if (u->condition == FAKE_MUTE || u->running >= s->slots) {
+        f->next_ms = s->now_ms + 1;
+        return;
+    }
+    u->running++;
+    if (u->condition == FAKE_SLOW) {
+        ms *= 5;
+    }
+    if (u->cold_until_ms > s->now_ms) {
+        ms *= 2;
+    }
+    f->phase = FAKE_RUNNING;
+    f->next_ms = s->now_ms + (uint64_t)ms;
+}
+
+static inline void
+fake_finish(struct fake_service *s, struct fake_flow *f)
+{
+    struct rg_segment fin = {
+        .token = f->token,
+        .seq = 2,
+        .ack = 1 + (f->error ? FAKE_ERROR_BYTES : FAKE_ANSWER_BYTES),
+        .fin = true,
+    };
+    uint64_t ms = s->now_ms - f->born_ms;
+
+    fake_send(s, f, fin);
+    if (f->error) {
+        fake_end(s, f, &s->errors);
+    }
+    else {
+        fake_end(s, f, ms <= FAKE_AIM_MS ? &s->in_aim : &s->late);
+    }
+}
+
+static inline void
+fake_step_flow(struct fake_service *s, struct fake_flow *f)
+{
+    struct rg_segment data = {.token = f->token, .seq = 1, .ack = 1};
+
+    if (f->phase == FAKE_FREE || s->now_ms < f->next_ms) {
+        return;
+    }
+    if (s->now_ms - f->born_ms > FAKE_DEADLINE_MS) {
+        if (f->phase == FAKE_RUNNING) {
+            s->upstreams[f->upstream].running--;
+        }
+        fake_end(s, f, &s->lost);
+        return;
+    }
+    switch (f->phase) {
+    case FAKE_OPENING:
+        fake_open(s, f);
+        break;
+    case FAKE_QUEUED:
+        if (!f->ack) {
+            f->ack = 1;
+            data.len = 100;
+            fake_send(s, f, data);
+        }
+        fake_start_work(s, f);
+        break;
+    case FAKE_RUNNING:
+        s->upstreams[f->upstream].running--;
+        s->upstreams[f->upstream].served++;
+        f->phase = FAKE_ANSWERED;
+        f->next_ms = s->now_ms + FAKE_RTT_MS;
+        break;
+    default:
+        fake_finish(s, f);
+        break;
+    }
+}
+
+static inline void
+fake_ask(struct fake_service *s)
+{
+    for (int i = 0; i < FAKE_FLOWS_MAX; i++) {
+        struct fake_flow *f = &s->flows[i];
+        if (f->phase == FAKE_FREE) {
+            *f = (struct fake_flow){.phase = FAKE_OPENING,
+                                    .born_ms = s->now_ms,
+                                    .next_ms = s->now_ms};
+            f->id = (struct rg_flow_id){
+                .caller_ip = 0x64400000 + s->asked % 64,
+                .service_ip = FAKE_SERVICE_IP,
+                .caller_port = ++s->next_port,
+                .service_port = FAKE_SERVICE_PORT,
+            };
+            s->asked++;
+            return;
+        }
+    }
+    g_assert_not_reached();
+}
+
+/* Lets time pass with `per_s` new requests a second. */
+static inline void
+fake_run(struct fake_service *s, uint32_t ms, double per_s)
+{
+    for (uint32_t i = 0; i < ms; i++) {
+        s->now_ms++;
+        if (fake_uniform(s) < per_s / 1000) {
+            fake_ask(s);
+        }
+        for (int n = 0; n < FAKE_FLOWS_MAX; n++) {
+            fake_step_flow(s, &s->flows[n]);
+        }
+        for (int b = 0; b < s->balancer_count && s->now_ms % 100 == 0; b++) {
+            rg_balancer_fresh(s->balancers[b], s->now_ms);
+            rg_balancer_tick(s->balancers[b], s->now_ms);
+        }
+    }
+}
+
+/* Forgets what callers saw so far. */
+static inline void
+fake_reset(struct fake_service *s)
+{
+    s->asked = s->in_aim = s->late = s->errors = s->refused = s->lost = 0;
+    for (int i = 0; i < s->upstream_count; i++) {
+        s->upstreams[i].served = 0;
+    }
+}
+
+#endif
