--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -16,8 +16,8 @@
 #include <unistd.h>
 
 #include "common/mem.h"
-#include "store/http.h"
 #include "standin/common.h"
+#include "store/http.h"
 
 #define ARGS_MAX 1200
 #define TEXT_MAX 128
--- /dev/null
+++ b/test/test_balancer.c
@@ -0,0 +1,374 @@
+/* Steering by token: what happens to each kind of packet. */
+#include <glib.h>
+#include <string.h>
+
+#include "balance/balancer.h"
+#include "balance/token.h"
+
+#define SHOP_IP 0xc6120001
+#define SHOP_PORT 443
+#define GALLERY_PORT 8443
+#define CALLER_IP 0x64400007
+#define STALE_MS 3000
+#define FLOW_AGE_MS 60000
+#define START_MS 1000
+
+static struct rg_name
+name(const char *text)
+{
+    struct rg_name n;
+
+    g_assert_true(rg_name_set(&n, rg_str_of(text)));
+    return n;
+}
+
+static struct rg_route
+route_to(uint16_t port, const char *service)
+{
+    struct rg_route r = {.ip = SHOP_IP, .port = port, .share_count = 1};
+
+    r.shares[0] =
+        (struct rg_route_share){.service = name(service), .weight = 1};
+    return r;
+}
+
+static void
+configure(struct rg_balancer *b, uint64_t version,
+          const struct rg_route *routes, size_t count)
+{
+    struct rg_route *copy = calloc(count + 1, sizeof(*copy));
+
+    memcpy(copy, routes, count * sizeof(*copy));
+    rg_balancer_set_routes(b, rg_routes_create(version, copy, count));
+}
+
+static void
+configure_both(struct rg_balancer *b, uint64_t version)
+{
+    struct rg_route routes[] = {route_to(SHOP_PORT, "shop"),
+                                route_to(GALLERY_PORT, "gallery")};
+
+    configure(b, version, routes, 2);
+}
+
+static void
+report(struct rg_balancer *b, const char *id, const char *service,
+       bool draining, uint64_t revision)
+{
+    struct rg_boot_report r = {
+        .id = name(id),
+        .wire_id = 7,
+        .boot_ms = 5,
+        .service = name(service),
+        .data_centre = name("dc1"),
+        .slots = 2,
+        .draining = draining,
+    };
+
+    rg_addr_parse(&r.addr, "10.0.0.1:80");
+    rg_pool_report(rg_balancer_pool(b), &r, revision, START_MS);
+}
+
+static struct rg_balancer *
+empty_balancer(void)
+{
+    struct rg_balancer_opts opts = {
+        .data_centre = name("dc1"),
+        .flow_age_ms = FLOW_AGE_MS,
+        .stale_ms = STALE_MS,
+        .tracked_flows = 64,
+        .seed = 1,
+    };
+
+    return rg_balancer_create(&opts, START_MS);
+}
+
+/* Knows two upstreams of the shop and one of the gallery. */
+static struct rg_balancer *
+make_balancer(void)
+{
+    struct rg_balancer *b = empty_balancer();
+
+    configure_both(b, 1);
+    report(b, "u-1", "shop", false, 1);
+    report(b, "u-2", "shop", false, 1);
+    report(b, "u-3", "gallery", false, 1);
+    rg_balancer_fresh(b, START_MS);
+    return b;
+}
+
+static struct rg_segment
+segment(uint16_t caller_port, uint16_t service_port)
+{
+    return (struct rg_segment){
+        .flow = {.caller_ip = CALLER_IP,
+                 .service_ip = SHOP_IP,
+                 .caller_port = caller_port,
+                 .service_port = service_port},
+    };
+}
+
+static struct rg_steer
+opening(struct rg_balancer *b, uint16_t caller_port, uint16_t service_port,
+        uint32_t copy, uint64_t now_ms)
+{
+    struct rg_segment s = segment(caller_port, service_port);
+
+    s.opening = true;
+    s.ack = copy;
+    return rg_balancer_packet(b, &s, now_ms);
+}
+
+static struct rg_steer
+data(struct rg_balancer *b, uint16_t caller_port, uint16_t service_port,
+     uint32_t token, uint64_t now_ms)
+{
+    struct rg_segment s = segment(caller_port, service_port);
+
+    s.token = token;
+    s.seq = 1;
+    s.ack = 1;
+    s.len = 10;
+    return rg_balancer_packet(b, &s, now_ms);
+}
+
+static uint32_t
+token_of(const char *id)
+{
+    return rg_token_of(rg_str_of(id), 5);
+}
+
+static uint64_t
+counted(struct rg_balancer *b, enum rg_tally_counter c)
+{
+    return rg_balancer_tally(b)->counters[c];
+}
+
+/* An opening goes to an upstream of its route, under that one's token; any
+ * instance with the same view sends the flow's packets there. */
+static void
+test_flow(void)
+{
+    struct rg_balancer *b = make_balancer();
+    struct rg_balancer *other = make_balancer();
+    struct rg_steer s = opening(b, 1, SHOP_PORT, 0, START_MS);
+
+    g_assert_cmpint(s.kind, ==, RG_STEER_FORWARD);
+    g_assert_cmpuint(s.token, ==, s.boot->token);
+    uint32_t token = s.token;
+    s = data(b, 1, SHOP_PORT, token, START_MS + 7);
+    g_assert_cmpuint(s.token, ==, token);
+    s = data(other, 1, SHOP_PORT, token, START_MS + 7);
+    g_assert_cmpint(s.kind, ==, RG_STEER_FORWARD);
+    g_assert_cmpuint(s.token, ==, token);
+    rg_balancer_destroy(b);
+    rg_balancer_destroy(other);
+}
+
+/* Without a view nothing is refused: packets are dropped, and their senders
+ * try again. */
+static void
+test_not_ready(void)
+{
+    struct rg_balancer *b = empty_balancer();
+
+    g_assert_false(rg_balancer_ready(b));
+    g_assert_cmpint(opening(b, 1, SHOP_PORT, 0, START_MS).kind, ==,
+                    RG_STEER_DROP);
+    g_assert_cmpint(data(b, 1, SHOP_PORT, 99, START_MS).kind, ==,
+                    RG_STEER_DROP);
+    configure_both(b, 1);
+    g_assert_false(rg_balancer_ready(b));
+    rg_balancer_fresh(b, START_MS);
+    g_assert_true(rg_balancer_ready(b));
+    rg_balancer_destroy(b);
+}
+
+/* A copy of an opening goes to another upstream: the first did not answer. */
+static void
+test_copy_moves(void)
+{
+    struct rg_balancer *b = make_balancer();
+    uint32_t first = opening(b, 1, SHOP_PORT, 0, START_MS).token;
+    uint32_t second = opening(b, 1, SHOP_PORT, 1, START_MS + 200).token;
+
+    g_assert_cmpuint(first, !=, second);
+    g_assert_cmpuint(counted(b, RG_TALLY_OPENINGS_MOVED), ==, 1);
+    /* The caller takes the first after all: it is followed. */
+    struct rg_steer s = data(b, 1, SHOP_PORT, first, START_MS + 210);
+    g_assert_cmpuint(s.token, ==, first);
+    rg_balancer_destroy(b);
+}
+
+/* No route: refused while the view is fresh, dropped when it may be old. */
+static void
+test_no_route(void)
+{
+    struct rg_balancer *b = make_balancer();
+
+    g_assert_cmpint(opening(b, 1, 99, 0, START_MS).kind, ==, RG_STEER_REFUSE);
+    g_assert_cmpint(opening(b, 1, 99, 0, START_MS + STALE_MS + 1).kind, ==,
+                    RG_STEER_DROP);
+    rg_balancer_destroy(b);
+}
+
+/* No upstream: the same. Draining ones get no new flows but keep theirs. */
+static void
+test_draining(void)
+{
+    struct rg_balancer *b = make_balancer();
+
+    report(b, "u-1", "shop", true, 2);
+    for (uint16_t port = 1; port < 20; port++) {
+        g_assert_cmpuint(opening(b, port, SHOP_PORT, 0, START_MS).token, ==,
+                         token_of("u-2"));
+    }
+    report(b, "u-2", "shop", true, 3);
+    g_assert_cmpint(opening(b, 30, SHOP_PORT, 0, START_MS).kind, ==,
+                    RG_STEER_REFUSE);
+    g_assert_cmpint(opening(b, 30, SHOP_PORT, 0, START_MS + STALE_MS + 1).kind,
+                    ==, RG_STEER_DROP);
+    g_assert_cmpint(data(b, 3, SHOP_PORT, token_of("u-2"), START_MS).kind, ==,
+                    RG_STEER_FORWARD);
+    rg_balancer_destroy(b);
+}
+
+/* A token nobody knows: the upstream may be one whose entry is missing here.
+ * Never refused. */
+static void
+test_unknown_token(void)
+{
+    struct rg_balancer *b = make_balancer();
+
+    g_assert_cmpint(data(b, 1, SHOP_PORT, 12345, START_MS).kind, ==,
+                    RG_STEER_DROP);
+    g_assert_cmpint(data(b, 1, SHOP_PORT, RG_TOKEN_NONE, START_MS).kind, ==,
+                    RG_STEER_DROP);
+    g_assert_cmpuint(counted(b, RG_TALLY_DROPPED_UNKNOWN_TOKEN), ==, 1);
+    rg_balancer_destroy(b);
+}
+
+/* A forged token does not lead from the shop's address to the gallery, once
+ * the instance is older than any flow it did not see open. */
+static void
+test_forged_token(void)
+{
+    struct rg_balancer *b = make_balancer();
+    uint64_t later = START_MS + FLOW_AGE_MS;
+
+    g_assert_cmpint(data(b, 1, SHOP_PORT, token_of("u-3"), later).kind, ==,
+                    RG_STEER_DROP);
+    g_assert_cmpint(data(b, 1, GALLERY_PORT, token_of("u-3"), later).kind, ==,
+                    RG_STEER_FORWARD);
+    rg_balancer_destroy(b);
+}
+
+/* A new version leaves open flows where they are, even if their route now
+ * leads elsewhere; a removed route refuses. Older versions are not taken. */
+static void
+test_new_version(void)
+{
+    struct rg_balancer *b = make_balancer();
+    uint64_t later = START_MS + FLOW_AGE_MS;
+
+    rg_balancer_fresh(b, later);
+    uint32_t token = opening(b, 1, SHOP_PORT, 0, later).token;
+    data(b, 1, SHOP_PORT, token, later + 5);
+    struct rg_route moved = route_to(SHOP_PORT, "gallery");
+    configure(b, 3, &moved, 1);
+    g_assert_cmpint(data(b, 1, SHOP_PORT, token, later + 10).kind, ==,
+                    RG_STEER_FORWARD);
+    g_assert_cmpuint(opening(b, 2, SHOP_PORT, 0, later + 10).token, ==,
+                     token_of("u-3"));
+    configure_both(b, 2);
+    g_assert_cmpuint(rg_balancer_version(b), ==, 3);
+    struct rg_route other = route_to(GALLERY_PORT, "gallery");
+    configure(b, 4, &other, 1);
+    g_assert_cmpint(data(b, 1, SHOP_PORT, token, later + 20).kind, ==,
+                    RG_STEER_REFUSE);
+    rg_balancer_destroy(b);
+}
+
+/* A split is the same on every instance, for every copy, and in proportion. */
+static void
+test_split(void)
+{
+    struct rg_balancer *a = make_balancer();
+    struct rg_balancer *b = make_balancer();
+    struct rg_route split = route_to(SHOP_PORT, "shop");
+    int gallery = 0;
+
+    split.shares[0].weight = 90;
+    split.shares[1] =
+        (struct rg_route_share){.service = name("gallery"), .weight = 10};
+    split.share_count = 2;
+    configure(a, 2, &split, 1);
+    configure(b, 2, &split, 1);
+    for (uint16_t port = 1; port <= 2000; port++) {
+        bool here =
+            opening(a, port, SHOP_PORT, 0, START_MS).token == token_of("u-3");
+        bool there =
+            opening(b, port, SHOP_PORT, 0, START_MS).token == token_of("u-3");
+        g_assert_true(here == there);
+        gallery += here;
+    }
+    g_assert_cmpint(gallery, >, 150);
+    g_assert_cmpint(gallery, <, 250);
+    rg_balancer_destroy(a);
+    rg_balancer_destroy(b);
+}
+
+/* More flows than can be tracked: they are steered all the same, and memory
+ * stays bounded. */
+static void
+test_flood(void)
+{
+    struct rg_balancer *b = make_balancer();
+
+    for (uint16_t port = 1; port <= 1000; port++) {
+        struct rg_steer s = opening(b, port, SHOP_PORT, 0, START_MS);
+        g_assert_cmpint(s.kind, ==, RG_STEER_FORWARD);
+        s = data(b, port, SHOP_PORT, s.token, START_MS);
+        g_assert_cmpint(s.kind, ==, RG_STEER_FORWARD);
+    }
+    g_assert_cmpuint(rg_balancer_tracked(b), ==, 64);
+    rg_balancer_tick(b, START_MS + 60000);
+    g_assert_cmpuint(rg_balancer_tracked(b), ==, 0);
+    rg_balancer_destroy(b);
+}
+
+/* The gone boot of a flow still gets its packets; a lapsed upstream's flows
+ * go on. */
+static void
+test_gone_upstream(void)
+{
+    struct rg_balancer *b = make_balancer();
+    struct rg_name id = name("u-1");
+
+    rg_pool_remove(rg_balancer_pool(b), &id, 2, 0, START_MS);
+    g_assert_cmpint(data(b, 1, SHOP_PORT, token_of("u-1"), START_MS).kind, ==,
+                    RG_STEER_FORWARD);
+    for (uint16_t port = 1; port < 20; port++) {
+        g_assert_cmpuint(opening(b, port, SHOP_PORT, 0, START_MS).token, ==,
+                         token_of("u-2"));
+    }
+    rg_balancer_destroy(b);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/balancer/flow", test_flow);
+    g_test_add_func("/balancer/not-ready", test_not_ready);
+    g_test_add_func("/balancer/copy-moves", test_copy_moves);
+    g_test_add_func("/balancer/no-route", test_no_route);
+    g_test_add_func("/balancer/draining", test_draining);
+    g_test_add_func("/balancer/unknown-token", test_unknown_token);
+    g_test_add_func("/balancer/forged-token", test_forged_token);
+    g_test_add_func("/balancer/new-version", test_new_version);
+    g_test_add_func("/balancer/split", test_split);
+    g_test_add_func("/balancer/flood", test_flood);
+    g_test_add_func("/balancer/gone-upstream", test_gone_upstream);
+    return g_test_run();
+}
--- /dev/null
+++ b/test/test_follow.c
@@ -0,0 +1,169 @@
+/* Following the store: what is called when, and how fresh the view is. */
+#include <glib.h>
+
+#include "balance/follow.h"
+
+#define BOUND_MS 3000
+#define SETTLE_MS 2000
+
+static struct rg_follow *
+make_follow(void)
+{
+    struct rg_follow_opts opts = rg_follow_opts_for(BOUND_MS, SETTLE_MS);
+
+    opts.seed = 3;
+    return rg_follow_create(&opts);
+}
+
+/* A follower that has listed at revision 10. */
+static struct rg_follow *
+listed_follow(uint64_t now_ms)
+{
+    struct rg_follow *f = make_follow();
+
+    g_assert_true(rg_follow_listed(f, "b", false, 10, now_ms));
+    return f;
+}
+
+/* Pages are read one after the other; changes count from the first on, since
+ * a page says nothing of what changed on those before it. */
+static void
+test_pages(void)
+{
+    struct rg_follow *f = make_follow();
+    struct rg_follow_step step = rg_follow_next(f, 1000);
+
+    g_assert_cmpint(step.kind, ==, RG_FOLLOW_LIST);
+    g_assert_cmpstr(step.after, ==, "");
+    g_assert_false(rg_follow_listed(f, "k50", true, 10, 1010));
+    step = rg_follow_next(f, 1010);
+    g_assert_cmpstr(step.after, ==, "k50");
+    g_assert_false(rg_follow_complete(f));
+    g_assert_true(rg_follow_listed(f, "k70", false, 14, 1020));
+    step = rg_follow_next(f, 1020);
+    g_assert_cmpint(step.kind, ==, RG_FOLLOW_WATCH);
+    g_assert_cmpuint(step.revision, ==, 10);
+    rg_follow_destroy(f);
+}
+
+/* A failed page is asked for again; what came before is not read twice. */
+static void
+test_listing_resumes(void)
+{
+    struct rg_follow *f = make_follow();
+
+    rg_follow_listed(f, "k50", true, 10, 1000);
+    rg_follow_failed(f, 1010);
+    struct rg_follow_step step = rg_follow_next(f, 1010);
+    g_assert_cmpint(step.kind, ==, RG_FOLLOW_WAIT);
+    step = rg_follow_next(f, step.at_ms);
+    g_assert_cmpint(step.kind, ==, RG_FOLLOW_LIST);
+    g_assert_cmpstr(step.after, ==, "k50");
+    rg_follow_destroy(f);
+}
+
+/* The worst case of the bound: a change falls into a pause, the watch after it
+ * goes out on a connection that is silent, and the call after that answers. */
+static void
+test_bound_with_silent_connection(void)
+{
+    struct rg_follow *f = listed_follow(1000);
+    uint64_t changed_ms = 1000;
+
+    rg_follow_watched(f, 11, true, changed_ms);
+    struct rg_follow_step step = rg_follow_next(f, changed_ms);
+    g_assert_cmpint(step.kind, ==, RG_FOLLOW_WAIT);
+    uint64_t now = step.at_ms;
+    step = rg_follow_next(f, now);
+    g_assert_cmpint(step.kind, ==, RG_FOLLOW_WATCH);
+    now += step.timeout_ms;
+    rg_follow_failed(f, now);
+    step = rg_follow_next(f, now);
+    now = step.kind == RG_FOLLOW_WAIT ? step.at_ms : now;
+    g_assert_cmpint(rg_follow_next(f, now).kind, ==, RG_FOLLOW_WATCH);
+    g_assert_cmpuint(now - changed_ms, <, BOUND_MS - 200);
+    rg_follow_destroy(f);
+}
+
+/* A watch that brought nothing is repeated at once; one with changes after a
+ * pause. Revisions never step back. */
+static void
+test_pause_after_changes(void)
+{
+    struct rg_follow *f = listed_follow(1000);
+
+    rg_follow_watched(f, 12, false, 2000);
+    g_assert_cmpint(rg_follow_next(f, 2000).kind, ==, RG_FOLLOW_WATCH);
+    rg_follow_watched(f, 15, true, 2100);
+    g_assert_cmpint(rg_follow_next(f, 2100).kind, ==, RG_FOLLOW_WAIT);
+    rg_follow_watched(f, 9, false, 4000);
+    g_assert_cmpuint(rg_follow_next(f, 4000).revision, ==, 15);
+    rg_follow_destroy(f);
+}
+
+/* The store forgot the history: everything is listed anew, at once. */
+static void
+test_forgotten(void)
+{
+    struct rg_follow *f = listed_follow(1000);
+
+    rg_follow_forgotten(f, 1500);
+    struct rg_follow_step step = rg_follow_next(f, 1500);
+    g_assert_cmpint(step.kind, ==, RG_FOLLOW_LIST);
+    g_assert_cmpstr(step.after, ==, "");
+    g_assert_true(rg_follow_complete(f));
+    rg_follow_destroy(f);
+}
+
+/* Failures in a row: pauses grow, stay bounded, and differ between instances,
+ * so that a store that comes back is not asked by all at once. */
+static void
+test_retries(void)
+{
+    struct rg_follow *f = listed_follow(1000);
+    uint64_t now = 1000;
+    uint64_t longest = 0;
+
+    for (int i = 0; i < 100; i++) {
+        rg_follow_failed(f, now);
+        struct rg_follow_step step = rg_follow_next(f, now);
+        g_assert_cmpint(step.kind, ==, RG_FOLLOW_WAIT);
+        longest = MAX(longest, step.at_ms - now);
+        now = step.at_ms;
+    }
+    g_assert_cmpuint(longest, <=, 500);
+    g_assert_cmpuint(longest, >, 200);
+    rg_follow_destroy(f);
+}
+
+/* Entries that vanish are kept only in the time after an outage in which live
+ * upstreams return. */
+static void
+test_keep(void)
+{
+    struct rg_follow *f = listed_follow(1000);
+
+    g_assert_cmpuint(rg_follow_keep_ms(f, 1100), ==, 0);
+    rg_follow_failed(f, 2000);
+    g_assert_cmpuint(rg_follow_keep_ms(f, 2100), ==, 0);
+    rg_follow_watched(f, 12, true, 5000);
+    g_assert_cmpuint(rg_follow_keep_ms(f, 5000), ==, SETTLE_MS);
+    g_assert_cmpuint(rg_follow_keep_ms(f, 5000 + SETTLE_MS - 1), ==, 1);
+    g_assert_cmpuint(rg_follow_keep_ms(f, 5000 + SETTLE_MS), ==, 0);
+    rg_follow_destroy(f);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/follow/pages", test_pages);
+    g_test_add_func("/follow/listing-resumes", test_listing_resumes);
+    g_test_add_func("/follow/bound-with-silent-connection",
+                    test_bound_with_silent_connection);
+    g_test_add_func("/follow/pause-after-changes", test_pause_after_changes);
+    g_test_add_func("/follow/forgotten", test_forgotten);
+    g_test_add_func("/follow/retries", test_retries);
+    g_test_add_func("/follow/keep", test_keep);
+    return g_test_run();
+}
--- /dev/null
+++ b/test/test_kv.c
@@ -0,0 +1,299 @@
+/* Answers of the platform's store: decoded whole, or told to be unreadable.
+ * Entries come from other writers too. */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "common/rand.h"
+#include "platform/kv.h"
+
+#define SEED 23
+#define ROUNDS 20000
+
+static const char good_entry[] =
+    "{\"Service\":\"shop\",\"Address\":\"10.128.0.9:8080\",\"Zone\":\"a\","
+    "\"Version\":\"v1\",\"Slots\":2,\"State\":\"ready\",\"ColdLeftMs\":40,"
+    "\"Seq\":4,\"born\":1700000000123}";
+
+/* What a decoded answer held. */
+struct seen {
+    int counts[RG_KV_BAD_UPSTREAM + 1];
+    struct rg_kv_change last;
+    uint64_t version;
+    size_t routes;
+    struct rg_route route;
+};
+
+static void
+on_change(void *ctx, const struct rg_kv_change *c)
+{
+    struct seen *seen = ctx;
+
+    seen->counts[c->what]++;
+    seen->last = *c;
+    if (c->what == RG_KV_ROUTES) {
+        seen->version = rg_routes_version(c->routes);
+        seen->routes = rg_routes_count(c->routes);
+        if (seen->routes > 0) {
+            seen->route = *rg_routes_at(c->routes, 0);
+        }
+        rg_routes_destroy(c->routes);
+    }
+}
+
+static bool
+decode(const char *body, struct seen *seen, struct rg_kv_answer *answer)
+{
+    memset(seen, 0, sizeof(*seen));
+    return rg_kv_decode(rg_str_of(body), on_change, seen, answer);
+}
+
+/* Decodes a watch with one event that holds `value` under `key`. */
+static void
+decode_value(const char *key, const char *value, struct seen *seen)
+{
+    struct rg_kv_answer answer;
+    g_autofree char *text =
+        g_base64_encode((const guchar *)value, strlen(value));
+    g_autofree char *body = g_strdup_printf(
+        "{\"events\":[{\"Key\":\"%s\",\"Value\":\"%s\",\"Revision\":5}],"
+        "\"StoreRevision\":6}",
+        key, text);
+
+    g_assert_true(decode(body, seen, &answer));
+    g_assert_cmpuint(answer.revision, ==, 6);
+    g_assert_cmpuint(answer.changes, ==, 1);
+}
+
+static void
+test_paths(void)
+{
+    char path[RG_KV_PATH_MAX];
+    struct rg_follow_step step = {.kind = RG_FOLLOW_LIST, .after = ""};
+
+    rg_kv_path(path, &step);
+    g_assert_cmpstr(path, ==, "/v1/kv-range?Prefix=");
+    step.after = "servers/i 1&x";
+    rg_kv_path(path, &step);
+    g_assert_cmpstr(path, ==, "/v1/kv-range?Prefix=&after=servers/i%201%26x");
+    step = (struct rg_follow_step){
+        .kind = RG_FOLLOW_WATCH, .revision = 411, .wait_ms = 1200};
+    rg_kv_path(path, &step);
+    g_assert_cmpstr(path, ==, "/v1/kv-watch?Prefix=&after=411&WaitMs=1200");
+}
+
+static void
+test_upstream(void)
+{
+    struct seen seen;
+
+    decode_value("servers/i-7f3a91c2", good_entry, &seen);
+    const struct rg_boot_report *r = &seen.last.report;
+    g_assert_cmpint(seen.last.what, ==, RG_KV_UPSTREAM);
+    g_assert_cmpstr(r->id.s, ==, "i-7f3a91c2");
+    g_assert_cmphex(r->wire_id, ==, 0x7f3a91c2);
+    g_assert_cmpuint(r->boot_ms, ==, 1700000000123);
+    g_assert_cmpstr(r->service.s, ==, "shop");
+    g_assert_cmpstr(r->data_centre.s, ==, "a");
+    g_assert_cmpuint(r->addr.port, ==, 8080);
+    g_assert_cmpuint(r->slots, ==, 2);
+    g_assert_cmpuint(r->cold_left_ms, ==, 40);
+    g_assert_false(r->draining);
+    g_assert_cmpuint(seen.last.revision, ==, 5);
+}
+
+/* Each entry names no upstream to use, and the reason says which field. */
+static void
+test_bad_upstreams(void)
+{
+    static const struct {
+        const char *value;
+        const char *why;
+    } rows[] = {
+        {"", "not JSON"},
+        {"{", "not JSON"},
+        {"\xff\xfe", "not JSON"},
+        {"[]", "not an object"},
+        {"{} x", "not JSON"},
+        {"null", "not an object"},
+        {"{}", "service"},
+        {"{\"Service\":3}", "service"},
+        {"{\"Service\":\"shop\"}", "data centre"},
+        {"{\"Service\":\"shop\",\"Zone\":\"a\",\"Address\":7}", "address"},
+        {"{\"Service\":\"shop\",\"Zone\":\"a\",\"Address\":\"10.0.0.1\"}",
+         "address"},
+        {"{\"Service\":\"shop\",\"Zone\":\"a\",\"Address\":\"[::1]:80\"}",
+         "address"},
+        {"{\"Service\":\"shop\",\"Zone\":\"a\",\"Address\":\"10.0.0.1:80\"}",
+         "state"},
+        {"{\"Service\":\"shop\",\"Zone\":\"a\",\"Address\":\"10.0.0.1:80\","
+         "\"State\":\"resting\"}",
+         "state"},
+        {"{\"Service\":\"shop\",\"Zone\":\"a\",\"Address\":\"10.0.0.1:80\","
+         "\"State\":\"ready\",\"Slots\":\"2\"}",
+         "slots"},
+        {"{\"Service\":\"shop\",\"Zone\":\"a\",\"Address\":\"10.0.0.1:80\","
+         "\"State\":\"ready\",\"Slots\":0}",
+         "slots"},
+        {"{\"Service\":\"shop\",\"Zone\":\"a\",\"Address\":\"10.0.0.1:80\","
+         "\"State\":\"ready\",\"Slots\":-2}",
+         "slots"},
+    };
+    struct seen seen;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        decode_value("servers/i-1", rows[i].value, &seen);
+        g_assert_cmpint(seen.last.what, ==, RG_KV_BAD_UPSTREAM);
+        g_assert_cmpstr(seen.last.id.s, ==, "i-1");
+        g_assert_cmpstr(seen.last.why, ==, rows[i].why);
+    }
+    decode_value("servers/zzz", good_entry, &seen);
+    g_assert_cmpint(seen.last.what, ==, RG_KV_BAD_UPSTREAM);
+}
+
+static void
+test_removed(void)
+{
+    struct seen seen;
+    struct rg_kv_answer answer;
+
+    g_assert_true(decode("{\"events\":[{\"Key\":\"servers/i-1\","
+                         "\"Revision\":7,\"Deleted\":true}],"
+                         "\"StoreRevision\":7}",
+                         &seen, &answer));
+    g_assert_cmpint(seen.last.what, ==, RG_KV_UPSTREAM_REMOVED);
+    g_assert_cmpstr(seen.last.id.s, ==, "i-1");
+    g_assert_cmpuint(seen.last.revision, ==, 7);
+}
+
+static void
+test_routes(void)
+{
+    struct seen seen;
+
+    decode_value(
+        "op/config",
+        "{\"Version\":7,\"Routes\":["
+        "{\"Host\":\"198.18.0.1\",\"Prefix\":\"/8443/\",\"RouteType\":"
+        "\"safe\",\"TimeoutMs\":800,\"Split\":[{\"Service\":\"x\","
+        "\"Weight\":90},{\"Service\":\"y\",\"Weight\":10}]},"
+        "{\"Host\":\"198.18.0.1\",\"Prefix\":\"/8080/\",\"RouteType\":"
+        "\"unsafe\",\"Service\":\"x\"},"
+        "{\"Host\":\"nowhere\",\"Prefix\":\"/1/\",\"Service\":\"x\"},"
+        "{\"Host\":\"198.18.0.1\",\"Prefix\":\"/99999/\",\"Service\":\"x\"},"
+        "7]}",
+        &seen);
+    g_assert_cmpint(seen.last.what, ==, RG_KV_ROUTES);
+    g_assert_cmpuint(seen.version, ==, 7);
+    g_assert_cmpuint(seen.routes, ==, 2);
+    g_assert_cmphex(seen.route.ip, ==, 0xc6120001);
+    g_assert_cmpuint(seen.route.port, ==, 8443);
+    g_assert_cmpuint(seen.route.repeat, ==, RG_REPEAT_SAFE);
+    g_assert_cmpuint(seen.route.timeout_ms, ==, 800);
+    g_assert_cmpuint(seen.route.share_count, ==, 2);
+    g_assert_cmpuint(seen.route.shares[0].weight, ==, 90);
+}
+
+static void
+test_bad_routes(void)
+{
+    static const char *const values[] = {"",
+                                         "[]",
+                                         "{}",
+                                         "{\"Version\":0,\"Routes\":[]}",
+                                         "{\"Version\":\"7\",\"Routes\":[]}",
+                                         "{\"Version\":7,\"Routes\":3}"};
+    struct seen seen;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+        decode_value("op/config", values[i], &seen);
+        g_assert_cmpint(seen.last.what, ==, RG_KV_BAD_ROUTES);
+    }
+}
+
+/* Answers that are none: nothing is reported. */
+static void
+test_bad_answers(void)
+{
+    static const char *const bodies[] = {
+        "",
+        "null",
+        "[]",
+        "{}",
+        "{\"events\":3,\"StoreRevision\":6}",
+        "{\"events\":[]}",
+        "{\"events\":[],\"StoreRevision\":0}",
+        "{\"items\":{},\"StoreRevision\":6}",
+        "{\"events\":[{\"Key\":\"op/config\"",
+        "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[",
+    };
+    struct seen seen;
+    struct rg_kv_answer answer;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+        g_assert_false(decode(bodies[i], &seen, &answer));
+        for (size_t n = 0; n < G_N_ELEMENTS(seen.counts); n++) {
+            g_assert_cmpint(seen.counts[n], ==, 0);
+        }
+    }
+}
+
+/* Rows of the wrong shape do not hide the others. */
+static void
+test_mixed_rows(void)
+{
+    struct seen seen;
+    struct rg_kv_answer answer;
+
+    g_assert_true(
+        decode("{\"items\":[3,null,{},{\"Key\":5},{\"Key\":\"op/config\"},"
+               "{\"Key\":\"servers/i-1\",\"Value\":\"!!\",\"Revision\":3},"
+               "{\"Key\":\"servers/i-2\",\"Value\":7},{\"Key\":\"mine/1\"}],"
+               "\"HasMore\":true,\"StoreRevision\":9}",
+               &seen, &answer));
+    g_assert_true(answer.more);
+    g_assert_cmpstr(answer.last_key, ==, "mine/1");
+    g_assert_cmpint(seen.counts[RG_KV_BAD_ROUTES], ==, 1);
+    g_assert_cmpint(seen.counts[RG_KV_BAD_UPSTREAM], ==, 2);
+}
+
+/* Random damage to a good answer: decoded or refused, never worse. */
+static void
+test_damaged(void)
+{
+    struct rg_rand rand = {.state = SEED};
+    g_autofree char *text =
+        g_base64_encode((const guchar *)good_entry, strlen(good_entry));
+    g_autofree char *body = g_strdup_printf(
+        "{\"items\":[{\"Key\":\"servers/i-1\",\"Value\":\"%s\","
+        "\"Revision\":5}],\"HasMore\":false,\"StoreRevision\":6}",
+        text);
+    size_t len = strlen(body);
+    struct seen seen;
+    struct rg_kv_answer answer;
+
+    for (int i = 0; i < ROUNDS; i++) {
+        g_autofree char *copy = g_strdup(body);
+        for (uint32_t n = 1 + rg_rand_below(&rand, 4); n > 0; n--) {
+            char byte = (char)(1 + rg_rand_below(&rand, 255));
+            copy[rg_rand_below(&rand, (uint32_t)len)] = byte;
+        }
+        decode(copy, &seen, &answer);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/kv/paths", test_paths);
+    g_test_add_func("/kv/upstream", test_upstream);
+    g_test_add_func("/kv/bad-upstreams", test_bad_upstreams);
+    g_test_add_func("/kv/removed", test_removed);
+    g_test_add_func("/kv/routes", test_routes);
+    g_test_add_func("/kv/bad-routes", test_bad_routes);
+    g_test_add_func("/kv/bad-answers", test_bad_answers);
+    g_test_add_func("/kv/mixed-rows", test_mixed_rows);
+    g_test_add_func("/kv/damaged", test_damaged);
+    return g_test_run();
+}
