balance: share the bound on a view's lag between pause, watch and call

Cause: entries in the store change only when more than their sequence number does, so watches mostly end empty and idle waits set the price. Pause 20%, watch 48%, call 12% of the tightest bound.

--- a/balance/follow.c
+++ b/balance/follow.c
@@ -9,9 +9,9 @@
 /* Shares of the bound on a view's lag. A change may fall into a pause, then
  * into a watch on a connection that has fallen silent; the call after that
  * must still be answered in time. */
-#define PAUSE_PERCENT 23
-#define WATCH_PERCENT 40
-#define CALL_PERCENT 19
+#define PAUSE_PERCENT 20
+#define WATCH_PERCENT 48
+#define CALL_PERCENT 12
 #define CONNECT_PERCENT 8
 
 /* Pauses after failures: a store that comes back is asked by all at once. */
