--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -536,6 +536,58 @@
     return true;
 }
 
+struct rg_routes *
+rg_balancer_routes(struct rg_balancer *b)
+{
+    return b->routes;
+}
+
+/* Verdicts being gathered. */
+struct gather {
+    struct rg_balancer_verdict *out;
+    size_t count;
+    size_t max;
+    uint64_t now_ms;
+};
+
+static void
+gather_verdict(void *ctx, const struct rg_boot *boot)
+{
+    struct gather *g = ctx;
+
+    if (g->count < g->max && rg_boot_ejected(boot, g->now_ms)) {
+        g->out[g->count++] = (struct rg_balancer_verdict){
+            .token = boot->token,
+            .age_ms = (uint32_t)(g->now_ms - boot->unanswered_ms),
+        };
+    }
+}
+
+size_t
+rg_balancer_verdicts(const struct rg_balancer *b, uint64_t now_ms,
+                     struct rg_balancer_verdict *out, size_t max)
+{
+    struct gather g = {.out = out, .max = max, .now_ms = now_ms};
+
+    rg_pool_each_listed(b->pool, gather_verdict, &g);
+    return g.count;
+}
+
+void
+rg_balancer_hear(struct rg_balancer *b,
+                 const struct rg_balancer_verdict *verdict, uint64_t now_ms)
+{
+    struct rg_boot *boot = rg_pool_by_token(b->pool, verdict->token);
+
+    if (!boot || verdict->age_ms > now_ms ||
+        boot->last_alive_ms > now_ms - verdict->age_ms)
+    {
+        return;
+    }
+    count(b, RG_TALLY_VERDICTS_HEARD);
+    rg_boot_hearsay(boot, now_ms);
+}
+
 uint64_t
 rg_balancer_version(const struct rg_balancer *b)
 {
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -49,6 +49,9 @@
  * one is destroyed. Returns true if it is now in force. */
 bool rg_balancer_set_routes(struct rg_balancer *b, struct rg_routes *routes);
 
+/* Routes in force, NULL for none. */
+struct rg_routes *rg_balancer_routes(struct rg_balancer *b);
+
 /* Version in force, 0 for none. */
 uint64_t rg_balancer_version(const struct rg_balancer *b);
 
@@ -69,6 +72,21 @@
 #define RG_BALANCER_TICK_MS 100
 void rg_balancer_tick(struct rg_balancer *b, uint64_t now_ms);
 
+/* Tokens of upstreams ejected now, by own evidence, and how long ago that was
+ * last seen. Returns their number, `max` at most. */
+struct rg_balancer_verdict {
+    uint32_t token;
+    uint32_t age_ms;
+};
+size_t rg_balancer_verdicts(const struct rg_balancer *b, uint64_t now_ms,
+                            struct rg_balancer_verdict *out, size_t max);
+
+/* Another instance has ejected an upstream. Unless it has shown life here
+ * since, it is avoided for a while; only own evidence ejects it. */
+void rg_balancer_hear(struct rg_balancer *b,
+                      const struct rg_balancer_verdict *verdict,
+                      uint64_t now_ms);
+
 struct rg_tally *rg_balancer_tally(struct rg_balancer *b);
 size_t rg_balancer_tracked(const struct rg_balancer *b);
 
--- a/balance/choose.c
+++ b/balance/choose.c
@@ -82,6 +82,15 @@
     b->ejected_until_ms = now_ms + pause;
 }
 
+void
+rg_boot_hearsay(struct rg_boot *b, uint64_t now_ms)
+{
+    if (b->unanswered == 0) {
+        b->unanswered = 1;
+    }
+    b->unanswered_ms = now_ms;
+}
+
 void
 rg_boot_alive(struct rg_boot *b, uint64_t now_ms)
 {
--- a/balance/choose.h
+++ b/balance/choose.h
@@ -42,6 +42,8 @@
 void rg_boot_asked(struct rg_boot *b, uint64_t now_ms);
 /* An opening was repeated: `b` did not answer the last one. */
 void rg_boot_unanswered(struct rg_boot *b, uint64_t now_ms);
+/* Another instance has found it silent: it is avoided, but not ejected. */
+void rg_boot_hearsay(struct rg_boot *b, uint64_t now_ms);
 /* A caller heard from `b`. */
 void rg_boot_alive(struct rg_boot *b, uint64_t now_ms);
 /* A request was answered after `ms`. */
--- a/balance/follow.c
+++ b/balance/follow.c
@@ -10,10 +10,15 @@
  * into a watch on a connection that has fallen silent; the call after that
  * must still be answered in time. */
 #define PAUSE_PERCENT 20
-#define WATCH_PERCENT 48
+#define WATCH_PERCENT 25
 #define CALL_PERCENT 12
 #define CONNECT_PERCENT 8
 
+/* While other instances tell of changes: a change may fall into a pause, and
+ * the watch after it be silent until a digest tells. */
+#define COVERED_PAUSE_PERCENT 45
+#define COVERED_WATCH_MS 15000
+
 /* Pauses after failures: a store that comes back is asked by all at once. */
 #define RETRY_FIRST_MS 80
 #define RETRY_MOST_MS 500
@@ -23,6 +28,8 @@
     struct rg_rand rand;
     bool listing; /* else watching */
     bool complete;
+    bool covered;
+    bool refreshed; /* the next watch takes the place of a dropped one */
     char after[RG_FOLLOW_KEY_MAX + 1];
     uint64_t listing_revision; /* of the listing's first page */
     uint64_t revision;
@@ -52,6 +59,7 @@
         f->returned_ms = now_ms;
     }
     f->failures = 0;
+    f->refreshed = false;
     f->fresh_ms = now_ms;
 }
 
@@ -67,11 +75,15 @@
                                        .after = f->after,
                                        .timeout_ms = f->opts.call_ms};
     }
+    bool waits_long = f->covered && !f->refreshed;
+    uint32_t wait_ms =
+        waits_long ? f->opts.covered_watch_ms : f->opts.watch_ms;
     return (struct rg_follow_step){
         .kind = RG_FOLLOW_WATCH,
         .revision = f->revision,
-        .wait_ms = f->opts.watch_ms,
-        .timeout_ms = f->opts.watch_ms + f->opts.call_ms,
+        .wait_ms = wait_ms,
+        .timeout_ms = wait_ms + f->opts.call_ms,
+        .waits_long = waits_long,
     };
 }
 
@@ -108,7 +120,8 @@
         f->revision = revision;
     }
     if (changes) {
-        f->not_before_ms = now_ms + f->opts.pause_ms;
+        f->not_before_ms = now_ms + (f->covered ? f->opts.covered_pause_ms
+                                                : f->opts.pause_ms);
     }
 }
 
@@ -143,6 +156,39 @@
     f->not_before_ms = now_ms;
 }
 
+void
+rg_follow_set_covered(struct rg_follow *f, bool covered)
+{
+    f->covered = covered;
+}
+
+void
+rg_follow_refresh(struct rg_follow *f)
+{
+    f->refreshed = true;
+    f->not_before_ms = 0;
+}
+
+void
+rg_follow_adopt(struct rg_follow *f, uint64_t revision)
+{
+    f->listing = false;
+    f->complete = true;
+    f->revision = revision;
+}
+
+uint64_t
+rg_follow_revision(const struct rg_follow *f)
+{
+    return f->complete ? f->revision : 0;
+}
+
+bool
+rg_follow_failing(const struct rg_follow *f)
+{
+    return f->failures > 0;
+}
+
 bool
 rg_follow_complete(const struct rg_follow *f)
 {
@@ -160,6 +206,9 @@
 {
     uint64_t until = f->returned_ms + f->opts.settle_ms;
 
+    if (f->failures > 0) {
+        return f->opts.settle_ms; /* the first answer is being applied */
+    }
     if (f->returned_ms == 0 || now_ms >= until) {
         return 0;
     }
@@ -172,6 +221,8 @@
     return (struct rg_follow_opts){
         .pause_ms = percent(bound_ms, PAUSE_PERCENT),
         .watch_ms = percent(bound_ms, WATCH_PERCENT),
+        .covered_pause_ms = percent(bound_ms, COVERED_PAUSE_PERCENT),
+        .covered_watch_ms = COVERED_WATCH_MS,
         .call_ms = percent(bound_ms, CALL_PERCENT),
         .connect_ms = percent(bound_ms, CONNECT_PERCENT),
         .retry_first_ms = RETRY_FIRST_MS,
--- a/balance/follow.h
+++ b/balance/follow.h
@@ -17,8 +17,10 @@
 #define RG_FOLLOW_KEY_MAX 200
 
 struct rg_follow_opts {
-    uint32_t pause_ms;       /* after a watch that brought changes */
-    uint32_t watch_ms;       /* longest wait of one watch */
+    uint32_t pause_ms;         /* after a watch that brought changes */
+    uint32_t watch_ms;         /* longest wait of one watch */
+    uint32_t covered_pause_ms; /* the same while covered */
+    uint32_t covered_watch_ms;
     uint32_t call_ms;        /* limit of a call, beyond its wait */
     uint32_t connect_ms;     /* limit of opening a connection */
     uint32_t retry_first_ms; /* longest first pause after a failure */
@@ -41,6 +43,7 @@
     uint64_t revision;   /* of a watch: changes after this one */
     uint32_t wait_ms;    /* of a watch */
     uint32_t timeout_ms; /* of the call */
+    bool waits_long;     /* of a watch: as long as covered ones */
 };
 
 struct rg_follow;
@@ -70,21 +73,39 @@
 /* The store no longer has the history a watch asked for. */
 void rg_follow_forgotten(struct rg_follow *f, uint64_t now_ms);
 
+/* While covered, other instances ask the store often and tell this one when it
+ * is behind: pauses and waits are long. */
+void rg_follow_set_covered(struct rg_follow *f, bool covered);
+
+/* The call in progress was dropped: the next is due at once, waits no longer
+ * than an uncovered one, and nothing counts as a failure. */
+void rg_follow_refresh(struct rg_follow *f);
+
+/* The view was taken from another instance, as of `revision`. */
+void rg_follow_adopt(struct rg_follow *f, uint64_t revision);
+
+/* Revision of the store the view stands at, 0 before the first listing. */
+uint64_t rg_follow_revision(const struct rg_follow *f);
+
 /* A call failed or went unanswered. */
 void rg_follow_failed(struct rg_follow *f, uint64_t now_ms);
 
 /* The process did not run for a while: calls in progress are worthless. */
 void rg_follow_paused(struct rg_follow *f, uint64_t now_ms);
 
-/* True once a listing has been complete. */
+/* True while the last call failed. */
+bool rg_follow_failing(const struct rg_follow *f);
+
+/* True once a listing has been complete, or a view adopted. */
 bool rg_follow_complete(const struct rg_follow *f);
 
 /* Time of the last answer, 0 for none: the view is this old at most. */
 uint64_t rg_follow_fresh_ms(const struct rg_follow *f);
 
 /* How long an upstream whose entry vanished now may still be used: entries
- * lapse while the store is away and return soon after it. 0 if the store has
- * been in reach for long enough. */
+ * lapse while the store is away and return soon after it. To be asked while
+ * an answer is applied, before rg_follow_watched() or rg_follow_listed() is
+ * told of it. 0 if the store has been in reach for long enough. */
 uint64_t rg_follow_keep_ms(const struct rg_follow *f, uint64_t now_ms);
 
 #endif
--- /dev/null
+++ b/balance/peers.c
@@ -0,0 +1,298 @@
+#include "balance/peers.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/mem.h"
+#include "common/rand.h"
+
+/* A peer that was not heard for this long is not relied on: in a group of
+ * RG_PEERS_MAX each hears each other every few seconds. */
+#define HEARD_LATELY_MS 6000
+/* One that was not heard for longer is forgotten when its place is needed. */
+#define FORGET_MS 15000
+/* A seed or a peer unheard of is still told digests, this seldom: one in so
+ * many. */
+#define STRANGER_ONE_IN 4
+/* The view is covered while the store has answered someone within this share
+ * of the bound, percent. Readers ask it within 25, and a digest takes up to
+ * four periods to get round; what is left of the bound is for asking it
+ * oneself. */
+#define COVERED_PERCENT 55
+/* An own call in progress gets this long before the instance counts as
+ * behind. */
+#define BEHIND_MS 400
+
+struct peer {
+    struct rg_addr addr;
+    struct rg_name name; /* empty: never heard */
+    uint64_t rank;
+    uint64_t heard_ms; /* 0: never */
+    uint64_t version;
+    uint64_t revision;
+    uint64_t fresh_ms; /* when the store last answered it */
+    bool reader;
+    bool leaving;
+};
+
+struct rg_peers {
+    struct rg_peers_opts opts;
+    struct rg_rand rand;
+    uint64_t rank;
+    struct rg_peers_view latest; /* the most heard of anywhere */
+    struct rg_peers_view mark;   /* what was known at mark_ms */
+    uint64_t mark_ms;
+    struct peer peers[RG_PEERS_MAX];
+    size_t count;
+};
+
+/* Ranks by name, so that all agree without a word. */
+static uint64_t
+rank_of(const struct rg_name *name)
+{
+    uint64_t hash = 0;
+
+    for (uint8_t i = 0; i < name->len; i++) {
+        hash = rg_mix64(hash ^ (uint8_t)name->s[i]);
+    }
+    return hash;
+}
+
+static bool
+is_heard(const struct peer *peer, uint64_t now_ms)
+{
+    return peer->heard_ms != 0 && now_ms - peer->heard_ms < HEARD_LATELY_MS;
+}
+
+static struct peer *
+find(struct rg_peers *p, const struct rg_addr *addr)
+{
+    for (size_t i = 0; i < p->count; i++) {
+        if (rg_addr_eq(&p->peers[i].addr, addr)) {
+            return &p->peers[i];
+        }
+    }
+    return NULL;
+}
+
+/* A place for a new peer: a free one, or that of one long silent. */
+static struct peer *
+make_place(struct rg_peers *p, uint64_t now_ms)
+{
+    if (p->count < RG_PEERS_MAX) {
+        return &p->peers[p->count++];
+    }
+    for (size_t i = 0; i < p->count; i++) {
+        if (now_ms - p->peers[i].heard_ms > FORGET_MS) {
+            return &p->peers[i];
+        }
+    }
+    return NULL;
+}
+
+static struct peer *
+meet(struct rg_peers *p, const struct rg_addr *addr, uint64_t now_ms)
+{
+    struct peer *peer = find(p, addr);
+
+    if (peer || addr->port == 0 || rg_addr_eq(addr, &p->opts.addr)) {
+        return peer;
+    }
+    peer = make_place(p, now_ms);
+    if (peer) {
+        *peer = (struct peer){.addr = *addr};
+    }
+    return peer;
+}
+
+void
+rg_peers_seed(struct rg_peers *p, const struct rg_addr *addr)
+{
+    meet(p, addr, 0);
+}
+
+/* When something of this age was; 0 if there was nothing. */
+static uint64_t
+time_of(uint64_t revision, uint32_t age_ms, uint64_t now_ms)
+{
+    return revision == 0 || age_ms > now_ms ? 0 : now_ms - age_ms;
+}
+
+static void
+raise_latest(struct rg_peers *p, uint64_t version, uint64_t revision,
+             uint64_t fresh_ms)
+{
+    struct rg_peers_view *latest = &p->latest;
+
+    latest->version = version > latest->version ? version : latest->version;
+    latest->revision =
+        revision > latest->revision ? revision : latest->revision;
+    latest->fresh_ms =
+        fresh_ms > latest->fresh_ms ? fresh_ms : latest->fresh_ms;
+}
+
+void
+rg_peers_heard(struct rg_peers *p, const struct rg_msg_digest *d,
+               uint64_t now_ms)
+{
+    struct peer *peer = meet(p, &d->addr, now_ms);
+
+    for (uint16_t i = 0; i < d->contacts_count; i++) {
+        meet(p, &d->contacts[i].addr, now_ms);
+    }
+    raise_latest(p, d->latest_version, d->latest_revision,
+                 time_of(d->latest_revision, d->latest_age_ms, now_ms));
+    if (!peer) {
+        return;
+    }
+    peer->name = d->from;
+    peer->rank = rank_of(&d->from);
+    peer->heard_ms = now_ms;
+    peer->version = d->version;
+    peer->revision = d->revision;
+    peer->fresh_ms = time_of(d->revision, d->age_ms, now_ms);
+    peer->leaving = d->leaving;
+}
+
+/* A random peer; strangers now and then, as they may be back. */
+static const struct peer *
+pick(struct rg_peers *p, uint64_t now_ms)
+{
+    size_t start = rg_rand_below(&p->rand, (uint32_t)p->count);
+    bool stranger = rg_rand_below(&p->rand, STRANGER_ONE_IN) == 0;
+
+    for (size_t i = 0; i < p->count; i++) {
+        const struct peer *peer = &p->peers[(start + i) % p->count];
+        if (is_heard(peer, now_ms) != stranger) {
+            return peer;
+        }
+    }
+    return &p->peers[start];
+}
+
+static void
+add_contacts(struct rg_peers *p, uint64_t now_ms, struct rg_msg_digest *out)
+{
+    size_t most = sizeof(out->contacts) / sizeof(out->contacts[0]);
+    size_t start = rg_rand_below(&p->rand, (uint32_t)p->count);
+
+    for (size_t i = 0; i < p->count && out->contacts_count < most; i++) {
+        const struct peer *peer = &p->peers[(start + i) % p->count];
+        if (is_heard(peer, now_ms) && !peer->leaving) {
+            out->contacts[out->contacts_count++].addr = peer->addr;
+        }
+    }
+}
+
+bool
+rg_peers_next(struct rg_peers *p, const struct rg_peers_view *view,
+              uint64_t now_ms, struct rg_msg_digest *out, struct rg_addr *to)
+{
+    if (p->count == 0) {
+        return false;
+    }
+    memset(out, 0, sizeof(*out));
+    out->from = p->opts.name;
+    out->addr = p->opts.addr;
+    out->version = view->version;
+    out->revision = view->fresh_ms ? view->revision : 0;
+    out->age_ms = view->fresh_ms ? (uint32_t)(now_ms - view->fresh_ms) : 0;
+    raise_latest(p, view->version, view->revision, view->fresh_ms);
+    out->latest_version = p->latest.version;
+    out->latest_revision = p->latest.fresh_ms ? p->latest.revision : 0;
+    out->latest_age_ms =
+        p->latest.fresh_ms ? (uint32_t)(now_ms - p->latest.fresh_ms) : 0;
+    out->leaving = view->leaving;
+    add_contacts(p, now_ms, out);
+    *to = pick(p, now_ms)->addr;
+    return true;
+}
+
+bool
+rg_peers_reader(const struct rg_peers *p, uint64_t now_ms)
+{
+    uint64_t age_ms = now_ms - p->latest.fresh_ms;
+
+    if (age_ms * 100 >= (uint64_t)p->opts.bound_ms * COVERED_PERCENT) {
+        return true;
+    }
+    for (size_t i = 0; i < p->count; i++) {
+        const struct peer *peer = &p->peers[i];
+        if (is_heard(peer, now_ms) && !peer->leaving && peer->rank < p->rank) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+knows_more(const struct peer *peer, const struct rg_peers_view *view)
+{
+    return peer->version > view->version || peer->revision > view->revision;
+}
+
+bool
+rg_peers_behind(struct rg_peers *p, const struct rg_peers_view *view,
+                uint64_t now_ms)
+{
+    bool lacks =
+        view->version < p->mark.version || view->revision < p->mark.revision;
+
+    /* What is told changes all the time on a busy day: what counts is whether
+     * the own view has reached what was known when the mark was set. */
+    if (!lacks) {
+        p->mark = p->latest;
+        p->mark_ms = now_ms;
+        return false;
+    }
+    return now_ms - p->mark_ms >= BEHIND_MS;
+}
+
+bool
+rg_peers_ahead(const struct rg_peers *p, const struct rg_peers_view *view,
+               uint64_t now_ms, struct rg_addr *out)
+{
+    const struct peer *best = NULL;
+
+    for (size_t i = 0; i < p->count; i++) {
+        const struct peer *peer = &p->peers[i];
+        if (is_heard(peer, now_ms) && peer->fresh_ms > view->fresh_ms &&
+            knows_more(peer, view) &&
+            (!best || peer->fresh_ms > best->fresh_ms))
+        {
+            best = peer;
+        }
+    }
+    if (best) {
+        *out = best->addr;
+    }
+    return best != NULL;
+}
+
+size_t
+rg_peers_count(const struct rg_peers *p, uint64_t now_ms)
+{
+    size_t heard = 0;
+
+    for (size_t i = 0; i < p->count; i++) {
+        heard += is_heard(&p->peers[i], now_ms);
+    }
+    return heard;
+}
+
+struct rg_peers *
+rg_peers_create(const struct rg_peers_opts *opts)
+{
+    struct rg_peers *p = rg_calloc(1, sizeof(*p));
+
+    p->opts = *opts;
+    p->rand.state = opts->seed;
+    p->rank = rank_of(&opts->name);
+    return p;
+}
+
+void
+rg_peers_destroy(struct rg_peers *p)
+{
+    free(p);
+}
--- /dev/null
+++ b/balance/peers.h
@@ -0,0 +1,77 @@
+/* Other instances that steer by token: who they are, how fresh their view is,
+ * and whether this instance lags behind them.
+ *
+ * Instances tell each other digests in turn, a few a second whatever the size
+ * of the fleet. What is known of the store spreads through them within a few
+ * periods, so that one instance that asks the store often serves all. Nothing
+ * depends on them for being correct: an instance that hears no one follows the
+ * store by itself. No I/O; time is passed in; one owner. */
+#ifndef RG_BALANCE_PEERS_H
+#define RG_BALANCE_PEERS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/addr.h"
+#include "common/str.h"
+#include "proto/messages.gen.h"
+
+/* Peers known at once: a random part of a large fleet. */
+#define RG_PEERS_MAX 48
+
+struct rg_peers_opts {
+    struct rg_name name;
+    struct rg_addr addr; /* where others reach this instance */
+    uint32_t bound_ms;   /* on a view's lag behind the store */
+    uint64_t seed;
+};
+
+/* This instance's own view. */
+struct rg_peers_view {
+    uint64_t version;
+    uint64_t revision;
+    uint64_t fresh_ms; /* the store answered, 0: never */
+    bool leaving;
+};
+
+struct rg_peers;
+
+struct rg_peers *rg_peers_create(const struct rg_peers_opts *opts);
+void rg_peers_destroy(struct rg_peers *p);
+
+/* An address to try; its instance is known once it answers. */
+void rg_peers_seed(struct rg_peers *p, const struct rg_addr *addr);
+
+/* A digest arrived. Those of this instance itself are ignored. */
+void rg_peers_heard(struct rg_peers *p, const struct rg_msg_digest *digest,
+                    uint64_t now_ms);
+
+/* The next digest, without verdicts, and whom to send it to; false if nobody
+ * is known. Call it RG_PEERS_FANOUT times every RG_PEERS_PERIOD_MS. */
+#define RG_PEERS_PERIOD_MS 200
+/* Digests sent each period. */
+#define RG_PEERS_FANOUT 2
+bool rg_peers_next(struct rg_peers *p, const struct rg_peers_view *view,
+                   uint64_t now_ms, struct rg_msg_digest *out,
+                   struct rg_addr *to);
+
+/* True if this instance should ask the store often: it ranks first among the
+ * instances it hears, or has not heard for too long that the store answered
+ * anyone. */
+bool rg_peers_reader(const struct rg_peers *p, uint64_t now_ms);
+
+/* True if `view` still lacks what was known a while ago. Call it every
+ * RG_PEERS_PERIOD_MS. */
+bool rg_peers_behind(struct rg_peers *p, const struct rg_peers_view *view,
+                     uint64_t now_ms);
+
+/* The peer with the freshest view that is newer than `view`, to have it from;
+ * false if there is none. */
+bool rg_peers_ahead(const struct rg_peers *p, const struct rg_peers_view *view,
+                    uint64_t now_ms, struct rg_addr *out);
+
+/* Peers heard lately. */
+size_t rg_peers_count(const struct rg_peers *p, uint64_t now_ms);
+
+#endif
--- a/balance/pool.c
+++ b/balance/pool.c
@@ -289,9 +289,10 @@
 rg_pool_report(struct rg_pool *p, const struct rg_boot_report *r,
                uint64_t revision, uint64_t now_ms)
 {
-    const struct rg_boot *before = find_id(p, &r->id);
+    struct rg_boot *before = find_id(p, &r->id);
 
     if (before && before->revision > revision) {
+        before->listing = p->listing; /* listed all the same */
         return;
     }
     struct rg_boot *b = boot_of(p, r, now_ms);
@@ -381,6 +382,24 @@
     return p->services[service].boots;
 }
 
+const struct rg_name *
+rg_pool_service_name(const struct rg_pool *p, uint32_t index)
+{
+    return &p->services[index].name;
+}
+
+void
+rg_pool_each_listed(const struct rg_pool *p,
+                    void (*cb)(void *ctx, const struct rg_boot *boot),
+                    void *ctx)
+{
+    for (size_t i = 0; i < p->count; i++) {
+        if (p->all[i]->state != RG_BOOT_GONE) {
+            cb(ctx, p->all[i]);
+        }
+    }
+}
+
 size_t
 rg_pool_listed(const struct rg_pool *p)
 {
--- a/balance/pool.h
+++ b/balance/pool.h
@@ -90,6 +90,10 @@
 /* Index of a service, made if unknown. */
 uint32_t rg_pool_service(struct rg_pool *p, const struct rg_name *name);
 
+/* Name of a service by its index. */
+const struct rg_name *rg_pool_service_name(const struct rg_pool *p,
+                                           uint32_t index);
+
 /* An upstream's entry as of `revision`; older ones than known are ignored. A
  * boot whose token names another known boot is ambiguous and gets no flows. */
 void rg_pool_report(struct rg_pool *p, const struct rg_boot_report *report,
@@ -117,6 +121,11 @@
 struct rg_boot *const *rg_pool_boots(const struct rg_pool *p, uint32_t service,
                                      size_t *count);
 
+/* Calls `cb` for each boot with an entry. */
+void rg_pool_each_listed(const struct rg_pool *p,
+                         void (*cb)(void *ctx, const struct rg_boot *boot),
+                         void *ctx);
+
 /* Boots with an entry, and all that are known. */
 size_t rg_pool_listed(const struct rg_pool *p);
 size_t rg_pool_known(const struct rg_pool *p);
--- /dev/null
+++ b/balance/transfer.c
@@ -0,0 +1,258 @@
+#include "balance/transfer.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/mem.h"
+#include "proto/messages.gen.h"
+
+#define LENGTH_BYTES 4
+#define MESSAGE_MAX 16384
+
+/* --- writing ------------------------------------------------------------- */
+
+static void
+write_message(const struct rg_msg *m, struct rg_text *out)
+{
+    uint8_t *at = (uint8_t *)rg_text_reserve(out, LENGTH_BYTES + MESSAGE_MAX);
+    size_t len = rg_msg_pack(m, at + LENGTH_BYTES, MESSAGE_MAX);
+
+    for (int i = 0; i < LENGTH_BYTES; i++) {
+        at[i] = (uint8_t)(len >> (8 * (LENGTH_BYTES - 1 - i)));
+    }
+    out->len += LENGTH_BYTES + len;
+}
+
+static void
+fill_route(struct rg_msg_route *out, const struct rg_route *r)
+{
+    *out = (struct rg_msg_route){
+        .ip = r->ip,
+        .port = r->port,
+        .repeat = r->repeat,
+        .timeout_ms = r->timeout_ms,
+        .shares_count = r->share_count,
+    };
+    for (uint8_t i = 0; i < r->share_count; i++) {
+        out->shares[i].service = r->shares[i].service;
+        out->shares[i].weight = r->shares[i].weight;
+    }
+}
+
+static void
+write_routes(struct rg_routes *routes, struct rg_text *out)
+{
+    struct rg_msg m = {.kind = RG_MSG_ROUTES_PART};
+    struct rg_msg_routes_part *part = &m.u.routes_part;
+    size_t most = sizeof(part->routes) / sizeof(part->routes[0]);
+    size_t total = rg_routes_count(routes);
+
+    part->version = rg_routes_version(routes);
+    part->total = (uint32_t)total;
+    for (size_t i = 0; i < total; i++) {
+        fill_route(&part->routes[part->routes_count++],
+                   rg_routes_at(routes, i));
+        if (part->routes_count == most || i + 1 == total) {
+            write_message(&m, out);
+            part->routes_count = 0;
+        }
+    }
+}
+
+/* Upstreams being written, a part at a time. */
+struct boots_writer {
+    struct rg_msg m;
+    struct rg_text *out;
+    const struct rg_pool *pool;
+    uint64_t now_ms;
+};
+
+static void
+write_boot(void *ctx, const struct rg_boot *b)
+{
+    struct boots_writer *w = ctx;
+    struct rg_msg_boots_part *part = &w->m.u.boots_part;
+    size_t most = sizeof(part->boots) / sizeof(part->boots[0]);
+    uint64_t cold_ms =
+        b->cold_until_ms > w->now_ms ? b->cold_until_ms - w->now_ms : 0;
+
+    part->boots[part->boots_count++] = (struct rg_msg_boot){
+        .id = b->id,
+        .wire_id = b->wire_id,
+        .boot_ms = b->boot_ms,
+        .service = *rg_pool_service_name(w->pool, b->service),
+        .data_centre = b->place->name,
+        .addr = b->addr,
+        .slots = b->slots,
+        .draining = b->state == RG_BOOT_DRAINING,
+        .cold_left_ms = (uint32_t)cold_ms,
+        .revision = b->revision,
+    };
+    if (part->boots_count == most) {
+        write_message(&w->m, w->out);
+        part->boots_count = 0;
+    }
+}
+
+void
+rg_transfer_write(struct rg_balancer *b, uint64_t revision, uint64_t now_ms,
+                  struct rg_text *out)
+{
+    struct rg_pool *pool = rg_balancer_pool(b);
+    struct boots_writer *w = rg_calloc(1, sizeof(*w));
+
+    write_routes(rg_balancer_routes(b), out);
+    w->m.kind = RG_MSG_BOOTS_PART;
+    w->m.u.boots_part.revision = revision;
+    w->m.u.boots_part.total = (uint32_t)rg_pool_listed(pool);
+    w->out = out;
+    w->pool = pool;
+    w->now_ms = now_ms;
+    rg_pool_each_listed(pool, write_boot, w);
+    write_message(&w->m, out); /* ends the view, empty or not */
+    free(w);
+}
+
+/* --- reading ------------------------------------------------------------- */
+
+/* What the messages of a view hold, gathered before anything is changed. */
+struct view {
+    uint64_t version;
+    struct rg_route *routes;
+    size_t route_count;
+    size_t route_total;
+    uint64_t revision;
+    struct rg_msg_boot *boots;
+    size_t boot_count;
+    size_t boot_total;
+};
+
+static bool
+take_route(struct rg_route *out, const struct rg_msg_route *r)
+{
+    *out = (struct rg_route){
+        .ip = r->ip,
+        .port = r->port,
+        .repeat = r->repeat,
+        .timeout_ms = r->timeout_ms,
+        .share_count = (uint8_t)r->shares_count,
+    };
+    for (uint16_t i = 0; i < r->shares_count; i++) {
+        out->shares[i].service = r->shares[i].service;
+        out->shares[i].weight = r->shares[i].weight;
+    }
+    return r->repeat <= RG_REPEAT_UNSAFE;
+}
+
+static bool
+take_routes(struct view *v, const struct rg_msg_routes_part *part)
+{
+    size_t count = v->route_count + part->routes_count;
+
+    if (v->route_count > 0 && part->version != v->version) {
+        return false;
+    }
+    v->version = part->version;
+    v->route_total = part->total;
+    v->routes = rg_realloc(v->routes, (count + 1) * sizeof(*v->routes));
+    for (uint16_t i = 0; i < part->routes_count; i++) {
+        if (!take_route(&v->routes[v->route_count + i], &part->routes[i])) {
+            return false;
+        }
+    }
+    v->route_count = count;
+    return true;
+}
+
+static void
+take_boots(struct view *v, const struct rg_msg_boots_part *part)
+{
+    size_t count = v->boot_count + part->boots_count;
+
+    v->revision = part->revision;
+    v->boot_total = part->total;
+    v->boots = rg_realloc(v->boots, (count + 1) * sizeof(*v->boots));
+    memcpy(v->boots + v->boot_count, part->boots,
+           part->boots_count * sizeof(*v->boots));
+    v->boot_count = count;
+}
+
+static bool
+take_message(struct view *v, const struct rg_msg *m)
+{
+    switch (m->kind) {
+    case RG_MSG_ROUTES_PART:
+        return take_routes(v, &m->u.routes_part);
+    case RG_MSG_BOOTS_PART:
+        take_boots(v, &m->u.boots_part);
+        return true;
+    default:
+        return false;
+    }
+}
+
+static bool
+take_all(struct view *v, struct rg_str bytes, struct rg_msg *m)
+{
+    size_t at = 0;
+
+    while (at + LENGTH_BYTES <= bytes.len) {
+        const uint8_t *p = (const uint8_t *)bytes.ptr + at;
+        size_t len =
+            (size_t)p[0] << 24 | (size_t)p[1] << 16 | (size_t)p[2] << 8 | p[3];
+        at += LENGTH_BYTES;
+        if (len > bytes.len - at || !rg_msg_unpack(m, p + LENGTH_BYTES, len) ||
+            !take_message(v, m))
+        {
+            return false;
+        }
+        at += len;
+    }
+    return at == bytes.len && v->version > 0 && v->revision > 0 &&
+           v->route_count == v->route_total && v->boot_count == v->boot_total;
+}
+
+static void
+apply_boots(struct rg_pool *pool, const struct view *v, uint64_t now_ms)
+{
+    rg_pool_begin_listing(pool);
+    for (size_t i = 0; i < v->boot_count; i++) {
+        const struct rg_msg_boot *b = &v->boots[i];
+        struct rg_boot_report report = {
+            .id = b->id,
+            .wire_id = b->wire_id,
+            .boot_ms = b->boot_ms,
+            .service = b->service,
+            .data_centre = b->data_centre,
+            .addr = b->addr,
+            .slots = b->slots ? b->slots : 1,
+            .draining = b->draining,
+            .cold_left_ms = b->cold_left_ms,
+        };
+        rg_pool_report(pool, &report, b->revision, now_ms);
+    }
+    rg_pool_end_listing(pool, 0, now_ms);
+}
+
+bool
+rg_transfer_read(struct rg_balancer *b, struct rg_str bytes,
+                 uint64_t *revision, uint64_t now_ms)
+{
+    struct rg_msg *m = rg_calloc(1, sizeof(*m));
+    struct view v = {0};
+    bool ok = take_all(&v, bytes, m);
+
+    if (ok && v.version > rg_balancer_version(b)) {
+        rg_balancer_set_routes(
+            b, rg_routes_create(v.version, v.routes, v.route_count));
+        v.routes = NULL;
+    }
+    if (ok && v.revision > *revision) {
+        apply_boots(rg_balancer_pool(b), &v, now_ms);
+        *revision = v.revision;
+    }
+    free(v.routes);
+    free(v.boots);
+    free(m);
+    return ok;
+}
--- /dev/null
+++ b/edge/announcer.c
@@ -0,0 +1,115 @@
+#include "edge/announcer.h"
+
+#include <stdlib.h>
+
+#include "balance/announce.h"
+#include "common/mem.h"
+#include "common/text.h"
+#include "edge/edge.h"
+#include "edge/http_client.h"
+#include "platform/kv.h"
+
+/* Largest answer to one of these calls. */
+#define BODY_MOST 65536
+
+struct rg_announcer {
+    struct rg_announcer_opts opts;
+    struct rg_announce state;
+    enum rg_announce_kind calling;
+    struct rg_http_client *client;
+    uv_timer_t timer;
+};
+
+static void step(struct rg_announcer *a);
+
+static enum rg_announce_outcome
+outcome_of(const struct rg_http_answer *answer)
+{
+    if (answer->status == 200) {
+        return RG_ANNOUNCE_DONE;
+    }
+    return answer->status == 404 ? RG_ANNOUNCE_NO_LEASE : RG_ANNOUNCE_FAILED;
+}
+
+static void
+on_answer(void *ctx, const struct rg_http_answer *answer)
+{
+    struct rg_announcer *a = ctx;
+    enum rg_announce_outcome outcome = outcome_of(answer);
+    uint64_t lease = 0;
+
+    if (a->calling == RG_ANNOUNCE_LEASE && outcome == RG_ANNOUNCE_DONE) {
+        lease = rg_kv_decode_lease(answer->body);
+        outcome = lease ? RG_ANNOUNCE_DONE : RG_ANNOUNCE_FAILED;
+    }
+    if (outcome != RG_ANNOUNCE_DONE) {
+        rg_log_event(a->opts.log, RG_LOG_NOTICE, "ANNOUNCE",
+                     "status=\"%u\" why=\"%s\"", answer->status,
+                     answer->error ? answer->error : "");
+    }
+    rg_announce_result(&a->state, a->calling, outcome, lease,
+                       rg_edge_now_ms());
+    step(a);
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+    step(timer->data);
+}
+
+static void
+step(struct rg_announcer *a)
+{
+    struct rg_kv_call call;
+    uint64_t now = rg_edge_now_ms();
+    struct rg_announce_step next = rg_announce_next(&a->state, now);
+    RG_TEXT_AUTO body = {0};
+
+    if (next.kind == RG_ANNOUNCE_WAIT) {
+        uv_timer_start(&a->timer, on_timer, next.at_ms - now, 0);
+        return;
+    }
+    a->calling = next.kind;
+    rg_kv_announce(&call, &body, &next, &a->opts.name, &a->opts.addr);
+    rg_balancer_tally(a->opts.balancer)->counters[RG_TALLY_STORE_CALLS]++;
+    rg_http_client_post(a->client, call.path, body.s ? body.s : "",
+                        a->opts.call_ms);
+}
+
+struct rg_announcer *
+rg_announcer_create(const struct rg_announcer_opts *opts)
+{
+    struct rg_announcer *a = rg_calloc(1, sizeof(*a));
+    struct rg_http_client_opts client = {
+        .loop = opts->loop,
+        .server = opts->store,
+        .connect_ms = opts->connect_ms,
+        .body_most = BODY_MOST,
+        .cb = on_answer,
+        .ctx = a,
+    };
+
+    a->opts = *opts;
+    a->state.rand.state = opts->seed;
+    a->client = rg_http_client_create(&client);
+    uv_timer_init(opts->loop, &a->timer);
+    a->timer.data = a;
+    uv_timer_start(&a->timer, on_timer, opts->delay_ms, 0);
+    return a;
+}
+
+static void
+on_closed(uv_handle_t *handle)
+{
+    free(handle->data);
+}
+
+void
+rg_announcer_destroy(struct rg_announcer *a)
+{
+    if (a) {
+        rg_http_client_destroy(a->client);
+        uv_close((uv_handle_t *)&a->timer, on_closed);
+    }
+}
--- /dev/null
+++ b/edge/gossip.c
@@ -0,0 +1,304 @@
+#include "edge/gossip.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "balance/transfer.h"
+#include "common/mem.h"
+#include "edge/edge.h"
+#include "edge/http_client.h"
+#include "edge/http_server.h"
+#include "proto/messages.gen.h"
+
+#define DIGEST_MAX 2048
+#define VIEW_PATH "/view"
+/* Largest view taken from another instance. */
+#define VIEW_BODY_MOST (16 * 1024 * 1024)
+#define VIEW_CONNECT_MS 150
+#define VIEW_CALL_MS 1000
+/* Pause between views taken from others. */
+#define VIEW_PAUSE_MS 700
+/* An own watch this young may still bring what a peer tells of. */
+#define NUDGE_AGE_MS 300
+
+struct rg_gossip {
+    struct rg_gossip_opts opts;
+    struct rg_peers *peers;
+    uv_udp_t udp;
+    uv_timer_t timer;
+    struct rg_http_server *server;
+    struct rg_http_client *client;
+    struct rg_addr asked; /* whose view is being fetched */
+    uint64_t asked_ms;    /* when the last was asked for */
+    bool leaving;
+    int handles;      /* not closed yet */
+    struct rg_msg in; /* too large for the stack of a small task */
+    char data[DIGEST_MAX];
+};
+
+static uint64_t *
+counters(struct rg_gossip *g)
+{
+    return rg_balancer_tally(g->opts.balancer)->counters;
+}
+
+static struct rg_peers_view
+own_view(const struct rg_gossip *g)
+{
+    return (struct rg_peers_view){
+        .version = rg_balancer_version(g->opts.balancer),
+        .revision = rg_sync_revision(g->opts.sync),
+        .fresh_ms = rg_sync_fresh_ms(g->opts.sync),
+        .leaving = g->leaving,
+    };
+}
+
+/* --- digests ------------------------------------------------------------- */
+
+static void
+add_verdicts(struct rg_gossip *g, struct rg_msg_digest *d)
+{
+    struct rg_balancer_verdict
+        found[sizeof(d->verdicts) / sizeof(d->verdicts[0])];
+    size_t count =
+        rg_balancer_verdicts(g->opts.balancer, rg_edge_now_ms(), found,
+                             sizeof(found) / sizeof(found[0]));
+
+    for (size_t i = 0; i < count; i++) {
+        d->verdicts[i].token = found[i].token;
+        d->verdicts[i].age_ms = found[i].age_ms;
+    }
+    d->verdicts_count = (uint16_t)count;
+}
+
+static void
+tell(struct rg_gossip *g, const struct rg_peers_view *view)
+{
+    struct rg_msg m = {.kind = RG_MSG_DIGEST};
+    struct rg_addr to;
+    struct sockaddr_storage sa;
+    uint8_t out[DIGEST_MAX];
+
+    if (!rg_peers_next(g->peers, view, rg_edge_now_ms(), &m.u.digest, &to)) {
+        return;
+    }
+    add_verdicts(g, &m.u.digest);
+    size_t len = rg_msg_pack(&m, out, sizeof(out));
+    uv_buf_t buf = uv_buf_init((char *)out, (unsigned)len);
+    rg_addr_to_sock(&to, &sa);
+    counters(g)[RG_TALLY_DIGESTS_SENT]++;
+    if (uv_udp_try_send(&g->udp, &buf, 1, (const struct sockaddr *)&sa) < 0) {
+        counters(g)[RG_TALLY_SEND_FAILED]++;
+    }
+}
+
+static void
+hear(struct rg_gossip *g, const struct rg_msg_digest *d)
+{
+    uint64_t now = rg_edge_now_ms();
+
+    counters(g)[RG_TALLY_DIGESTS_HEARD]++;
+    rg_peers_heard(g->peers, d, now);
+    for (uint16_t i = 0; i < d->verdicts_count; i++) {
+        struct rg_balancer_verdict verdict = {
+            .token = d->verdicts[i].token,
+            .age_ms = d->verdicts[i].age_ms,
+        };
+        rg_balancer_hear(g->opts.balancer, &verdict, now);
+    }
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+    struct rg_gossip *g = handle->data;
+
+    (void)size;
+    *buf = uv_buf_init(g->data, sizeof(g->data));
+}
+
+static void
+on_datagram(uv_udp_t *udp, ssize_t len, const uv_buf_t *buf,
+            const struct sockaddr *from, unsigned flags)
+{
+    struct rg_gossip *g = udp->data;
+
+    (void)flags;
+    if (len <= 0 || !from) {
+        return;
+    }
+    if (!rg_msg_unpack(&g->in, (const uint8_t *)buf->base, (size_t)len) ||
+        g->in.kind != RG_MSG_DIGEST)
+    {
+        counters(g)[RG_TALLY_MALFORMED]++;
+        return;
+    }
+    hear(g, &g->in.u.digest);
+}
+
+/* --- views --------------------------------------------------------------- */
+
+static unsigned
+answer_view(void *ctx, const char *path, struct rg_text *body)
+{
+    struct rg_gossip *g = ctx;
+
+    if (strcmp(path, VIEW_PATH) != 0) {
+        return 404;
+    }
+    if (!rg_balancer_ready(g->opts.balancer)) {
+        return 503;
+    }
+    rg_transfer_write(g->opts.balancer, rg_sync_revision(g->opts.sync),
+                      rg_edge_now_ms(), body);
+    return 200;
+}
+
+static void
+on_view(void *ctx, const struct rg_http_answer *answer)
+{
+    struct rg_gossip *g = ctx;
+    char from[RG_ADDR_TEXT_MAX];
+    uint64_t now = rg_edge_now_ms();
+    uint64_t revision = rg_sync_revision(g->opts.sync);
+    bool taken =
+        answer->status == 200 &&
+        rg_transfer_read(g->opts.balancer, answer->body, &revision, now);
+
+    rg_log_event(g->opts.log, RG_LOG_NOTICE, "VIEW_FROM_PEER",
+                 "peer=\"%s\" taken=\"%d\" status=\"%u\" version=\"%llu\" "
+                 "revision=\"%llu\"",
+                 rg_addr_text(&g->asked, from), taken, answer->status,
+                 (unsigned long long)rg_balancer_version(g->opts.balancer),
+                 (unsigned long long)revision);
+    if (taken) {
+        counters(g)[RG_TALLY_VIEWS_FROM_PEERS]++;
+        rg_sync_adopt(g->opts.sync, revision, now);
+    }
+}
+
+/* The store does not answer this instance but has answered another. */
+static void
+fetch_view(struct rg_gossip *g, const struct rg_peers_view *view)
+{
+    uint64_t now = rg_edge_now_ms();
+
+    if (rg_http_client_busy(g->client) || now - g->asked_ms < VIEW_PAUSE_MS ||
+        !rg_peers_ahead(g->peers, view, now, &g->asked))
+    {
+        return;
+    }
+    g->asked_ms = now;
+    rg_http_client_set_server(g->client, &g->asked);
+    rg_http_client_get(g->client, VIEW_PATH, VIEW_CALL_MS);
+}
+
+/* --- the timer ----------------------------------------------------------- */
+
+static void
+on_timer(uv_timer_t *timer)
+{
+    struct rg_gossip *g = timer->data;
+    struct rg_peers_view view = own_view(g);
+    uint64_t now = rg_edge_now_ms();
+
+    for (int i = 0; i < RG_PEERS_FANOUT; i++) {
+        tell(g, &view);
+    }
+    rg_sync_set_covered(g->opts.sync, !rg_peers_reader(g->peers, now));
+    if (!rg_peers_behind(g->peers, &view, now)) {
+        return;
+    }
+    if (rg_sync_failing(g->opts.sync)) {
+        fetch_view(g, &view);
+    }
+    else {
+        rg_sync_refresh(g->opts.sync, NUDGE_AGE_MS);
+    }
+}
+
+static void
+on_closed(uv_handle_t *handle)
+{
+    struct rg_gossip *g = handle->data;
+
+    if (--g->handles == 0) {
+        rg_peers_destroy(g->peers);
+        free(g);
+    }
+}
+
+void
+rg_gossip_destroy(struct rg_gossip *g)
+{
+    if (!g) {
+        return;
+    }
+    rg_http_server_destroy(g->server);
+    rg_http_client_destroy(g->client);
+    uv_close((uv_handle_t *)&g->udp, on_closed);
+    uv_close((uv_handle_t *)&g->timer, on_closed);
+}
+
+struct rg_gossip *
+rg_gossip_create(const struct rg_gossip_opts *opts, struct rg_err *err)
+{
+    struct rg_gossip *g = rg_calloc(1, sizeof(*g));
+    struct rg_http_server_opts server = {
+        .loop = opts->loop,
+        .address = opts->peers.addr,
+        .setting = "peer_address",
+        .handler = answer_view,
+        .ctx = g,
+    };
+    struct rg_http_client_opts client = {
+        .loop = opts->loop,
+        .connect_ms = VIEW_CONNECT_MS,
+        .body_most = VIEW_BODY_MOST,
+        .cb = on_view,
+        .ctx = g,
+    };
+    struct sockaddr_storage sa;
+
+    g->opts = *opts;
+    g->peers = rg_peers_create(&opts->peers);
+    g->handles = 2;
+    uv_udp_init(opts->loop, &g->udp);
+    uv_timer_init(opts->loop, &g->timer);
+    g->udp.data = g;
+    g->timer.data = g;
+    g->client = rg_http_client_create(&client);
+    rg_addr_to_sock(&opts->peers.addr, &sa);
+    int rc = uv_udp_bind(&g->udp, (const struct sockaddr *)&sa, 0);
+    if (rc < 0) {
+        rg_err_add(err, "peer_address", "an address this host can bind", "%s",
+                   uv_strerror(rc));
+    }
+    g->server = rg_http_server_create(&server, err);
+    if (rc < 0 || !g->server) {
+        rg_gossip_destroy(g);
+        return NULL;
+    }
+    uv_udp_recv_start(&g->udp, on_alloc, on_datagram);
+    uv_timer_start(&g->timer, on_timer, RG_PEERS_PERIOD_MS / 2,
+                   RG_PEERS_PERIOD_MS);
+    return g;
+}
+
+void
+rg_gossip_meet(struct rg_gossip *g, const struct rg_addr *addr)
+{
+    rg_peers_seed(g->peers, addr);
+}
+
+void
+rg_gossip_leave(struct rg_gossip *g)
+{
+    g->leaving = true;
+}
+
+const struct rg_peers *
+rg_gossip_peers(const struct rg_gossip *g)
+{
+    return g->peers;
+}
--- /dev/null
+++ b/edge/gossip.h
@@ -0,0 +1,37 @@
+/* Talks with other instances: digests over UDP, whole views over HTTP, both at
+ * the peer address. Not thread-safe. */
+#ifndef RG_EDGE_GOSSIP_H
+#define RG_EDGE_GOSSIP_H
+
+#include <uv.h>
+
+#include "balance/balancer.h"
+#include "balance/peers.h"
+#include "common/err.h"
+#include "common/log.h"
+#include "edge/sync.h"
+
+struct rg_gossip_opts {
+    uv_loop_t *loop;
+    struct rg_peers_opts peers;
+    struct rg_balancer *balancer; /* borrowed */
+    struct rg_sync *sync;         /* borrowed */
+    const struct rg_log *log;     /* borrowed */
+};
+
+struct rg_gossip;
+
+/* NULL, with a finding, if the address cannot be bound. */
+struct rg_gossip *rg_gossip_create(const struct rg_gossip_opts *opts,
+                                   struct rg_err *err);
+void rg_gossip_destroy(struct rg_gossip *g);
+
+/* An instance was announced at this address. */
+void rg_gossip_meet(struct rg_gossip *g, const struct rg_addr *addr);
+
+/* A stop signal came: others are told. */
+void rg_gossip_leave(struct rg_gossip *g);
+
+const struct rg_peers *rg_gossip_peers(const struct rg_gossip *g);
+
+#endif
--- a/edge/http_client.c
+++ b/edge/http_client.c
@@ -9,7 +9,9 @@
 #include "common/text.h"
 
 #define READ_BYTES 16384
-#define REQUEST_MAX 1024
+#define REQUEST_MAX 2560
+#define PATH_MAX_LEN 1024
+#define POST_BODY_MAX 1024
 
 /* One connection. It outlives the client's interest in it until libuv has
  * closed it. */
@@ -29,10 +31,13 @@
     uv_timer_t timer;
     struct conn *conn; /* NULL: none */
     bool busy;
+    bool receiving;
     bool keep; /* the server keeps the connection */
     uint32_t timeout_ms;
     struct rg_text body;
-    char path[REQUEST_MAX];
+    char path[PATH_MAX_LEN];
+    bool post;
+    char sent[POST_BODY_MAX]; /* body of a POST */
 };
 
 static void
@@ -81,6 +86,24 @@
     finish(c, 0, why);
 }
 
+void
+rg_http_client_cancel(struct rg_http_client *c)
+{
+    drop_conn(c);
+    c->busy = false;
+    uv_timer_stop(&c->timer);
+}
+
+void
+rg_http_client_set_server(struct rg_http_client *c,
+                          const struct rg_addr *server)
+{
+    if (!rg_addr_eq(&c->opts.server, server)) {
+        drop_conn(c);
+        c->opts.server = *server;
+    }
+}
+
 static void
 on_timeout(uv_timer_t *timer)
 {
@@ -132,6 +155,7 @@
         drop_conn(c); /* bytes nobody asked for */
         return;
     }
+    c->receiving = true;
     http_parser_execute(&conn->parser, &parser_settings, conn->read, len);
     enum http_errno error = HTTP_PARSER_ERRNO(&conn->parser);
     if (error == HPE_PAUSED) {
@@ -141,7 +165,10 @@
     }
     if (error != HPE_OK) {
         rg_http_client_reset(c, http_errno_description(error));
+        return;
     }
+    /* A long answer over a narrow link is late only if it stops. */
+    uv_timer_start(&c->timer, on_timeout, c->timeout_ms, 0);
 }
 
 static void
@@ -172,15 +199,28 @@
     }
 }
 
+static int
+format_request(const struct rg_http_client *c, char *out, size_t size)
+{
+    char host[RG_ADDR_TEXT_MAX];
+
+    rg_addr_text(&c->opts.server, host);
+    if (!c->post) {
+        return snprintf(out, size, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
+                        c->path, host);
+    }
+    return snprintf(out, size,
+                    "POST %s HTTP/1.1\r\nHost: %s\r\n"
+                    "Content-Type: application/json\r\n"
+                    "Content-Length: %zu\r\n\r\n%s",
+                    c->path, host, strlen(c->sent), c->sent);
+}
+
 static void
 send_request(struct conn *conn)
 {
     struct rg_http_client *c = conn->client;
-    char host[RG_ADDR_TEXT_MAX];
-
-    int len = snprintf(conn->request, sizeof(conn->request),
-                       "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", c->path,
-                       rg_addr_text(&c->opts.server, host));
+    int len = format_request(c, conn->request, sizeof(conn->request));
     uv_buf_t buf = uv_buf_init(conn->request, (unsigned)len);
     http_parser_init(&conn->parser, HTTP_RESPONSE);
     conn->parser.data = conn;
@@ -232,12 +272,12 @@
     }
 }
 
-void
-rg_http_client_get(struct rg_http_client *c, const char *path,
-                   uint32_t timeout_ms)
+static void
+start_call(struct rg_http_client *c, const char *path, uint32_t timeout_ms)
 {
     rg_text_clear(&c->body);
     c->busy = true;
+    c->receiving = false;
     c->keep = false;
     c->timeout_ms = timeout_ms;
     snprintf(c->path, sizeof(c->path), "%s", path);
@@ -249,6 +289,29 @@
     }
 }
 
+void
+rg_http_client_get(struct rg_http_client *c, const char *path,
+                   uint32_t timeout_ms)
+{
+    c->post = false;
+    start_call(c, path, timeout_ms);
+}
+
+void
+rg_http_client_post(struct rg_http_client *c, const char *path,
+                    const char *body, uint32_t timeout_ms)
+{
+    c->post = true;
+    snprintf(c->sent, sizeof(c->sent), "%s", body);
+    start_call(c, path, timeout_ms);
+}
+
+bool
+rg_http_client_receiving(const struct rg_http_client *c)
+{
+    return c->busy && c->receiving;
+}
+
 bool
 rg_http_client_busy(const struct rg_http_client *c)
 {
--- a/edge/http_client.h
+++ b/edge/http_client.h
@@ -39,13 +39,28 @@
  * after this. */
 void rg_http_client_destroy(struct rg_http_client *c);
 
+/* Changes the server for calls from now on. Must not be called while busy. */
+void rg_http_client_set_server(struct rg_http_client *c,
+                               const struct rg_addr *server);
+
+/* True if part of an answer has arrived. */
+bool rg_http_client_receiving(const struct rg_http_client *c);
+
 bool rg_http_client_busy(const struct rg_http_client *c);
 
-/* Makes a call: GET `path`. The callback comes exactly once, later. Must not
+/* Makes a call: GET `path`. `timeout_ms` is the longest time without a byte.
+ * The callback comes exactly once, later. Must not
  * be called while busy. */
 void rg_http_client_get(struct rg_http_client *c, const char *path,
                         uint32_t timeout_ms);
 
+/* The same with POST and a JSON body of less than 1 KB. */
+void rg_http_client_post(struct rg_http_client *c, const char *path,
+                         const char *body, uint32_t timeout_ms);
+
+/* Drops a call in progress and the connection; no callback comes for it. */
+void rg_http_client_cancel(struct rg_http_client *c);
+
 /* Ends a call in progress as failed and closes the connection. */
 void rg_http_client_reset(struct rg_http_client *c, const char *why);
 
--- a/edge/main.c
+++ b/edge/main.c
@@ -16,7 +16,9 @@
 #include "common/err.h"
 #include "common/log.h"
 #include "common/mem.h"
+#include "edge/announcer.h"
 #include "edge/edge.h"
+#include "edge/gossip.h"
 #include "edge/http_server.h"
 #include "edge/packet_port.h"
 #include "edge/sync.h"
@@ -42,6 +44,9 @@
 #define STOP_IDLE_MS 500
 /* Time kept from the grace for ending itself. */
 #define STOP_RESERVE_MS 400
+/* After a start callers come first; others find this instance a little later.
+ */
+#define ANNOUNCE_DELAY_MS 400
 /* How often the settings file is looked at for a change without a signal. */
 #define SETTINGS_POLL_MS 2000
 
@@ -58,6 +63,8 @@
     struct rg_http_server *health;
     struct rg_http_server *metrics;
     struct rg_sync *sync;
+    struct rg_gossip *gossip;       /* NULL: no peers are heard */
+    struct rg_announcer *announcer; /* NULL as well then */
     uint64_t started_ms;
     uint64_t last_turn_ms; /* the task ran */
     uint64_t stop_ms;      /* a stop signal came, 0: none */
@@ -174,6 +181,8 @@
     e->closing = true;
     rg_log_event(&e->log, RG_LOG_NOTICE, "STOPPED", "flows=\"%zu\"",
                  rg_balancer_tracked(e->balancer));
+    rg_announcer_destroy(e->announcer);
+    rg_gossip_destroy(e->gossip);
     rg_sync_destroy(e->sync);
     rg_packet_port_destroy(e->packets);
     rg_http_server_destroy(e->health);
@@ -212,6 +221,9 @@
         return;
     }
     e->stop_ms = rg_edge_now_ms();
+    if (e->gossip) {
+        rg_gossip_leave(e->gossip);
+    }
     rg_log_event(&e->log, RG_LOG_NOTICE, "STOPPING",
                  "signal=\"%d\" flows=\"%zu\"", signum,
                  rg_balancer_tracked(e->balancer));
@@ -286,12 +298,17 @@
                 "rattangap_upstreams{listed=\"no\"} %zu\n"
                 "# TYPE rattangap_flows_tracked gauge\n"
                 "rattangap_flows_tracked %zu\n"
+                "# TYPE rattangap_peers gauge\n"
+                "rattangap_peers %zu\n"
                 "# TYPE rattangap_log_suppressed counter\n"
                 "rattangap_log_suppressed %llu\n",
                 (unsigned long long)rg_balancer_version(e->balancer),
                 rg_pool_listed(pool),
                 rg_pool_known(pool) - rg_pool_listed(pool),
                 rg_balancer_tracked(e->balancer),
+                e->gossip ? rg_peers_count(rg_gossip_peers(e->gossip),
+                                           rg_edge_now_ms())
+                          : 0,
                 (unsigned long long)rg_log_suppressed(e->log.queue));
     return 200;
 }
@@ -330,18 +347,78 @@
     }
 }
 
+/* The view must not lag behind the store by more. */
+static uint32_t
+view_bound_ms(const struct rg_edge *set)
+{
+    return set->drain_ms < set->apply_ms ? set->drain_ms : set->apply_ms;
+}
+
+static void
+on_instance(void *ctx, const struct rg_addr *addr)
+{
+    struct edge *e = ctx;
+
+    if (e->gossip) {
+        rg_gossip_meet(e->gossip, addr);
+    }
+}
+
+static void
+start_announcer(struct edge *e, uint64_t seed)
+{
+    const struct rg_edge *set = &e->settings;
+    struct rg_follow_opts times =
+        rg_follow_opts_for(view_bound_ms(set), set->store.settle_ms);
+    struct rg_announcer_opts opts = {
+        .loop = &e->loop,
+        .store = set->store.address,
+        .name = set->name,
+        .addr = set->peer_address,
+        .delay_ms = ANNOUNCE_DELAY_MS,
+        .connect_ms = times.connect_ms,
+        .call_ms = times.call_ms,
+        .seed = seed,
+        .balancer = e->balancer,
+        .log = &e->log,
+    };
+
+    e->announcer = rg_announcer_create(&opts);
+}
+
+static void
+start_gossip(struct edge *e, uint64_t seed, struct rg_err *err)
+{
+    const struct rg_edge *set = &e->settings;
+    struct rg_gossip_opts opts = {
+        .loop = &e->loop,
+        .peers = {.name = set->name,
+                  .addr = set->peer_address,
+                  .bound_ms = view_bound_ms(set),
+                  .seed = seed},
+        .balancer = e->balancer,
+        .sync = e->sync,
+        .log = &e->log,
+    };
+
+    if (set->peer_address.port != 0) {
+        e->gossip = rg_gossip_create(&opts, err);
+        start_announcer(e, seed + 1);
+    }
+}
+
 static void
 start_sync(struct edge *e, uint64_t seed)
 {
     const struct rg_edge *set = &e->settings;
-    uint32_t bound =
-        set->drain_ms < set->apply_ms ? set->drain_ms : set->apply_ms;
     struct rg_sync_opts sync = {
         .loop = &e->loop,
         .store = set->store.address,
-        .follow = rg_follow_opts_for(bound, set->store.settle_ms),
+        .follow = rg_follow_opts_for(view_bound_ms(set), set->store.settle_ms),
         .balancer = e->balancer,
         .log = &e->log,
+        .on_instance = on_instance,
+        .ctx = e,
     };
 
     sync.follow.seed = seed;
@@ -389,13 +466,14 @@
     uv_loop_init(&e->loop);
     e->balancer = create_balancer(e, seed);
     open_ports(e, &err);
+    start_sync(e, seed + 1);
+    start_gossip(e, seed + 2, &err);
     if (rg_err_any(&err)) {
         RG_AUTO_FREE char *text = rg_err_text(&err);
         rg_log(&e->log, RG_LOG_ERR, "START", "%s", text);
         rg_log_flush(&e->log, e->started_ms);
         return EXIT_RUNTIME;
     }
-    start_sync(e, seed + 1);
     start_timers(e);
     rg_log_event(&e->log, RG_LOG_NOTICE, "STARTED",
                  "version=\"%s\" data_centre=\"%s\"", RG_VERSION,
--- a/edge/sync.c
+++ b/edge/sync.c
@@ -21,6 +21,7 @@
     uv_timer_t timer;
     enum rg_follow_kind calling; /* the call in progress */
     bool reachable;              /* the last call was answered */
+    bool waits_long;             /* the watch in progress */
     uint64_t called_ms;
 };
 
@@ -70,6 +71,9 @@
     case RG_KV_BAD_ROUTES:
         note_unreadable(s, c);
         break;
+    case RG_KV_INSTANCE:
+        s->opts.on_instance(s->opts.ctx, &c->instance);
+        break;
     case RG_KV_OTHER:
         break;
     }
@@ -78,6 +82,8 @@
 static void
 note_reachable(struct rg_sync *s, bool reachable, const char *why)
 {
+    uint64_t fresh = rg_follow_fresh_ms(s->follow);
+
     if (s->reachable == reachable) {
         return;
     }
@@ -86,8 +92,7 @@
                  reachable ? "STORE_BACK" : "STORE_LOST",
                  "why=\"%s\" version=\"%llu\" view_age_ms=\"%llu\"", why,
                  (unsigned long long)rg_balancer_version(s->opts.balancer),
-                 (unsigned long long)(rg_edge_now_ms() -
-                                      rg_follow_fresh_ms(s->follow)));
+                 (unsigned long long)(fresh ? rg_edge_now_ms() - fresh : 0));
 }
 
 static void
@@ -175,11 +180,66 @@
     }
     counters(s)[RG_TALLY_STORE_CALLS]++;
     s->calling = next.kind;
+    s->waits_long = next.waits_long;
     s->called_ms = now;
     rg_kv_path(path, &next);
     rg_http_client_get(s->client, path, next.timeout_ms);
 }
 
+void
+rg_sync_refresh(struct rg_sync *s, uint64_t age_ms)
+{
+    /* A short watch ends soon, and an answer may be long on its way over a
+     * narrow link: both are left alone. */
+    if (rg_http_client_busy(s->client) && s->waits_long &&
+        !rg_http_client_receiving(s->client) &&
+        rg_edge_now_ms() - s->called_ms >= age_ms)
+    {
+        counters(s)[RG_TALLY_STORE_NUDGES]++;
+        rg_log_event(s->opts.log, RG_LOG_NOTICE, "STORE_ASKED_ANEW",
+                     "watch_ms=\"%llu\" revision=\"%llu\"",
+                     (unsigned long long)(rg_edge_now_ms() - s->called_ms),
+                     (unsigned long long)rg_follow_revision(s->follow));
+        rg_http_client_cancel(s->client);
+        rg_follow_refresh(s->follow);
+        step(s);
+    }
+}
+
+void
+rg_sync_set_covered(struct rg_sync *s, bool covered)
+{
+    rg_follow_set_covered(s->follow, covered);
+    if (!covered) {
+        rg_sync_refresh(s, s->opts.follow.watch_ms + s->opts.follow.call_ms);
+    }
+}
+
+void
+rg_sync_adopt(struct rg_sync *s, uint64_t revision, uint64_t fresh_ms)
+{
+    rg_follow_adopt(s->follow, revision);
+    rg_balancer_fresh(s->opts.balancer, fresh_ms);
+}
+
+uint64_t
+rg_sync_revision(const struct rg_sync *s)
+{
+    return rg_follow_revision(s->follow);
+}
+
+uint64_t
+rg_sync_fresh_ms(const struct rg_sync *s)
+{
+    return rg_follow_fresh_ms(s->follow);
+}
+
+bool
+rg_sync_failing(const struct rg_sync *s)
+{
+    return rg_follow_failing(s->follow);
+}
+
 void
 rg_sync_paused(struct rg_sync *s)
 {
--- a/edge/sync.h
+++ b/edge/sync.h
@@ -3,6 +3,7 @@
 #ifndef RG_EDGE_SYNC_H
 #define RG_EDGE_SYNC_H
 
+#include <stdbool.h>
 #include <uv.h>
 
 #include "balance/balancer.h"
@@ -17,11 +18,32 @@
     struct rg_follow_opts follow;
     struct rg_balancer *balancer; /* borrowed */
     const struct rg_log *log;     /* borrowed */
+    /* Another instance was announced at this peer address. */
+    void (*on_instance)(void *ctx, const struct rg_addr *addr);
+    void *ctx;
 };
 
 struct rg_sync *rg_sync_create(const struct rg_sync_opts *opts);
 void rg_sync_destroy(struct rg_sync *s);
 
+/* Asks the store anew if a long watch is in progress for `age_ms` or more
+ * without a byte of an answer. */
+void rg_sync_refresh(struct rg_sync *s, uint64_t age_ms);
+
+/* See rg_follow_set_covered(); a watch that waits too long for an instance
+ * that is no longer covered is dropped. */
+void rg_sync_set_covered(struct rg_sync *s, bool covered);
+
+/* The view was taken from another instance whose view stands at `revision` and
+ * was confirmed by the store at `fresh_ms`. */
+void rg_sync_adopt(struct rg_sync *s, uint64_t revision, uint64_t fresh_ms);
+
+uint64_t rg_sync_revision(const struct rg_sync *s);
+/* Time of the store's last answer, 0 for none. */
+uint64_t rg_sync_fresh_ms(const struct rg_sync *s);
+/* True while calls of the store fail. */
+bool rg_sync_failing(const struct rg_sync *s);
+
 /* The process did not run for a while: starts the calls afresh. */
 void rg_sync_paused(struct rg_sync *s);
 
--- a/options/edge.gen.c
+++ b/options/edge.gen.c
@@ -46,6 +46,9 @@
     {.key = "metrics_address",
      .type = RG_OPT_ADDR,
      .offset = offsetof(struct rg_edge, metrics_address)},
+    {.key = "peer_address",
+     .type = RG_OPT_ADDR,
+     .offset = offsetof(struct rg_edge, peer_address)},
     {.key = "store",
      .type = RG_OPT_OBJECT,
      .table = &rg_edge_store_options,
@@ -93,6 +96,6 @@
 const struct rg_opt_table rg_edge_options = {
     .name = "edge",
     .rows = edge_rows,
-    .count = 13,
+    .count = 14,
     .size = sizeof(struct rg_edge),
 };
--- a/options/edge.gen.h
+++ b/options/edge.gen.h
@@ -35,6 +35,8 @@
     struct rg_addr health_address;
     /* HTTP: counters and histograms; left out: none */
     struct rg_addr metrics_address;
+    /* UDP and HTTP: other instances; left out: none are heard */
+    struct rg_addr peer_address;
     /* the store */
     struct rg_edge_store store;
     /* longest life of a flow, ms: an upstream's token is kept this long after
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -122,6 +122,194 @@
     return true;
 }
 
+static void
+pack_contact(msgpack_packer *pk, const struct rg_msg_contact *m)
+{
+    rg_pack_list(pk, 1);
+    rg_pack_addr(pk, &m->addr);
+}
+
+static bool
+unpack_contact(const msgpack_object *o, struct rg_msg_contact *m)
+{
+    if (!rg_unpack_shape(o, 1)) {
+        return false;
+    }
+    if (!rg_unpack_addr(&o->via.array.ptr[0], &m->addr)) {
+        return false;
+    }
+    return true;
+}
+
+static void
+pack_verdict(msgpack_packer *pk, const struct rg_msg_verdict *m)
+{
+    rg_pack_list(pk, 2);
+    rg_pack_u64(pk, m->token);
+    rg_pack_u64(pk, m->age_ms);
+}
+
+static bool
+unpack_verdict(const msgpack_object *o, struct rg_msg_verdict *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 2)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[0], 4294967295U, &value)) {
+        return false;
+    }
+    m->token = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[1], 4294967295U, &value)) {
+        return false;
+    }
+    m->age_ms = (uint32_t)value;
+    return true;
+}
+
+static void
+pack_share(msgpack_packer *pk, const struct rg_msg_share *m)
+{
+    rg_pack_list(pk, 2);
+    rg_pack_name(pk, &m->service);
+    rg_pack_u64(pk, m->weight);
+}
+
+static bool
+unpack_share(const msgpack_object *o, struct rg_msg_share *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 2)) {
+        return false;
+    }
+    if (!rg_unpack_name(&o->via.array.ptr[0], &m->service)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[1], 4294967295U, &value)) {
+        return false;
+    }
+    m->weight = (uint32_t)value;
+    return true;
+}
+
+static void
+pack_route(msgpack_packer *pk, const struct rg_msg_route *m)
+{
+    rg_pack_list(pk, 5);
+    rg_pack_u64(pk, m->ip);
+    rg_pack_u64(pk, m->port);
+    rg_pack_u64(pk, m->repeat);
+    rg_pack_u64(pk, m->timeout_ms);
+    rg_pack_list(pk, m->shares_count);
+    for (uint16_t i = 0; i < m->shares_count; i++) {
+        pack_share(pk, &m->shares[i]);
+    }
+}
+
+static bool
+unpack_route(const msgpack_object *o, struct rg_msg_route *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 5)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[0], 4294967295U, &value)) {
+        return false;
+    }
+    m->ip = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[1], 65535U, &value)) {
+        return false;
+    }
+    m->port = (uint16_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[2], 255U, &value)) {
+        return false;
+    }
+    m->repeat = (uint8_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[3], 4294967295U, &value)) {
+        return false;
+    }
+    m->timeout_ms = (uint32_t)value;
+    if (!rg_unpack_list(&o->via.array.ptr[4], 8, &m->shares_count)) {
+        return false;
+    }
+    for (uint16_t i = 0; i < m->shares_count; i++) {
+        if (!unpack_share(&o->via.array.ptr[4].via.array.ptr[i],
+                          &m->shares[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+pack_boot(msgpack_packer *pk, const struct rg_msg_boot *m)
+{
+    rg_pack_list(pk, 10);
+    rg_pack_name(pk, &m->id);
+    rg_pack_u64(pk, m->wire_id);
+    rg_pack_u64(pk, m->boot_ms);
+    rg_pack_name(pk, &m->service);
+    rg_pack_name(pk, &m->data_centre);
+    rg_pack_addr(pk, &m->addr);
+    rg_pack_u64(pk, m->slots);
+    rg_pack_u64(pk, m->draining);
+    rg_pack_u64(pk, m->cold_left_ms);
+    rg_pack_u64(pk, m->revision);
+}
+
+static bool
+unpack_boot(const msgpack_object *o, struct rg_msg_boot *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 10)) {
+        return false;
+    }
+    if (!rg_unpack_name(&o->via.array.ptr[0], &m->id)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[1], 18446744073709551615ULL, &value))
+    {
+        return false;
+    }
+    m->wire_id = (uint64_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[2], 18446744073709551615ULL, &value))
+    {
+        return false;
+    }
+    m->boot_ms = (uint64_t)value;
+    if (!rg_unpack_name(&o->via.array.ptr[3], &m->service)) {
+        return false;
+    }
+    if (!rg_unpack_name(&o->via.array.ptr[4], &m->data_centre)) {
+        return false;
+    }
+    if (!rg_unpack_addr(&o->via.array.ptr[5], &m->addr)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[6], 4294967295U, &value)) {
+        return false;
+    }
+    m->slots = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[7], 255U, &value)) {
+        return false;
+    }
+    m->draining = (uint8_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[8], 4294967295U, &value)) {
+        return false;
+    }
+    m->cold_left_ms = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[9], 18446744073709551615ULL, &value))
+    {
+        return false;
+    }
+    m->revision = (uint64_t)value;
+    return true;
+}
+
 static void
 pack_ping(msgpack_packer *pk, const struct rg_msg_ping *m)
 {
@@ -481,6 +669,175 @@
     return true;
 }
 
+static void
+pack_digest(msgpack_packer *pk, const struct rg_msg_digest *m)
+{
+    rg_pack_name(pk, &m->from);
+    rg_pack_addr(pk, &m->addr);
+    rg_pack_u64(pk, m->version);
+    rg_pack_u64(pk, m->revision);
+    rg_pack_u64(pk, m->age_ms);
+    rg_pack_u64(pk, m->latest_version);
+    rg_pack_u64(pk, m->latest_revision);
+    rg_pack_u64(pk, m->latest_age_ms);
+    rg_pack_u64(pk, m->leaving);
+    rg_pack_list(pk, m->contacts_count);
+    for (uint16_t i = 0; i < m->contacts_count; i++) {
+        pack_contact(pk, &m->contacts[i]);
+    }
+    rg_pack_list(pk, m->verdicts_count);
+    for (uint16_t i = 0; i < m->verdicts_count; i++) {
+        pack_verdict(pk, &m->verdicts[i]);
+    }
+}
+
+static bool
+unpack_digest(const msgpack_object *o, struct rg_msg_digest *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 13)) {
+        return false;
+    }
+    if (!rg_unpack_name(&o->via.array.ptr[2], &m->from)) {
+        return false;
+    }
+    if (!rg_unpack_addr(&o->via.array.ptr[3], &m->addr)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[4], 18446744073709551615ULL, &value))
+    {
+        return false;
+    }
+    m->version = (uint64_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[5], 18446744073709551615ULL, &value))
+    {
+        return false;
+    }
+    m->revision = (uint64_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[6], 4294967295U, &value)) {
+        return false;
+    }
+    m->age_ms = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[7], 18446744073709551615ULL, &value))
+    {
+        return false;
+    }
+    m->latest_version = (uint64_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[8], 18446744073709551615ULL, &value))
+    {
+        return false;
+    }
+    m->latest_revision = (uint64_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[9], 4294967295U, &value)) {
+        return false;
+    }
+    m->latest_age_ms = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[10], 255U, &value)) {
+        return false;
+    }
+    m->leaving = (uint8_t)value;
+    if (!rg_unpack_list(&o->via.array.ptr[11], 6, &m->contacts_count)) {
+        return false;
+    }
+    for (uint16_t i = 0; i < m->contacts_count; i++) {
+        if (!unpack_contact(&o->via.array.ptr[11].via.array.ptr[i],
+                            &m->contacts[i])) {
+            return false;
+        }
+    }
+    if (!rg_unpack_list(&o->via.array.ptr[12], 12, &m->verdicts_count)) {
+        return false;
+    }
+    for (uint16_t i = 0; i < m->verdicts_count; i++) {
+        if (!unpack_verdict(&o->via.array.ptr[12].via.array.ptr[i],
+                            &m->verdicts[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+pack_routes_part(msgpack_packer *pk, const struct rg_msg_routes_part *m)
+{
+    rg_pack_u64(pk, m->version);
+    rg_pack_u64(pk, m->total);
+    rg_pack_list(pk, m->routes_count);
+    for (uint16_t i = 0; i < m->routes_count; i++) {
+        pack_route(pk, &m->routes[i]);
+    }
+}
+
+static bool
+unpack_routes_part(const msgpack_object *o, struct rg_msg_routes_part *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 5)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[2], 18446744073709551615ULL, &value))
+    {
+        return false;
+    }
+    m->version = (uint64_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[3], 4294967295U, &value)) {
+        return false;
+    }
+    m->total = (uint32_t)value;
+    if (!rg_unpack_list(&o->via.array.ptr[4], 16, &m->routes_count)) {
+        return false;
+    }
+    for (uint16_t i = 0; i < m->routes_count; i++) {
+        if (!unpack_route(&o->via.array.ptr[4].via.array.ptr[i],
+                          &m->routes[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+pack_boots_part(msgpack_packer *pk, const struct rg_msg_boots_part *m)
+{
+    rg_pack_u64(pk, m->revision);
+    rg_pack_u64(pk, m->total);
+    rg_pack_list(pk, m->boots_count);
+    for (uint16_t i = 0; i < m->boots_count; i++) {
+        pack_boot(pk, &m->boots[i]);
+    }
+}
+
+static bool
+unpack_boots_part(const msgpack_object *o, struct rg_msg_boots_part *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 5)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[2], 18446744073709551615ULL, &value))
+    {
+        return false;
+    }
+    m->revision = (uint64_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[3], 4294967295U, &value)) {
+        return false;
+    }
+    m->total = (uint32_t)value;
+    if (!rg_unpack_list(&o->via.array.ptr[4], 16, &m->boots_count)) {
+        return false;
+    }
+    for (uint16_t i = 0; i < m->boots_count; i++) {
+        if (!unpack_boot(&o->via.array.ptr[4].via.array.ptr[i], &m->boots[i]))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 size_t
 rg_msg_pack(const struct rg_msg *m, uint8_t *out, size_t size)
 {
@@ -561,6 +918,24 @@
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_content(&pk, &m->u.content);
         break;
+    case RG_MSG_DIGEST:
+        rg_pack_list(&pk, 13);
+        rg_pack_u64(&pk, RG_MSG_VERSION);
+        rg_pack_u64(&pk, (uint64_t)m->kind);
+        pack_digest(&pk, &m->u.digest);
+        break;
+    case RG_MSG_ROUTES_PART:
+        rg_pack_list(&pk, 5);
+        rg_pack_u64(&pk, RG_MSG_VERSION);
+        rg_pack_u64(&pk, (uint64_t)m->kind);
+        pack_routes_part(&pk, &m->u.routes_part);
+        break;
+    case RG_MSG_BOOTS_PART:
+        rg_pack_list(&pk, 5);
+        rg_pack_u64(&pk, RG_MSG_VERSION);
+        rg_pack_u64(&pk, (uint64_t)m->kind);
+        pack_boots_part(&pk, &m->u.boots_part);
+        break;
     }
     return buf.overflow ? 0 : buf.len;
 }
@@ -593,6 +968,12 @@
         return unpack_fetch(o, &m->u.fetch);
     case RG_MSG_CONTENT:
         return unpack_content(o, &m->u.content);
+    case RG_MSG_DIGEST:
+        return unpack_digest(o, &m->u.digest);
+    case RG_MSG_ROUTES_PART:
+        return unpack_routes_part(o, &m->u.routes_part);
+    case RG_MSG_BOOTS_PART:
+        return unpack_boots_part(o, &m->u.boots_part);
     }
     return false;
 }
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -50,6 +50,67 @@
     uint32_t idle_ms;
 };
 
+/* Where an instance may be reached. */
+struct rg_msg_contact {
+    /* its peer address */
+    struct rg_addr addr;
+};
+
+/* An upstream that does not answer its callers. */
+struct rg_msg_verdict {
+    /* its routing token */
+    uint32_t token;
+    /* time since that was last seen */
+    uint32_t age_ms;
+};
+
+/* One service of a route. */
+struct rg_msg_share {
+    /* its name */
+    struct rg_name service;
+    /* its part of new flows */
+    uint32_t weight;
+};
+
+/* One route of a configuration. */
+struct rg_msg_route {
+    /* IPv4 address, host order */
+    uint32_t ip;
+    /* port */
+    uint16_t port;
+    /* enum rg_repeat */
+    uint8_t repeat;
+    /* a request's deadline, 0 for none */
+    uint32_t timeout_ms;
+    /* services */
+    uint16_t shares_count;
+    struct rg_msg_share shares[8];
+};
+
+/* One boot of an upstream, as it says of itself. */
+struct rg_msg_boot {
+    /* identity */
+    struct rg_name id;
+    /* identity before its packets */
+    uint64_t wire_id;
+    /* wall clock of its start */
+    uint64_t boot_ms;
+    /* service */
+    struct rg_name service;
+    /* data centre */
+    struct rg_name data_centre;
+    /* where it takes packets */
+    struct rg_addr addr;
+    /* requests at once */
+    uint32_t slots;
+    /* 1: takes no new flows */
+    uint8_t draining;
+    /* time until it has warmed up */
+    uint32_t cold_left_ms;
+    /* of its entry */
+    uint64_t revision;
+};
+
 /* Probe of a member. */
 struct rg_msg_ping {
     /* repeated in the ack */
@@ -165,6 +226,56 @@
     struct rg_str text; /* borrows from the input */
 };
 
+/* What an instance that steers by token knows, told to others in turn. */
+struct rg_msg_digest {
+    /* sender */
+    struct rg_name from;
+    /* its peer address */
+    struct rg_addr addr;
+    /* configuration in force there */
+    uint64_t version;
+    /* of the store, as last answered */
+    uint64_t revision;
+    /* time since that answer */
+    uint32_t age_ms;
+    /* newest configuration it has heard of anywhere */
+    uint64_t latest_version;
+    /* newest revision it has heard of anywhere */
+    uint64_t latest_revision;
+    /* time since the store last answered any instance it has heard of */
+    uint32_t latest_age_ms;
+    /* 1: it is about to stop */
+    uint8_t leaving;
+    /* some it has heard lately */
+    uint16_t contacts_count;
+    struct rg_msg_contact contacts[6];
+    /* upstreams it has ejected */
+    uint16_t verdicts_count;
+    struct rg_msg_verdict verdicts[12];
+};
+
+/* TCP: a part of the routes in force. */
+struct rg_msg_routes_part {
+    /* of the configuration */
+    uint64_t version;
+    /* routes in all parts */
+    uint32_t total;
+    /* routes */
+    uint16_t routes_count;
+    struct rg_msg_route routes[16];
+};
+
+/* TCP: a part of the upstreams listed. */
+struct rg_msg_boots_part {
+    /* of the store when they were */
+    uint64_t revision;
+    /* upstreams in all parts */
+    uint32_t total;
+    /* upstreams */
+    uint16_t boots_count;
+    struct rg_msg_boot boots[16];
+};
+
 enum rg_msg_kind {
     RG_MSG_PING = 1,
     RG_MSG_ACK = 2,
@@ -178,6 +289,9 @@
     RG_MSG_HEAD_OFFER = 10,
     RG_MSG_FETCH = 11,
     RG_MSG_CONTENT = 12,
+    RG_MSG_DIGEST = 13,
+    RG_MSG_ROUTES_PART = 14,
+    RG_MSG_BOOTS_PART = 15,
 };
 
 /* Any message. */
@@ -196,6 +310,9 @@
         struct rg_msg_head_offer head_offer;
         struct rg_msg_fetch fetch;
         struct rg_msg_content content;
+        struct rg_msg_digest digest;
+        struct rg_msg_routes_part routes_part;
+        struct rg_msg_boots_part boots_part;
     } u;
 };
 
--- a/test/test_kv.c
+++ b/test/test_kv.c
@@ -166,6 +166,35 @@
     g_assert_cmpuint(seen.last.revision, ==, 7);
 }
 
+/* An instance announces its address, bound to a lease; others read it. */
+static void
+test_instances(void)
+{
+    struct rg_announce_step step = {.kind = RG_ANNOUNCE_WRITE, .lease = 7};
+    struct rg_kv_call call;
+    struct rg_name name;
+    struct rg_addr addr;
+    struct seen seen;
+    RG_TEXT_AUTO body = {0};
+
+    g_assert_true(rg_name_set(&name, rg_str_of("edge-1")));
+    g_assert_true(rg_addr_parse(&addr, "10.0.0.9:7720"));
+    rg_kv_announce(&call, &body, &step, &name, &addr);
+    g_assert_cmpstr(call.path, ==, "/v1/kv-txn");
+    g_assert_nonnull(strstr(body.s, "\"Key\":\"rattangap/instances/edge-1\""));
+    g_assert_nonnull(strstr(body.s, "\"Lease\":7"));
+    g_assert_nonnull(strstr(body.s, "\"MTAuMC4wLjk6NzcyMA==\""));
+    decode_value("rattangap/instances/edge-1", "10.0.0.9:7720", &seen);
+    g_assert_cmpint(seen.last.what, ==, RG_KV_INSTANCE);
+    g_assert_true(rg_addr_eq(&seen.last.instance, &addr));
+    decode_value("rattangap/instances/edge-1", "somewhere", &seen);
+    g_assert_cmpint(seen.last.what, ==, RG_KV_OTHER);
+    g_assert_cmpuint(rg_kv_decode_lease(rg_str_of("{\"Lease\":77120}")), ==,
+                     77120);
+    g_assert_cmpuint(rg_kv_decode_lease(rg_str_of("{}")), ==, 0);
+    g_assert_cmpuint(rg_kv_decode_lease(rg_str_of("x")), ==, 0);
+}
+
 static void
 test_routes(void)
 {
@@ -290,6 +319,7 @@
     g_test_add_func("/kv/upstream", test_upstream);
     g_test_add_func("/kv/bad-upstreams", test_bad_upstreams);
     g_test_add_func("/kv/removed", test_removed);
+    g_test_add_func("/kv/instances", test_instances);
     g_test_add_func("/kv/routes", test_routes);
     g_test_add_func("/kv/bad-routes", test_bad_routes);
     g_test_add_func("/kv/bad-answers", test_bad_answers);
--- /dev/null
+++ b/test/test_transfer.c
@@ -0,0 +1,184 @@
+/* A view passed between instances: whole or not at all, never older. */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "balance/transfer.h"
+#include "common/rand.h"
+
+#define SEED 31
+#define ROUNDS 3000
+#define ROUTES 40
+#define UPSTREAMS 50
+
+static struct rg_name
+name(const char *format, int i)
+{
+    struct rg_name n;
+    char text[32];
+
+    snprintf(text, sizeof(text), format, i);
+    g_assert_true(rg_name_set(&n, rg_str_of(text)));
+    return n;
+}
+
+static struct rg_balancer *
+make_balancer(void)
+{
+    struct rg_balancer_opts opts = {
+        .data_centre = name("dc%d", 1),
+        .flow_age_ms = 60000,
+        .stale_ms = 3000,
+        .tracked_flows = 64,
+    };
+
+    return rg_balancer_create(&opts, 1000);
+}
+
+static void
+add_upstream(struct rg_balancer *b, int i, bool draining, uint64_t revision)
+{
+    struct rg_boot_report r = {
+        .id = name("u-%x", i),
+        .wire_id = (uint64_t)i,
+        .boot_ms = 7,
+        .service = name("shop%d", i % 3),
+        .data_centre = name("dc%d", i % 2),
+        .slots = 2,
+        .draining = draining,
+        .cold_left_ms = 500,
+    };
+
+    rg_addr_parse(&r.addr, "10.0.0.1:80");
+    rg_pool_report(rg_balancer_pool(b), &r, revision, 1000);
+}
+
+static struct rg_balancer *
+full_balancer(uint64_t version)
+{
+    struct rg_balancer *b = make_balancer();
+    struct rg_route *routes = calloc(ROUTES, sizeof(*routes));
+
+    for (int i = 0; i < ROUTES; i++) {
+        routes[i].ip = 0xc6120000 + (uint32_t)i;
+        routes[i].port = 443;
+        routes[i].share_count = 1;
+        routes[i].shares[0].service = name("shop%d", i % 3);
+        routes[i].shares[0].weight = 5;
+    }
+    rg_balancer_set_routes(b, rg_routes_create(version, routes, ROUTES));
+    for (int i = 0; i < UPSTREAMS; i++) {
+        add_upstream(b, i, i % 10 == 0, 100 + (uint64_t)i);
+    }
+    return b;
+}
+
+static bool
+pass(struct rg_balancer *from, uint64_t revision, struct rg_balancer *to,
+     uint64_t *own)
+{
+    RG_TEXT_AUTO bytes = {0};
+
+    rg_transfer_write(from, revision, 1000, &bytes);
+    return rg_transfer_read(to, (struct rg_str){bytes.s, bytes.len}, own,
+                            1000);
+}
+
+static void
+test_whole(void)
+{
+    struct rg_balancer *from = full_balancer(5);
+    struct rg_balancer *to = make_balancer();
+    uint64_t revision = 0;
+    size_t count;
+
+    g_assert_true(pass(from, 200, to, &revision));
+    g_assert_cmpuint(revision, ==, 200);
+    g_assert_cmpuint(rg_balancer_version(to), ==, 5);
+    g_assert_cmpuint(rg_routes_count(rg_balancer_routes(to)), ==, ROUTES);
+    g_assert_cmpuint(rg_pool_listed(rg_balancer_pool(to)), ==, UPSTREAMS);
+    struct rg_name shop = name("shop%d", 0);
+    uint32_t service = rg_pool_service(rg_balancer_pool(to), &shop);
+    struct rg_boot *const *boots =
+        rg_pool_boots(rg_balancer_pool(to), service, &count);
+    g_assert_cmpuint(count, ==, (UPSTREAMS + 2) / 3);
+    g_assert_cmpuint(boots[0]->cold_until_ms, ==, 1500);
+    rg_balancer_destroy(from);
+    rg_balancer_destroy(to);
+}
+
+/* An older view changes nothing; a newer one removes what it lacks, and a
+ * newer entry held here stands. */
+static void
+test_newer_only(void)
+{
+    struct rg_balancer *from = full_balancer(5);
+    struct rg_balancer *to = full_balancer(6);
+    uint64_t revision = 300;
+
+    add_upstream(to, 900, false, 290);
+    g_assert_true(pass(from, 200, to, &revision));
+    g_assert_cmpuint(revision, ==, 300);
+    g_assert_cmpuint(rg_balancer_version(to), ==, 6);
+    g_assert_cmpuint(rg_pool_listed(rg_balancer_pool(to)), ==, UPSTREAMS + 1);
+    add_upstream(to, 1, true, 299);
+    g_assert_true(pass(from, 400, to, &revision));
+    g_assert_cmpuint(rg_pool_listed(rg_balancer_pool(to)), ==, UPSTREAMS);
+    size_t count;
+    struct rg_name shop = name("shop%d", 1);
+    struct rg_boot *const *boots =
+        rg_pool_boots(rg_balancer_pool(to),
+                      rg_pool_service(rg_balancer_pool(to), &shop), &count);
+    bool draining = false;
+    for (size_t i = 0; i < count; i++) {
+        draining = draining || (boots[i]->wire_id == 1 &&
+                                boots[i]->state == RG_BOOT_DRAINING);
+    }
+    g_assert_true(draining);
+    rg_balancer_destroy(from);
+    rg_balancer_destroy(to);
+}
+
+/* Cut short or damaged: refused, and nothing changes, or read as a view. */
+static void
+test_damaged(void)
+{
+    struct rg_balancer *from = full_balancer(5);
+    struct rg_rand rand = {.state = SEED};
+    RG_TEXT_AUTO bytes = {0};
+
+    rg_transfer_write(from, 200, 1000, &bytes);
+    for (int i = 0; i < ROUNDS; i++) {
+        struct rg_balancer *to = make_balancer();
+        uint64_t revision = 0;
+        g_autofree char *copy = g_memdup2(bytes.s, bytes.len);
+        size_t len = bytes.len;
+        if (i % 2) {
+            len = rg_rand_below(&rand, (uint32_t)bytes.len);
+        }
+        else {
+            copy[rg_rand_below(&rand, (uint32_t)len)] =
+                (char)rg_rand_next(&rand);
+        }
+        bool ok =
+            rg_transfer_read(to, (struct rg_str){copy, len}, &revision, 1000);
+        if (!ok || i % 2) {
+            g_assert_false(ok);
+            g_assert_cmpuint(revision, ==, 0);
+            g_assert_cmpuint(rg_balancer_version(to), ==, 0);
+            g_assert_cmpuint(rg_pool_known(rg_balancer_pool(to)), ==, 0);
+        }
+        rg_balancer_destroy(to);
+    }
+    rg_balancer_destroy(from);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/transfer/whole", test_whole);
+    g_test_add_func("/transfer/newer-only", test_newer_only);
+    g_test_add_func("/transfer/damaged", test_damaged);
+    return g_test_run();
+}
