balance: reset repeatable requests at upstreams that have fallen silent

Evidence from callers' packets, which had grown into the choice of upstreams, is now a module of its own. An upstream counts as dead when requests or openings of two flows were repeated, nothing came from it for 250 ms, and others did answer; requests that may be repeated are then reset so that their callers try elsewhere in time.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "balance/choose.h"
+#include "balance/evidence.h"
 #include "balance/token.h"
 #include "balance/track.h"
 #include "common/mem.h"
@@ -157,6 +158,34 @@
     }
 }
 
+/* A request that may be repeated, at an upstream that will not answer: its
+ * caller is told to try again, which it could else do only after its deadline.
+ * A request that may run once only is left alone: nobody knows whether it
+ * has. */
+static bool
+is_lost(const struct rg_balancer *b, const struct rg_track *t)
+{
+    const struct rg_route *route =
+        rg_routes_find(b->routes, t->flow.service_ip, t->flow.service_port);
+
+    return t->state == RG_TRACK_REQUEST && t->repeats > 0 && route &&
+           route->repeat == RG_REPEAT_SAFE && rg_boot_dead(t->boot, b->now_ms);
+}
+
+/* Resets a lost flow without waiting for its next packet. */
+static void
+give_up(struct rg_balancer *b, struct rg_track *t)
+{
+    struct rg_segment last = {.flow = t->flow, .ack = t->last_ack};
+
+    if (!b->opts.refuse || !is_lost(b, t)) {
+        return;
+    }
+    refuse(b, &last, RG_TALLY_REFUSED_DEAD_UPSTREAM, "dead-upstream");
+    set_track_state(t, RG_TRACK_CLOSED, b->now_ms);
+    b->opts.refuse(b->opts.ctx, &last);
+}
+
 /* A request that waits far longer than its route's usual counts as failed,
  * once. */
 static void
@@ -188,6 +217,7 @@
     struct rg_balancer *b = ctx;
 
     note_overdue(b, t);
+    give_up(b, t);
     if (b->now_ms - t->last_ms < life_ms[t->state]) {
         return false;
     }
@@ -393,7 +423,9 @@
         return;
     }
     if (t->state == RG_TRACK_REQUEST && s->seq == t->last_seq) {
-        t->repeats++;
+        if (t->repeats++ == 0) {
+            rg_boot_stalled(t->boot, b->now_ms);
+        }
         return;
     }
     t->last_seq = s->seq;
@@ -490,6 +522,10 @@
     if (t) {
         note_packet(b, t, s, route);
     }
+    if (t && is_lost(b, t)) {
+        set_track_state(t, RG_TRACK_CLOSED, b->now_ms);
+        return refuse(b, s, RG_TALLY_REFUSED_DEAD_UPSTREAM, "dead-upstream");
+    }
     return forward(b, boot);
 }
 
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -25,6 +25,10 @@
     size_t tracked_flows;     /* most flows tracked at once */
     uint64_t seed;            /* of the random choices */
     const struct rg_log *log; /* borrowed */
+    /* Answers the caller of a flow with a reset, as RG_STEER_REFUSE does; may
+     * be called from rg_balancer_tick(). */
+    void (*refuse)(void *ctx, const struct rg_segment *last);
+    void *ctx;
 };
 
 enum rg_steer_kind {
--- a/balance/choose.c
+++ b/balance/choose.c
@@ -2,45 +2,30 @@
 
 #include <math.h>
 
-/* Openings repeated in a row before an upstream is ejected: one may be a lost
- * datagram. */
-#define EJECT_AFTER 2
-#define EJECT_FIRST_MS 1000
-#define EJECT_MOST_MS 8000
-
 /* Costs, in units of one request ahead. */
 #define COST_EQUAL 0.02  /* a smaller difference is none */
 #define COST_COLD 1.6    /* times: a cold upstream is slower */
 #define COST_REMOTE 0.35 /* another data centre: delay and traffic between */
 #define COST_SUSPECT 3.0 /* its data centre may be cut off */
 #define COST_EJECTED 4.0 /* ejected, but so are most */
-#define COST_OVERDUE                                                          \
-    6.0 /* its oldest opening waits too long for an answer                    \
-         */
-#define COST_UNANSWERED                                                       \
-    3.0 /* an opening was repeated since it last answered */
+/* Its oldest opening waits too long for an answer. */
+#define COST_OVERDUE 6.0
+/* An opening was repeated since it last answered. */
+#define COST_UNANSWERED 3.0
 
 /* A repeated opening counts against an upstream for this long. */
 #define UNANSWERED_LIFE_MS 1000
-/* An opening without an answer for longer was given up by its caller. */
-#define WAITING_LIFE_MS 1600
 
 /* Silent upstreams of one data centre that put all of it under suspicion. */
 #define SUSPECT_FROM 2
 /* Pause between openings that try a data centre under suspicion. */
 #define SUSPECT_TRIAL_MS 1500
 
-/* Share of a new answer in the mean latency. */
-#define LATENCY_GAIN 0.15
 /* Without answers a slow upstream's latency is forgotten by half in this
  * time, so that it is tried again. */
 #define LATENCY_HALF_MS 2500.0
 /* Cost of an upstream all of whose requests fail. */
 #define COST_FAILING 10.0
-/* Share of a new outcome in the share of failures. */
-#define FAILING_GAIN 0.2
-/* Failures are forgotten by half in this time. */
-#define FAILING_HALF_MS 4000.0
 
 /* Bounds of an upstream's latency, relative to its service. */
 /* Less than this is chance, not slowness; a quick upstream is not preferred
@@ -51,87 +36,6 @@
 /* Upstreams looked at for one choice; of more, a random run is. */
 #define LOOK_AT_MOST 64
 
-void
-rg_boot_asked(struct rg_boot *b, uint64_t now_ms)
-{
-    if (b->waiting_since_ms == 0 ||
-        now_ms - b->waiting_since_ms > WAITING_LIFE_MS) {
-        b->waiting_since_ms = now_ms;
-    }
-}
-
-bool
-rg_boot_ejected(const struct rg_boot *b, uint64_t now_ms)
-{
-    return now_ms < b->ejected_until_ms;
-}
-
-void
-rg_boot_unanswered(struct rg_boot *b, uint64_t now_ms)
-{
-    b->unanswered++;
-    b->unanswered_ms = now_ms;
-    if (b->unanswered < EJECT_AFTER || rg_boot_ejected(b, now_ms)) {
-        return;
-    }
-    uint64_t pause = EJECT_FIRST_MS;
-    for (uint32_t i = 0; i < b->ejections && pause < EJECT_MOST_MS; i++) {
-        pause *= 2;
-    }
-    b->ejections++;
-    b->ejected_until_ms = now_ms + pause;
-}
-
-void
-rg_boot_hearsay(struct rg_boot *b, uint64_t now_ms)
-{
-    if (b->unanswered == 0) {
-        b->unanswered = 1;
-    }
-    b->unanswered_ms = now_ms;
-}
-
-void
-rg_boot_alive(struct rg_boot *b, uint64_t now_ms)
-{
-    b->unanswered = 0;
-    b->ejections = 0;
-    b->ejected_until_ms = 0;
-    b->waiting_since_ms = 0;
-    b->last_alive_ms = now_ms;
-    b->place->alive_ms = now_ms;
-    b->place->suspect = false;
-}
-
-void
-rg_boot_answered(struct rg_boot *b, double ms, uint64_t now_ms)
-{
-    b->latency_ms = b->latency_ms == 0
-                        ? ms
-                        : b->latency_ms + LATENCY_GAIN * (ms - b->latency_ms);
-    b->latency_at_ms = now_ms;
-    rg_boot_alive(b, now_ms);
-}
-
-double
-rg_boot_failing(const struct rg_boot *b, uint64_t now_ms)
-{
-    if (b->failing <= 0) {
-        return 0;
-    }
-    double age = (double)(now_ms - b->failing_ms);
-    return b->failing * exp2(-age / FAILING_HALF_MS);
-}
-
-void
-rg_boot_outcome(struct rg_boot *b, bool failed, uint64_t now_ms)
-{
-    double before = rg_boot_failing(b, now_ms);
-
-    b->failing = before + FAILING_GAIN * ((failed ? 1 : 0) - before);
-    b->failing_ms = now_ms;
-}
-
 /* Mean latency of a service's upstreams, 0 if none has answered. */
 static double
 service_latency(struct rg_boot *const *boots, size_t count)
@@ -166,7 +70,7 @@
 {
     uint64_t age = opts->now_ms - b->waiting_since_ms;
 
-    return b->waiting_since_ms != 0 && age <= WAITING_LIFE_MS &&
+    return b->waiting_since_ms != 0 && age <= RG_WAITING_LIFE_MS &&
            age > opts->overdue_ms;
 }
 
@@ -177,7 +81,7 @@
 {
     uint64_t age = opts->now_ms - b->waiting_since_ms;
 
-    if (b->waiting_since_ms == 0 || age > WAITING_LIFE_MS) {
+    if (b->waiting_since_ms == 0 || age > RG_WAITING_LIFE_MS) {
         return false;
     }
     return age > opts->overdue_ms || b->ejections > 0;
--- a/balance/choose.h
+++ b/balance/choose.h
@@ -8,6 +8,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "balance/evidence.h"
 #include "balance/pool.h"
 #include "common/rand.h"
 
@@ -38,20 +39,4 @@
 struct rg_choice_made rg_choose(const struct rg_pool *pool,
                                 const struct rg_choose_opts *opts);
 
-/* Evidence. An opening was sent to `b`. */
-void rg_boot_asked(struct rg_boot *b, uint64_t now_ms);
-/* An opening was repeated: `b` did not answer the last one. */
-void rg_boot_unanswered(struct rg_boot *b, uint64_t now_ms);
-/* Another instance has found it silent: it is avoided, but not ejected. */
-void rg_boot_hearsay(struct rg_boot *b, uint64_t now_ms);
-/* A caller heard from `b`. */
-void rg_boot_alive(struct rg_boot *b, uint64_t now_ms);
-/* A request was answered after `ms`. */
-void rg_boot_answered(struct rg_boot *b, double ms, uint64_t now_ms);
-/* A request there failed, by what its caller saw, or not. */
-void rg_boot_outcome(struct rg_boot *b, bool failed, uint64_t now_ms);
-/* Share of recent requests that failed. */
-double rg_boot_failing(const struct rg_boot *b, uint64_t now_ms);
-bool rg_boot_ejected(const struct rg_boot *b, uint64_t now_ms);
-
 #endif
--- /dev/null
+++ b/balance/evidence.c
@@ -0,0 +1,158 @@
+#include "balance/evidence.h"
+
+#include <math.h>
+
+/* Openings repeated in a row before an upstream is ejected: one may be a lost
+ * datagram. */
+#define EJECT_AFTER 2
+#define EJECT_FIRST_MS 1000
+#define EJECT_MOST_MS 8000
+
+/* Flows whose requests were repeated before an upstream counts as dead; fewer
+ * are enough where its whole data centre is silent. */
+#define DEAD_FLOWS 2
+#define DEAD_PLACE_FLOWS 3
+/* A live upstream answers repeated packets within this time. */
+#define DEAD_AFTER_MS 250
+/* Somebody must have answered within this time: else the fault is likely
+ * here. */
+#define ANYBODY_MS 400
+
+/* Share of a new answer in the mean latency. */
+#define LATENCY_GAIN 0.15
+/* Share of a new outcome in the share of failures. */
+#define FAILING_GAIN 0.2
+/* Failures are forgotten by half in this time. */
+#define FAILING_HALF_MS 4000.0
+
+bool
+rg_boot_ejected(const struct rg_boot *b, uint64_t now_ms)
+{
+    return now_ms < b->ejected_until_ms;
+}
+
+static void
+eject(struct rg_boot *b, uint64_t now_ms)
+{
+    uint64_t pause = EJECT_FIRST_MS;
+
+    for (uint32_t i = 0; i < b->ejections && pause < EJECT_MOST_MS; i++) {
+        pause *= 2;
+    }
+    b->ejections++;
+    b->ejected_until_ms = now_ms + pause;
+}
+
+void
+rg_boot_asked(struct rg_boot *b, uint64_t now_ms)
+{
+    if (b->waiting_since_ms == 0 ||
+        now_ms - b->waiting_since_ms > RG_WAITING_LIFE_MS)
+    {
+        b->waiting_since_ms = now_ms;
+    }
+}
+
+void
+rg_boot_hearsay(struct rg_boot *b, uint64_t now_ms)
+{
+    if (b->unanswered == 0) {
+        b->unanswered = 1;
+    }
+    b->unanswered_ms = now_ms;
+}
+
+static void
+note_silence(struct rg_boot *b, uint64_t now_ms)
+{
+    if (b->stalled == 0) {
+        b->stalled_ms = now_ms;
+    }
+    if (b->place->stalled == 0) {
+        b->place->stalled_ms = now_ms;
+    }
+    b->stalled++;
+    b->place->stalled++;
+}
+
+void
+rg_boot_stalled(struct rg_boot *b, uint64_t now_ms)
+{
+    note_silence(b, now_ms);
+    if (rg_boot_dead(b, now_ms) && !rg_boot_ejected(b, now_ms)) {
+        eject(b, now_ms);
+    }
+}
+
+void
+rg_boot_unanswered(struct rg_boot *b, uint64_t now_ms)
+{
+    note_silence(b, now_ms);
+    b->unanswered++;
+    b->unanswered_ms = now_ms;
+    if (b->unanswered >= EJECT_AFTER && !rg_boot_ejected(b, now_ms)) {
+        eject(b, now_ms);
+    }
+}
+
+static bool
+place_is_dead(const struct rg_place *p, uint64_t now_ms)
+{
+    return p->stalled >= DEAD_PLACE_FLOWS &&
+           now_ms - p->stalled_ms >= DEAD_AFTER_MS;
+}
+
+bool
+rg_boot_dead(const struct rg_boot *b, uint64_t now_ms)
+{
+    if (b->stalled == 0 || now_ms - b->stalled_ms < DEAD_AFTER_MS ||
+        now_ms - *b->anybody_ms > ANYBODY_MS)
+    {
+        return false;
+    }
+    return b->stalled >= DEAD_FLOWS || place_is_dead(b->place, now_ms);
+}
+
+void
+rg_boot_alive(struct rg_boot *b, uint64_t now_ms)
+{
+    b->unanswered = 0;
+    b->ejections = 0;
+    b->ejected_until_ms = 0;
+    b->waiting_since_ms = 0;
+    b->stalled = 0;
+    b->last_alive_ms = now_ms;
+    b->place->alive_ms = now_ms;
+    b->place->suspect = false;
+    b->place->stalled = 0;
+    *b->anybody_ms = now_ms;
+}
+
+void
+rg_boot_answered(struct rg_boot *b, double ms, uint64_t now_ms)
+{
+    b->latency_ms = b->latency_ms == 0
+                        ? ms
+                        : b->latency_ms + LATENCY_GAIN * (ms - b->latency_ms);
+    b->latency_at_ms = now_ms;
+    rg_boot_alive(b, now_ms);
+}
+
+double
+rg_boot_failing(const struct rg_boot *b, uint64_t now_ms)
+{
+    if (b->failing <= 0) {
+        return 0;
+    }
+    double age = (double)(now_ms - b->failing_ms);
+    return b->failing * exp2(-age / FAILING_HALF_MS);
+}
+
+void
+rg_boot_outcome(struct rg_boot *b, bool failed, uint64_t now_ms)
+{
+    double before = rg_boot_failing(b, now_ms);
+
+    b->failing = before + FAILING_GAIN * ((failed ? 1 : 0) - before);
+    b->failing_ms = now_ms;
+}
--- /dev/null
+++ b/balance/evidence.h
@@ -0,0 +1,37 @@
+/* What callers' packets show of upstreams: who answers, how fast, and who has
+ * fallen silent. Balancers see only callers' half of a flow. */
+#ifndef RG_BALANCE_EVIDENCE_H
+#define RG_BALANCE_EVIDENCE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "balance/pool.h"
+
+/* An opening without an answer for longer was given up by its caller. */
+#define RG_WAITING_LIFE_MS 1600
+
+/* An opening was sent to `b`. */
+void rg_boot_asked(struct rg_boot *b, uint64_t now_ms);
+/* An opening was repeated: `b` did not answer the last one. */
+void rg_boot_unanswered(struct rg_boot *b, uint64_t now_ms);
+/* Another instance has found it silent: it is avoided, but not ejected. */
+void rg_boot_hearsay(struct rg_boot *b, uint64_t now_ms);
+/* A caller heard from `b`. */
+void rg_boot_alive(struct rg_boot *b, uint64_t now_ms);
+/* A request was answered after `ms`. */
+void rg_boot_answered(struct rg_boot *b, double ms, uint64_t now_ms);
+/* A request there failed, by what its caller saw, or not. */
+void rg_boot_outcome(struct rg_boot *b, bool failed, uint64_t now_ms);
+/* Share of recent requests that failed. */
+double rg_boot_failing(const struct rg_boot *b, uint64_t now_ms);
+bool rg_boot_ejected(const struct rg_boot *b, uint64_t now_ms);
+/* A flow's request to `b` was repeated for the first time: neither it nor an
+ * answer came through. */
+void rg_boot_stalled(struct rg_boot *b, uint64_t now_ms);
+/* True if `b` must be taken for dead, or out of reach: requests or openings of
+ * several flows there were repeated, for a while, and nothing came from it
+ * meanwhile, though other upstreams do answer. */
+bool rg_boot_dead(const struct rg_boot *b, uint64_t now_ms);
+
+#endif
--- a/balance/pool.c
+++ b/balance/pool.c
@@ -34,6 +34,7 @@
     size_t count;
     size_t room;
     uint32_t listing;
+    uint64_t anybody_ms; /* last sign of life of any boot */
 };
 
 /* --- tables -------------------------------------------------------------- */
@@ -234,6 +235,7 @@
 
     b->id = r->id;
     b->boot_ms = r->boot_ms;
+    b->anybody_ms = &p->anybody_ms;
     b->token = token;
     b->state = RG_BOOT_GONE; /* until the report has been taken over */
     b->service = rg_pool_service(p, &r->service);
--- a/balance/pool.h
+++ b/balance/pool.h
@@ -38,9 +38,11 @@
  * shows on all of them at once. */
 struct rg_place {
     struct rg_name name;
-    uint64_t alive_ms; /* last sign of life of one of them */
-    uint64_t trial_ms; /* last opening sent there while it is suspect */
-    bool suspect;      /* several did not answer, and none since */
+    uint64_t alive_ms;   /* last sign of life of one of them */
+    uint64_t trial_ms;   /* last opening sent there while it is suspect */
+    bool suspect;        /* several did not answer, and none since */
+    uint32_t stalled;    /* repeated requests and openings since alive_ms */
+    uint64_t stalled_ms; /* when the first of them was seen */
 };
 
 struct rg_boot {
@@ -64,6 +66,10 @@
     /* Evidence from callers' packets. */
     uint32_t open_work;  /* openings and requests of this instance there now */
     uint32_t unanswered; /* openings repeated since the last sign of life */
+    uint32_t stalled; /* repeated requests and openings since the last sign of
+                         life */
+    uint64_t stalled_ms;    /* when the first of them was seen */
+    uint64_t *anybody_ms;   /* last sign of life of any boot; the pool's */
     uint64_t unanswered_ms; /* when the last of them was seen */
     uint32_t ejections;     /* in a row */
     uint64_t ejected_until_ms;
--- a/edge/main.c
+++ b/edge/main.c
@@ -441,6 +441,14 @@
     }
 }
 
+static void
+on_refuse(void *ctx, const struct rg_segment *last)
+{
+    struct edge *e = ctx;
+
+    rg_packet_port_refuse(e->packets, last);
+}
+
 static struct rg_balancer *
 create_balancer(struct edge *e, uint64_t seed)
 {
@@ -452,6 +460,8 @@
         .tracked_flows = set->tracked_flows,
         .seed = seed,
         .log = &e->log,
+        .refuse = on_refuse,
+        .ctx = e,
     };
 
     return rg_balancer_create(&opts, e->started_ms);
--- a/edge/packet_port.c
+++ b/edge/packet_port.c
@@ -103,6 +103,13 @@
     p->out_count = 0;
 }
 
+void
+rg_packet_port_refuse(struct rg_packet_port *p, const struct rg_segment *last)
+{
+    send_reset(p, last);
+    flush(p);
+}
+
 static void
 take(struct rg_packet_port *p, uint8_t *data, size_t len, uint64_t now_ms)
 {
--- a/edge/packet_port.h
+++ b/edge/packet_port.h
@@ -27,6 +27,10 @@
                       struct rg_err *err);
 void rg_packet_port_destroy(struct rg_packet_port *p);
 
+/* Sends the reset that answers `last`, at once. */
+void rg_packet_port_refuse(struct rg_packet_port *p,
+                           const struct rg_segment *last);
+
 /* Drops what waits in the socket now: after a pause of the process its senders
  * have repeated it or given up. */
 void rg_packet_port_discard(struct rg_packet_port *p);
--- a/test/test_balancer.c
+++ b/test/test_balancer.c
@@ -355,6 +355,155 @@
     rg_balancer_destroy(b);
 }
 
+/* --- upstreams that die under open flows ----------------------------------
+ */
+
+#define DYING_FLOWS 4
+
+/* Flows that have sent their requests to one upstream. */
+struct flows {
+    uint32_t token;
+    uint16_t ports[DYING_FLOWS];
+    int count;
+};
+
+/* Opens flows at START_MS, each with a request, until DYING_FLOWS are at the
+ * upstream of the first. */
+static struct flows
+open_flows(struct rg_balancer *b)
+{
+    struct flows f = {0};
+
+    for (uint16_t port = 1; f.count < DYING_FLOWS; port++) {
+        uint32_t token = opening(b, port, SHOP_PORT, 0, START_MS).token;
+        struct rg_segment s = segment(port, SHOP_PORT);
+        f.token = f.token ? f.token : token;
+        s.token = token;
+        rg_balancer_packet(b, &s, START_MS + 1);
+        data(b, port, SHOP_PORT, token, START_MS + 2);
+        if (token == f.token) {
+            f.ports[f.count++] = port;
+        }
+    }
+    return f;
+}
+
+/* Another upstream answers somebody at `now_ms`. */
+static void
+answer_elsewhere(struct rg_balancer *b, uint32_t not_token, uint16_t port,
+                 uint64_t now_ms)
+{
+    struct rg_steer s = opening(b, port, SHOP_PORT, 0, now_ms - 5);
+
+    if (s.token != not_token) {
+        data(b, port, SHOP_PORT, s.token, now_ms);
+    }
+}
+
+/* Repeats the requests of all flows; returns how many were refused. */
+static int
+repeat_all(struct rg_balancer *b, const struct flows *f, uint64_t now_ms)
+{
+    int refused = 0;
+
+    for (int i = 0; i < f->count; i++) {
+        refused += data(b, f->ports[i], SHOP_PORT, f->token, now_ms).kind ==
+                   RG_STEER_REFUSE;
+    }
+    return refused;
+}
+
+static void
+allow_repeats(struct rg_balancer *b, enum rg_repeat repeat)
+{
+    struct rg_route route = route_to(SHOP_PORT, "shop");
+
+    route.repeat = (uint8_t)repeat;
+    configure(b, 2, &route, 1);
+}
+
+/* Requests of several flows go unanswered while others are served: those that
+ * may be repeated are reset, so that their callers try elsewhere in time. */
+static void
+test_dead_upstream(void)
+{
+    struct rg_balancer *b = make_balancer();
+
+    allow_repeats(b, RG_REPEAT_SAFE);
+    struct flows f = open_flows(b);
+    g_assert_cmpint(repeat_all(b, &f, START_MS + 200), ==, 0);
+    for (uint16_t port = 100; port < 110; port++) {
+        answer_elsewhere(b, f.token, port, START_MS + 500);
+    }
+    g_assert_cmpint(repeat_all(b, &f, START_MS + 600), ==, DYING_FLOWS);
+    rg_balancer_destroy(b);
+}
+
+/* The same with requests that may run once: never reset. */
+static void
+test_dead_upstream_unsafe(void)
+{
+    struct rg_balancer *b = make_balancer();
+
+    allow_repeats(b, RG_REPEAT_UNSAFE);
+    struct flows f = open_flows(b);
+    repeat_all(b, &f, START_MS + 200);
+    for (uint16_t port = 100; port < 110; port++) {
+        answer_elsewhere(b, f.token, port, START_MS + 500);
+    }
+    g_assert_cmpint(repeat_all(b, &f, START_MS + 600), ==, 0);
+    rg_balancer_destroy(b);
+}
+
+/* Nobody answers anyone: the fault is likely here, and nothing is reset. */
+static void
+test_all_silent(void)
+{
+    struct rg_balancer *b = make_balancer();
+
+    allow_repeats(b, RG_REPEAT_SAFE);
+    struct flows f = open_flows(b);
+    repeat_all(b, &f, START_MS + 200);
+    g_assert_cmpint(repeat_all(b, &f, START_MS + 600), ==, 0);
+    rg_balancer_destroy(b);
+}
+
+/* A slow upstream answers one of its flows in between: nothing is reset. */
+static void
+test_slow_upstream(void)
+{
+    struct rg_balancer *b = make_balancer();
+    allow_repeats(b, RG_REPEAT_SAFE);
+    struct flows f = open_flows(b);
+    repeat_all(b, &f, START_MS + 200);
+    struct rg_segment s = segment(f.ports[0], SHOP_PORT);
+    s.token = f.token;
+    s.ack = 500;
+    rg_balancer_packet(b, &s, START_MS + 400);
+    for (uint16_t port = 100; port < 110; port++) {
+        answer_elsewhere(b, f.token, port, START_MS + 500);
+    }
+    g_assert_cmpint(repeat_all(b, &f, START_MS + 600), ==, 0);
+    rg_balancer_destroy(b);
+}
+
+/* After a pause of the process repeated requests of many flows come at once:
+ * an upstream gets time to answer them. */
+static void
+test_after_pause(void)
+{
+    struct rg_balancer *b = make_balancer();
+
+    allow_repeats(b, RG_REPEAT_SAFE);
+    struct flows f = open_flows(b);
+    for (uint16_t port = 100; port < 110; port++) {
+        answer_elsewhere(b, f.token, port, START_MS + 5000);
+    }
+    g_assert_cmpint(repeat_all(b, &f, START_MS + 5001), ==, 0);
+    g_assert_cmpint(repeat_all(b, &f, START_MS + 5050), ==, 0);
+    rg_balancer_destroy(b);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -370,5 +519,11 @@
     g_test_add_func("/balancer/split", test_split);
     g_test_add_func("/balancer/flood", test_flood);
     g_test_add_func("/balancer/gone-upstream", test_gone_upstream);
+    g_test_add_func("/balancer/dead-upstream", test_dead_upstream);
+    g_test_add_func("/balancer/dead-upstream-unsafe",
+                    test_dead_upstream_unsafe);
+    g_test_add_func("/balancer/all-silent", test_all_silent);
+    g_test_add_func("/balancer/slow-upstream", test_slow_upstream);
+    g_test_add_func("/balancer/after-pause", test_after_pause);
     return g_test_run();
 }
