soak: real instances under seeded faults, with every promise checked from outside

Real rattangap-edge processes run between a store, upstreams and callers in one program: signals (stop, kill, pause, reload), a store that is silent, busy, slow, resets, forgets or silences connections, upstreams that fall dark, drain and start again, configurations. Checked: drains, removed and added routes, requests that ran twice, answers of another request, resets without cause, processes that end by themselves, everything served once the faults are over.

--- a/balance/follow.c
+++ b/balance/follow.c
@@ -19,6 +19,9 @@
 #define COVERED_PAUSE_PERCENT 45
 #define COVERED_WATCH_MS 15000
 
+/* A watch that asks only for what is there already. */
+#define CATCH_UP_WAIT_MS 1
+
 /* Pauses after failures: a store that comes back is asked by all at once. */
 #define RETRY_FIRST_MS 80
 #define RETRY_MOST_MS 500
@@ -26,7 +29,9 @@
 struct rg_follow {
     struct rg_follow_opts opts;
     struct rg_rand rand;
-    bool listing; /* else watching */
+    bool listing;     /* else watching */
+    bool strict;      /* listings must not be stale */
+    bool catching_up; /* the next watch brings what a listing lacks */
     bool complete;
     bool covered;
     bool refreshed; /* the next watch takes the place of a dropped one */
@@ -73,11 +78,15 @@
     if (f->listing) {
         return (struct rg_follow_step){.kind = RG_FOLLOW_LIST,
                                        .after = f->after,
+                                       .stale = !f->strict,
                                        .timeout_ms = f->opts.call_ms};
     }
-    bool waits_long = f->covered && !f->refreshed;
+    bool waits_long = f->covered && !f->refreshed && !f->catching_up;
     uint32_t wait_ms =
         waits_long ? f->opts.covered_watch_ms : f->opts.watch_ms;
+    if (f->catching_up) {
+        wait_ms = CATCH_UP_WAIT_MS;
+    }
     return (struct rg_follow_step){
         .kind = RG_FOLLOW_WATCH,
         .revision = f->revision,
@@ -106,7 +115,7 @@
         return false;
     }
     f->listing = false;
-    f->complete = true;
+    f->catching_up = true;
     f->revision = f->listing_revision;
     return true;
 }
@@ -119,6 +128,12 @@
     if (revision > f->revision) {
         f->revision = revision;
     }
+    if (f->catching_up) {
+        f->catching_up = false;
+        f->complete = true;
+        f->strict = true;
+        return;
+    }
     if (changes) {
         f->not_before_ms = now_ms + (f->covered ? f->opts.covered_pause_ms
                                                 : f->opts.pause_ms);
@@ -129,6 +144,7 @@
 rg_follow_forgotten(struct rg_follow *f, uint64_t now_ms)
 {
     answered(f, now_ms);
+    f->strict = true;
     restart_listing(f);
 }
 
@@ -173,7 +189,9 @@
 rg_follow_adopt(struct rg_follow *f, uint64_t revision)
 {
     f->listing = false;
+    f->catching_up = false;
     f->complete = true;
+    f->strict = true;
     f->revision = revision;
 }
 
--- a/edge/announcer.c
+++ b/edge/announcer.c
@@ -85,6 +85,7 @@
         .loop = opts->loop,
         .server = opts->store,
         .connect_ms = opts->connect_ms,
+        .idle_ms = opts->call_ms,
         .body_most = BODY_MOST,
         .cb = on_answer,
         .ctx = a,
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -254,6 +254,7 @@
     struct rg_http_client_opts client = {
         .loop = opts->loop,
         .connect_ms = VIEW_CONNECT_MS,
+        .idle_ms = VIEW_CALL_MS,
         .body_most = VIEW_BODY_MOST,
         .cb = on_view,
         .ctx = g,
--- a/edge/http_client.c
+++ b/edge/http_client.c
@@ -168,7 +168,7 @@
         return;
     }
     /* A long answer over a narrow link is late only if it stops. */
-    uv_timer_start(&c->timer, on_timeout, c->timeout_ms, 0);
+    uv_timer_start(&c->timer, on_timeout, c->opts.idle_ms, 0);
 }
 
 static void
--- a/edge/http_client.h
+++ b/edge/http_client.h
@@ -25,6 +25,7 @@
     uv_loop_t *loop;
     struct rg_addr server;
     uint32_t connect_ms; /* limit of opening a connection */
+    uint32_t idle_ms;    /* longest pause within an answer */
     size_t body_most;    /* bytes of an answer; a larger one is an error */
     rg_http_client_cb cb;
     void *ctx;
@@ -48,7 +49,8 @@
 
 bool rg_http_client_busy(const struct rg_http_client *c);
 
-/* Makes a call: GET `path`. `timeout_ms` is the longest time without a byte.
+/* Makes a call: GET `path`. `timeout_ms` is the longest time to its first
+ * byte.
  * The callback comes exactly once, later. Must not
  * be called while busy. */
 void rg_http_client_get(struct rg_http_client *c, const char *path,
--- a/edge/main.c
+++ b/edge/main.c
@@ -56,6 +56,7 @@
     uv_timer_t settings_poll;
     uv_signal_t signals[3];
     const char *settings_path;
+    uint32_t settings_hash; /* of the text last read */
     struct rg_edge settings;
     struct rg_log log;
     struct rg_balancer *balancer;
@@ -140,36 +141,60 @@
 
 /* --- settings ------------------------------------------------------------ */
 
+/* Reads and checks the settings; `hash` tells one text from another. */
 static bool
-load_settings(struct rg_edge *out, const char *path, struct rg_err *err)
+load_settings(struct rg_edge *out, const char *path, uint32_t *hash,
+              struct rg_err *err)
 {
     size_t len;
     RG_AUTO_FREE char *text = rg_read_file(path, &len, err);
 
     memset(out, 0, sizeof(*out));
-    return text &&
-           rg_opt_load(&rg_edge_options, out, (struct rg_str){text, len}, err);
+    if (!text) {
+        return false;
+    }
+    *hash = rg_token_of((struct rg_str){text, len}, 0);
+    return rg_opt_load(&rg_edge_options, out, (struct rg_str){text, len}, err);
+}
+
+static void
+apply(struct edge *e, const struct rg_edge *fresh, const char *why)
+{
+    e->log.level = (enum rg_log_level)(fresh->log_level + RG_LOG_ERR);
+    e->settings.grace_ms = fresh->grace_ms;
+    rg_sync_move(e->sync, &fresh->store.address);
+    rg_log_event(&e->log, RG_LOG_NOTICE, "RELOADED", "why=\"%s\"", why);
 }
 
-/* The log's level and bounds can change while running; all else needs a
- * restart. A file that cannot be read leaves the old settings in force. */
+/* The log's level, the grace and the store's address can change while running;
+ * all else needs a restart. A file that cannot be read leaves the old settings
+ * in force. */
 static void
 reload(struct edge *e, const char *why)
 {
     RG_ERR_AUTO err = {.file = e->settings_path};
     struct rg_edge fresh;
+    uint32_t hash = e->settings_hash;
+    bool ok = load_settings(&fresh, e->settings_path, &hash, &err);
 
-    if (load_settings(&fresh, e->settings_path, &err)) {
-        e->log.level = (enum rg_log_level)(fresh.log_level + RG_LOG_ERR);
-        rg_log_event(&e->log, RG_LOG_NOTICE, "RELOADED", "why=\"%s\"", why);
+    if (ok && hash != e->settings_hash) {
+        apply(e, &fresh, why);
     }
-    else {
+    if (!ok && hash != e->settings_hash) {
         RG_AUTO_FREE char *text = rg_err_text(&err);
         rg_log(&e->log, RG_LOG_ERR, "SETTINGS", "kept the old ones: %s", text);
     }
+    e->settings_hash = hash;
     rg_opt_clear(&rg_edge_options, &fresh);
 }
 
+/* The file may change without a signal. */
+static void
+on_settings_poll(uv_timer_t *timer)
+{
+    reload(timer->data, "the file changed");
+}
+
 /* --- stopping ------------------------------------------------------------ */
 
 static void
@@ -188,6 +213,7 @@
     rg_http_server_destroy(e->health);
     rg_http_server_destroy(e->metrics);
     uv_close((uv_handle_t *)&e->tick, NULL);
+    uv_close((uv_handle_t *)&e->settings_poll, NULL);
     for (int i = 0; i < 3; i++) {
         uv_close((uv_handle_t *)&e->signals[i], NULL);
     }
@@ -434,6 +460,10 @@
     e->tick.data = e;
     uv_timer_start(&e->tick, on_tick, RG_BALANCER_TICK_MS,
                    RG_BALANCER_TICK_MS);
+    uv_timer_init(&e->loop, &e->settings_poll);
+    e->settings_poll.data = e;
+    uv_timer_start(&e->settings_poll, on_settings_poll, SETTINGS_POLL_MS,
+                   SETTINGS_POLL_MS);
     for (int i = 0; i < 3; i++) {
         uv_signal_init(&e->loop, &e->signals[i]);
         e->signals[i].data = e;
@@ -509,7 +539,7 @@
     e.last_turn_ms = e.started_ms;
     e.settings_path = args.settings;
     err.file = args.settings;
-    if (!load_settings(&e.settings, args.settings, &err)) {
+    if (!load_settings(&e.settings, args.settings, &e.settings_hash, &err)) {
         RG_AUTO_FREE char *text = rg_err_text(&err);
         fputs(text, stderr);
         return EXIT_SETTINGS;
--- a/edge/sync.c
+++ b/edge/sync.c
@@ -222,6 +222,19 @@
     rg_balancer_fresh(s->opts.balancer, fresh_ms);
 }
 
+void
+rg_sync_move(struct rg_sync *s, const struct rg_addr *store)
+{
+    if (rg_addr_eq(&s->opts.store, store)) {
+        return;
+    }
+    s->opts.store = *store;
+    rg_http_client_cancel(s->client);
+    rg_http_client_set_server(s->client, store);
+    rg_follow_refresh(s->follow);
+    step(s);
+}
+
 uint64_t
 rg_sync_revision(const struct rg_sync *s)
 {
@@ -260,6 +273,7 @@
         .loop = opts->loop,
         .server = opts->store,
         .connect_ms = opts->follow.connect_ms,
+        .idle_ms = opts->follow.call_ms,
         .body_most = BODY_MOST,
         .cb = on_answer,
         .ctx = s,
--- a/edge/sync.h
+++ b/edge/sync.h
@@ -38,6 +38,9 @@
  * was confirmed by the store at `fresh_ms`. */
 void rg_sync_adopt(struct rg_sync *s, uint64_t revision, uint64_t fresh_ms);
 
+/* The store is at another address from now on. */
+void rg_sync_move(struct rg_sync *s, const struct rg_addr *store);
+
 uint64_t rg_sync_revision(const struct rg_sync *s);
 /* Time of the store's last answer, 0 for none. */
 uint64_t rg_sync_fresh_ms(const struct rg_sync *s);
--- /dev/null
+++ b/soak/edges.c
@@ -0,0 +1,162 @@
+/* The processes under test: started, signalled and restarted from outside, and
+ * asked for readiness twice a second as the fabric does. */
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <unistd.h>
+
+#include "edge/http_client.h"
+#include "soak/soak.h"
+
+#define HEALTH_PORT 5301
+#define PEER_PORT 5302
+#define RESTART_MS 150
+#define PROBE_MS 400
+
+static void
+write_settings(struct soak *s, struct soak_edge *e)
+{
+    char own[32];
+    char store[32];
+    FILE *out = fopen(e->settings, "w");
+
+    soak_ip(s, 1, e->index + 1, own);
+    soak_ip(s, 0, 1, store);
+    if (!out) {
+        soak_finding(s, "cannot write %s", e->settings);
+        return;
+    }
+    fprintf(out,
+            "{\"name\": \"edge-%d\", \"data_centre\": \"z%d\",\n"
+            " \"packet_address\": \"%s:%d\", \"health_address\": \"%s:%d\",\n"
+            " \"peer_address\": \"%s:%d\", \"drain_ms\": %d,\n"
+            " \"apply_ms\": %d, \"grace_s\": %g, \"flow_age_s\": 30,\n"
+            " \"store\": {\"address\": \"%s:8169\"}}\n",
+            e->index, e->index % 2, own, SOAK_PACKET_PORT, own, HEALTH_PORT,
+            own, PEER_PORT, SOAK_DRAIN_MS, SOAK_APPLY_MS,
+            SOAK_GRACE_MS / 1000.0, store);
+    fclose(out);
+}
+
+static void
+on_probe(void *ctx, const struct rg_http_answer *answer)
+{
+    struct soak_edge *e = ctx;
+
+    if (answer->status == 200) {
+        e->misses = 0;
+        e->ready = true;
+    }
+    else if (++e->misses >= 2) {
+        e->ready = false;
+    }
+}
+
+static void
+on_ended(uv_process_t *process, int64_t status, int signum)
+{
+    struct soak_edge *e = process->data;
+    struct soak *s = process->loop->data;
+
+    e->running = false;
+    if (!e->ordered) {
+        soak_finding(s, "edge %d ended by itself: status %d signal %d",
+                     e->index, (int)status, signum);
+    }
+    e->disturbed_ms = s->now_ms;
+    e->restart_ms = s->now_ms + RESTART_MS;
+    uv_close((uv_handle_t *)process, NULL);
+}
+
+static void
+make_probe(struct soak *s, struct soak_edge *e)
+{
+    struct rg_http_client_opts opts = {
+        .loop = &s->loop,
+        .connect_ms = PROBE_MS,
+        .idle_ms = PROBE_MS,
+        .body_most = 1024,
+        .cb = on_probe,
+        .ctx = e,
+    };
+    char text[48];
+    char ip[32];
+
+    soak_ip(s, 1, e->index + 1, ip);
+    snprintf(text, sizeof(text), "%s:%d", ip, HEALTH_PORT);
+    rg_addr_parse(&opts.server, text);
+    e->probe = rg_http_client_create(&opts);
+}
+
+void
+soak_edge_start(struct soak *s, struct soak_edge *e)
+{
+    char *args[] = {(char *)s->binary, "--settings", e->settings, NULL};
+    uv_stdio_container_t stdio[3] = {{.flags = UV_IGNORE}};
+    uv_process_options_t opts = {
+        .file = s->binary,
+        .args = args,
+        .exit_cb = on_ended,
+        .stdio = stdio,
+        .stdio_count = 3,
+    };
+    int fd = open(e->log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+
+    if (!e->probe) {
+        write_settings(s, e);
+        make_probe(s, e);
+    }
+    for (int i = 1; i < 3; i++) {
+        stdio[i].flags = UV_INHERIT_FD;
+        stdio[i].data.fd = fd;
+    }
+    e->process.data = e;
+    e->ordered = false;
+    e->restart_ms = 0;
+    int rc = uv_spawn(&s->loop, &e->process, &opts);
+    close(fd);
+    e->running = rc == 0;
+    if (rc < 0) {
+        soak_finding(s, "cannot start %s: %s", s->binary, uv_strerror(rc));
+    }
+}
+
+void
+soak_edge_signal(struct soak *s, struct soak_edge *e, int signum)
+{
+    if (!e->running) {
+        return;
+    }
+    e->ordered = e->ordered || signum == SIGTERM || signum == SIGKILL;
+    e->stopped = signum == SIGSTOP || (e->stopped && signum != SIGCONT);
+    e->disturbed_ms = s->now_ms;
+    uv_process_kill(&e->process, signum);
+}
+
+void
+soak_edges_probe(struct soak *s)
+{
+    for (int i = 0; i < s->edge_count; i++) {
+        struct soak_edge *e = &s->edges[i];
+        if (!rg_http_client_busy(e->probe)) {
+            rg_http_client_get(e->probe, "/ready", PROBE_MS);
+        }
+    }
+}
+
+void
+soak_edges_tick(struct soak *s)
+{
+    for (int i = 0; i < s->edge_count; i++) {
+        struct soak_edge *e = &s->edges[i];
+        if (e->stopped || !e->running) {
+            e->disturbed_ms = s->now_ms;
+        }
+        if (e->restart_ms && s->now_ms >= e->restart_ms) {
+            e->stopped = false;
+            soak_edge_start(s, e);
+        }
+    }
+}
--- /dev/null
+++ b/soak/main.c
@@ -0,0 +1,307 @@
+/* rattangap-soak: runs one seed and says whether every promise held. */
+#include <argp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "common/mem.h"
+#include "edge/edge.h"
+#include "soak/soak.h"
+
+#define TICK_MS 10
+#define WARM_MS 2500
+#define CALM_MS 2500
+#define FINDINGS_SHOWN 20
+
+struct arguments {
+    int seed;
+    int edges;
+    int hosts;
+    int seconds;
+    int net;
+    int per_s;
+    const char *binary;
+    const char *dir;
+};
+
+static const struct argp_option options[] = {
+    {"seed", 's', "N", 0, "Seed of all faults (1)", 0},
+    {"edges", 'e', "N", 0, "Instances under test (4)", 0},
+    {"upstreams", 'u', "N", 0, "Upstreams (10)", 0},
+    {"seconds", 't', "N", 0, "How long faults last (8)", 0},
+    {"rate", 'r', "N", 0, "Requests a second (150)", 0},
+    {"net", 'n', "N", 0, "Second byte of the loopback addresses (90)", 0},
+    {"binary", 'b', "FILE", 0, "rattangap-edge to test", 0},
+    {"dir", 'd', "DIR", 0, "Where settings and logs go", 0},
+    {0},
+};
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+    struct arguments *a = state->input;
+    int number = arg ? atoi(arg) : 0;
+
+    switch (key) {
+    case 's':
+        a->seed = number;
+        return 0;
+    case 'e':
+        a->edges = MIN(MAX(number, 1), SOAK_EDGES_MAX);
+        return 0;
+    case 'u':
+        a->hosts = MIN(MAX(number, 4), SOAK_HOSTS_MAX);
+        return 0;
+    case 't':
+        a->seconds = number;
+        return 0;
+    case 'r':
+        a->per_s = number;
+        return 0;
+    case 'n':
+        a->net = number;
+        return 0;
+    case 'b':
+        a->binary = arg;
+        return 0;
+    case 'd':
+        a->dir = arg;
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp argp = {
+    .options = options,
+    .parser = parse_option,
+    .doc = "Runs real instances under seeded faults and checks what callers "
+           "and upstreams see.",
+};
+
+uint64_t
+soak_now_ms(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_BOOTTIME, &ts);
+    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+/* The HTTP client is shared with the daemon, and asks it for the time. */
+uint64_t
+rg_edge_now_ms(void)
+{
+    return soak_now_ms();
+}
+
+static void
+print_line(const struct soak *s, const char *word, const char *format,
+           va_list ap)
+{
+    printf("%7.2f  %s ", (double)(soak_now_ms() - s->start_ms) / 1000, word);
+    vprintf(format, ap);
+    printf("\n");
+}
+
+void
+soak_finding(struct soak *s, const char *format, ...)
+{
+    va_list ap;
+
+    if (s->findings++ < FINDINGS_SHOWN) {
+        va_start(ap, format);
+        print_line(s, "BROKEN", format, ap);
+        va_end(ap);
+    }
+}
+
+void
+soak_note(const struct soak *s, const char *format, ...)
+{
+    va_list ap;
+
+    va_start(ap, format);
+    print_line(s, "-", format, ap);
+    va_end(ap);
+}
+
+bool
+soak_calm(const struct soak *s, uint64_t disturbed_ms)
+{
+    return disturbed_ms == 0 || s->now_ms - disturbed_ms > SOAK_SETTLE_MS;
+}
+
+void
+soak_ip(const struct soak *s, int kind, int index, char out[32])
+{
+    snprintf(out, 32, "127.%d.%d.%d", s->net, kind, index);
+}
+
+struct soak_edge *
+soak_edge_at(struct soak *s, const struct sockaddr *from)
+{
+    const struct sockaddr_in *in = (const struct sockaddr_in *)from;
+    uint32_t ip = ntohl(in->sin_addr.s_addr);
+    int index = (int)(ip & 0xff) - 1;
+
+    if ((ip >> 8 & 0xff) != 1 || index < 0 || index >= s->edge_count) {
+        return NULL;
+    }
+    return &s->edges[index];
+}
+
+static bool
+all_ready(const struct soak *s)
+{
+    for (int i = 0; i < s->edge_count; i++) {
+        if (!s->edges[i].ready) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+ask(struct soak *s, int per_s)
+{
+    if ((int)rg_rand_below(&s->rand, 1000 / TICK_MS * 10) >= per_s * 10 &&
+        per_s < 1000 / TICK_MS)
+    {
+        return;
+    }
+    for (int i = 0; i < MAX(per_s * TICK_MS / 1000, 1); i++) {
+        uint32_t which = rg_rand_below(&s->rand, 20);
+        soak_callers_ask(s, which < 12   ? SOAK_SHOP
+                            : which < 16 ? SOAK_ORDER
+                            : which < 19 ? SOAK_GALLERY
+                                         : SOAK_PROBE);
+    }
+}
+
+/* Set once from the command line; the tick has no other way to it. */
+static int requests_per_s;
+
+static void
+on_tick(uv_timer_t *timer)
+{
+    struct soak *s = timer->data;
+
+    s->now_ms = soak_now_ms();
+    if (s->start_ms == 0) {
+        if (all_ready(s)) {
+            s->start_ms = s->now_ms;
+            s->faults_end_ms += s->now_ms;
+            s->end_ms += s->now_ms;
+        }
+    }
+    else if (s->now_ms >= s->end_ms) {
+        uv_stop(&s->loop);
+        return;
+    }
+    else {
+        if (s->now_ms - s->start_ms > WARM_MS / 2) {
+            ask(s,
+                s->now_ms < s->end_ms - SOAK_DEADLINE_MS ? requests_per_s : 0);
+        }
+        if (s->now_ms - s->start_ms > WARM_MS) {
+            soak_faults_tick(s);
+        }
+    }
+    soak_edges_tick(s);
+    soak_hosts_tick(s);
+    soak_callers_tick(s);
+    soak_store_tick(s);
+}
+
+static void
+on_probe(uv_timer_t *timer)
+{
+    soak_edges_probe(timer->data);
+}
+
+/* Ends what this program started, and nothing else. */
+static void
+end_processes(struct soak *s)
+{
+    for (int i = 0; i < s->edge_count; i++) {
+        struct soak_edge *e = &s->edges[i];
+        if (e->running) {
+            e->ordered = true;
+            uv_process_kill(&e->process, SIGKILL);
+        }
+    }
+}
+
+static void
+prepare(struct soak *s, const struct arguments *a)
+{
+    s->rand.state = (uint64_t)a->seed;
+    s->net = a->net;
+    s->binary = a->binary;
+    s->dir = a->dir;
+    s->edge_count = a->edges;
+    s->runs = g_hash_table_new(NULL, NULL);
+    s->now_ms = soak_now_ms();
+    s->faults_end_ms = WARM_MS + (uint64_t)a->seconds * 1000;
+    s->end_ms = s->faults_end_ms + SOAK_SETTLE_MS + CALM_MS;
+    uv_loop_init(&s->loop);
+    s->loop.data = s;
+    soak_store_start(s);
+    soak_config_put(s);
+    for (int i = 0; i < a->hosts; i++) {
+        soak_host_start(s, i % 3 == 2 ? 1 : 0);
+    }
+    soak_callers_start(s);
+    for (int i = 0; i < s->edge_count; i++) {
+        struct soak_edge *e = &s->edges[i];
+        e->index = i;
+        snprintf(e->settings, sizeof(e->settings), "%s/edge-%d.json", a->dir,
+                 i);
+        snprintf(e->log, sizeof(e->log), "%s/edge-%d.log", a->dir, i);
+        soak_edge_start(s, e);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arguments a = {.seed = 1,
+                          .edges = 4,
+                          .hosts = 10,
+                          .seconds = 8,
+                          .net = 90,
+                          .per_s = 150,
+                          .binary = "build/rattangap-edge",
+                          .dir = "build/soak"};
+    static struct soak s;
+    uv_timer_t probe;
+
+    argp_parse(&argp, argc, argv, 0, NULL, &a);
+    setvbuf(stdout, NULL, _IOLBF, 0);
+    signal(SIGPIPE, SIG_IGN);
+    mkdir(a.dir, 0755);
+    requests_per_s = a.per_s;
+    prepare(&s, &a);
+    uv_timer_init(&s.loop, &s.tick);
+    s.tick.data = &s;
+    uv_timer_start(&s.tick, on_tick, TICK_MS, TICK_MS);
+    uv_timer_init(&s.loop, &probe);
+    probe.data = &s;
+    uv_timer_start(&probe, on_probe, 100, 500);
+    uv_run(&s.loop, UV_RUN_DEFAULT);
+    end_processes(&s);
+    if (s.calm_asked == 0) {
+        soak_finding(&s, "nothing was asked after the faults");
+    }
+    printf("seed=%d edges=%d asked=%u served=%u calm_asked=%u calm_served=%u "
+           "findings=%u\n",
+           a.seed, a.edges, s.asked, s.served, s.calm_asked, s.calm_served,
+           s.findings);
+    return s.findings ? 1 : 0;
+}
--- /dev/null
+++ b/soak/store.c
@@ -0,0 +1,433 @@
+/* The platform's store as its page describes it: items, ranges in pages,
+ * watches, leases. One list of events is history and content at once. */
+#include <http_parser.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/addr.h"
+#include "common/mem.h"
+#include "soak/soak.h"
+
+#define STORE_PORT 8169
+#define PAGE 20
+#define SLOW_MS 300
+
+struct item {
+    char *key;
+    char *value; /* base64; NULL: deleted */
+    uint64_t revision;
+};
+
+struct conn {
+    uv_tcp_t tcp;
+    struct soak *soak;
+    http_parser parser;
+    GString *url;
+    GString *body;
+    bool mute; /* silent for good */
+    bool watching;
+    uint64_t after;    /* of a watch */
+    uint64_t until_ms; /* a watch ends, or a slow answer is due */
+    bool slow;         /* an answer waits */
+    char buf[8192];
+};
+
+struct soak_store {
+    uv_tcp_t listener;
+    GHashTable *items;  /* key -> struct item */
+    GPtrArray *history; /* struct item, oldest first */
+    GPtrArray *conns;
+    uint64_t revision;
+    uint64_t forgotten; /* history up to here is gone */
+    uint64_t lease;
+};
+
+static void
+free_item(gpointer p)
+{
+    struct item *i = p;
+
+    g_free(i->key);
+    g_free(i->value);
+    g_free(i);
+}
+
+static struct item *
+make_item(const char *key, const char *value, uint64_t revision)
+{
+    struct item *i = g_new0(struct item, 1);
+
+    i->key = g_strdup(key);
+    i->value = g_strdup(value);
+    i->revision = revision;
+    return i;
+}
+
+static void
+change(struct soak *s, const char *key, const char *base64)
+{
+    struct soak_store *t = s->store;
+
+    t->revision++;
+    g_ptr_array_add(t->history, make_item(key, base64, t->revision));
+    if (base64) {
+        struct item *i = make_item(key, base64, t->revision);
+        g_hash_table_replace(t->items, i->key, i);
+    }
+    else {
+        g_hash_table_remove(t->items, key);
+    }
+}
+
+void
+soak_store_put(struct soak *s, const char *key, const char *value)
+{
+    g_autofree char *base64 =
+        g_base64_encode((const guchar *)value, strlen(value));
+
+    change(s, key, base64);
+}
+
+void
+soak_store_remove(struct soak *s, const char *key)
+{
+    if (g_hash_table_contains(s->store->items, key)) {
+        change(s, key, NULL);
+    }
+}
+
+void
+soak_store_forget(struct soak *s)
+{
+    s->store->forgotten = s->store->revision;
+}
+
+void
+soak_store_silence(struct soak *s)
+{
+    for (guint i = 0; i < s->store->conns->len; i++) {
+        ((struct conn *)s->store->conns->pdata[i])->mute = true;
+    }
+}
+
+/* --- answers ------------------------------------------------------------- */
+
+static void
+on_closed(uv_handle_t *handle)
+{
+    struct conn *c = handle->data;
+
+    g_ptr_array_remove_fast(c->soak->store->conns, c);
+    g_string_free(c->url, TRUE);
+    g_string_free(c->body, TRUE);
+    g_free(c);
+}
+
+static void
+close_conn(struct conn *c)
+{
+    if (!uv_is_closing((uv_handle_t *)&c->tcp)) {
+        uv_close((uv_handle_t *)&c->tcp, on_closed);
+    }
+}
+
+static void
+on_written(uv_write_t *w, int status)
+{
+    (void)status;
+    g_free(w->data);
+    g_free(w);
+}
+
+static void
+answer(struct conn *c, int status, const char *body)
+{
+    uv_write_t *w = g_new0(uv_write_t, 1);
+    char *text = g_strdup_printf("HTTP/1.1 %d X\r\nContent-Length: %zu\r\n\r\n"
+                                 "%s",
+                                 status, strlen(body), body);
+    uv_buf_t buf = uv_buf_init(text, (unsigned)strlen(text));
+
+    w->data = text;
+    c->watching = false;
+    c->slow = false;
+    uv_write(w, (uv_stream_t *)&c->tcp, &buf, 1, on_written);
+}
+
+static void
+add_item(GString *out, const struct item *i, bool first)
+{
+    if (!i->value) {
+        g_string_append_printf(out,
+                               "%s{\"Key\":\"%s\",\"Revision\":%lu,"
+                               "\"Deleted\":true}",
+                               first ? "" : ",", i->key, i->revision);
+        return;
+    }
+    g_string_append_printf(out,
+                           "%s{\"Key\":\"%s\",\"Value\":\"%s\","
+                           "\"Revision\":%lu,\"Created\":1,\"Lease\":0}",
+                           first ? "" : ",", i->key, i->value, i->revision);
+}
+
+static gint
+by_key(gconstpointer a, gconstpointer b)
+{
+    return strcmp(a, b);
+}
+
+static void
+answer_range(struct conn *c, const char *after)
+{
+    struct soak_store *t = c->soak->store;
+    GList *keys = g_list_sort(g_hash_table_get_keys(t->items), by_key);
+    g_autoptr(GString) out = g_string_new("{\"items\":[");
+    int count = 0;
+    bool more = false;
+
+    for (GList *k = keys; k; k = k->next) {
+        if (strcmp(k->data, after) <= 0) {
+            continue;
+        }
+        if (count == PAGE) {
+            more = true;
+            break;
+        }
+        add_item(out, g_hash_table_lookup(t->items, k->data), count++ == 0);
+    }
+    g_list_free(keys);
+    g_string_append_printf(out, "],\"HasMore\":%s,\"StoreRevision\":%lu}",
+                           more ? "true" : "false", t->revision);
+    answer(c, 200, out->str);
+}
+
+/* True if the watch was answered. */
+static bool
+answer_watch(struct conn *c)
+{
+    struct soak_store *t = c->soak->store;
+    g_autoptr(GString) out = g_string_new("{\"events\":[");
+    int count = 0;
+
+    if (c->after < t->forgotten) {
+        answer(c, 410, "");
+        return true;
+    }
+    for (guint i = 0; i < t->history->len; i++) {
+        const struct item *e = t->history->pdata[i];
+        if (e->revision > c->after) {
+            add_item(out, e, count++ == 0);
+        }
+    }
+    if (count == 0 && c->soak->now_ms < c->until_ms) {
+        return false;
+    }
+    g_string_append_printf(out, "],\"StoreRevision\":%lu}", t->revision);
+    answer(c, 200, out->str);
+    return true;
+}
+
+static void
+answer_txn(struct conn *c)
+{
+    struct json_object *o = json_tokener_parse(c->body->str);
+    struct json_object *puts;
+    char text[64];
+
+    if (o && json_object_object_get_ex(o, "Puts", &puts)) {
+        for (size_t i = 0; i < json_object_array_length(puts); i++) {
+            struct json_object *p = json_object_array_get_idx(puts, i);
+            change(c->soak,
+                   json_object_get_string(json_object_object_get(p, "Key")),
+                   json_object_get_string(json_object_object_get(p, "Value")));
+        }
+    }
+    json_object_put(o);
+    snprintf(text, sizeof(text), "{\"Revision\":%lu}",
+             c->soak->store->revision);
+    answer(c, 200, text);
+}
+
+static uint64_t
+query_number(const char *url, const char *name)
+{
+    const char *at = strstr(url, name);
+
+    return at ? strtoull(at + strlen(name), NULL, 10) : 0;
+}
+
+static void
+serve(struct conn *c)
+{
+    const char *url = c->url->str;
+    char text[64];
+
+    if (g_str_has_prefix(url, "/v1/kv-range")) {
+        const char *at = strstr(url, "&after=");
+        answer_range(c, at ? at + strlen("&after=") : "");
+    }
+    else if (g_str_has_prefix(url, "/v1/kv-watch")) {
+        c->watching = true;
+        c->after = query_number(url, "after=");
+        c->until_ms = c->soak->now_ms + query_number(url, "WaitMs=");
+        answer_watch(c);
+    }
+    else if (g_str_has_prefix(url, "/v1/kv-txn")) {
+        answer_txn(c);
+    }
+    else {
+        snprintf(text, sizeof(text), "{\"Lease\":%lu,\"TtlMs\":30000}",
+                 ++c->soak->store->lease);
+        answer(c, 200, text);
+    }
+}
+
+static void
+take_call(struct conn *c)
+{
+    switch (c->soak->store_fault) {
+    case SOAK_STORE_SILENT:
+        c->mute = true;
+        break;
+    case SOAK_STORE_BUSY:
+        answer(c, 503, "");
+        break;
+    case SOAK_STORE_RESET:
+        close_conn(c);
+        break;
+    case SOAK_STORE_SLOW:
+        c->slow = true;
+        c->until_ms = c->soak->now_ms + SLOW_MS;
+        break;
+    default:
+        serve(c);
+        break;
+    }
+}
+
+/* --- connections --------------------------------------------------------- */
+
+static int
+on_url(http_parser *p, const char *at, size_t len)
+{
+    g_string_append_len(((struct conn *)p->data)->url, at, (gssize)len);
+    return 0;
+}
+
+static int
+on_body(http_parser *p, const char *at, size_t len)
+{
+    g_string_append_len(((struct conn *)p->data)->body, at, (gssize)len);
+    return 0;
+}
+
+static int
+on_begin(http_parser *p)
+{
+    struct conn *c = p->data;
+
+    g_string_truncate(c->url, 0);
+    g_string_truncate(c->body, 0);
+    return 0;
+}
+
+static int
+on_complete(http_parser *p)
+{
+    struct conn *c = p->data;
+
+    if (!c->mute) {
+        take_call(c);
+    }
+    return 0;
+}
+
+static const http_parser_settings settings = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+static void
+on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+    struct conn *c = handle->data;
+
+    (void)size;
+    *buf = uv_buf_init(c->buf, sizeof(c->buf));
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
+{
+    struct conn *c = stream->data;
+
+    (void)buf;
+    if (len < 0) {
+        close_conn(c);
+        return;
+    }
+    http_parser_execute(&c->parser, &settings, c->buf, (size_t)len);
+}
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+    struct soak *s = listener->data;
+    struct conn *c = g_new0(struct conn, 1);
+
+    (void)status;
+    c->soak = s;
+    c->url = g_string_new(NULL);
+    c->body = g_string_new(NULL);
+    uv_tcp_init(&s->loop, &c->tcp);
+    c->tcp.data = c;
+    g_ptr_array_add(s->store->conns, c);
+    http_parser_init(&c->parser, HTTP_REQUEST);
+    c->parser.data = c;
+    uv_accept(listener, (uv_stream_t *)&c->tcp);
+    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+void
+soak_store_tick(struct soak *s)
+{
+    for (guint i = 0; i < s->store->conns->len; i++) {
+        struct conn *c = s->store->conns->pdata[i];
+        if (c->mute || uv_is_closing((uv_handle_t *)&c->tcp)) {
+            continue;
+        }
+        if (c->slow && s->now_ms >= c->until_ms) {
+            c->slow = false;
+            serve(c);
+        }
+        else if (c->watching && s->store_fault == SOAK_STORE_WELL) {
+            answer_watch(c);
+        }
+    }
+}
+
+void
+soak_store_start(struct soak *s)
+{
+    struct soak_store *t = g_new0(struct soak_store, 1);
+    struct sockaddr_in sa;
+    char ip[32];
+
+    s->store = t;
+    t->items = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_item);
+    t->history = g_ptr_array_new_with_free_func(free_item);
+    t->conns = g_ptr_array_new();
+    soak_ip(s, 0, 1, ip);
+    uv_ip4_addr(ip, STORE_PORT, &sa);
+    uv_tcp_init(&s->loop, &t->listener);
+    t->listener.data = s;
+    if (uv_tcp_bind(&t->listener, (const struct sockaddr *)&sa, 0) < 0 ||
+        uv_listen((uv_stream_t *)&t->listener, 128, on_connection) < 0)
+    {
+        soak_finding(s, "the store cannot listen on %s", ip);
+    }
+}
--- a/test/test_kv.c
+++ b/test/test_kv.c
@@ -76,6 +76,11 @@
     step.after = "servers/i 1&x";
     rg_kv_path(path, &step);
     g_assert_cmpstr(path, ==, "/v1/kv-range?Prefix=&after=servers/i%201%26x");
+    step.stale = true;
+    rg_kv_path(path, &step);
+    g_assert_cmpstr(path, ==,
+                    "/v1/kv-range?Prefix=&AllowStale=1&after=servers/"
+                    "i%201%26x");
     step = (struct rg_follow_step){
         .kind = RG_FOLLOW_WATCH, .revision = 411, .wait_ms = 1200};
     rg_kv_path(path, &step);
