balance: pass changes of the view between instances instead of reading the store

A covered instance no longer watches; it fetches from a peer that knows more what has changed since its own revision, ends of upstreams included, and asks the store once if it still lags after 700 ms. Relisting after forgotten history is stale, too, and completed by a watch.

--- a/balance/follow.c
+++ b/balance/follow.c
@@ -14,10 +14,8 @@
 #define CALL_PERCENT 12
 #define CONNECT_PERCENT 8
 
-/* While other instances tell of changes: a change may fall into a pause, and
- * the watch after it be silent until a digest tells. */
-#define COVERED_PAUSE_PERCENT 45
-#define COVERED_WATCH_MS 15000
+/* How often a covered instance looks whether it still is. */
+#define COVERED_WAIT_MS 1000
 
 /* A watch that asks only for what is there already. */
 #define CATCH_UP_WAIT_MS 1
@@ -34,7 +32,7 @@
     bool catching_up; /* the next watch brings what a listing lacks */
     bool complete;
     bool covered;
-    bool refreshed; /* the next watch takes the place of a dropped one */
+    bool refresh; /* one call is due, though covered */
     char after[RG_FOLLOW_KEY_MAX + 1];
     uint64_t listing_revision; /* of the listing's first page */
     uint64_t revision;
@@ -64,7 +62,7 @@
         f->returned_ms = now_ms;
     }
     f->failures = 0;
-    f->refreshed = false;
+    f->refresh = false;
     f->fresh_ms = now_ms;
 }
 
@@ -75,24 +73,23 @@
         return (struct rg_follow_step){.kind = RG_FOLLOW_WAIT,
                                        .at_ms = f->not_before_ms};
     }
+    if (f->covered && f->complete && !f->refresh) {
+        return (struct rg_follow_step){.kind = RG_FOLLOW_WAIT,
+                                       .at_ms = now_ms + COVERED_WAIT_MS};
+    }
     if (f->listing) {
         return (struct rg_follow_step){.kind = RG_FOLLOW_LIST,
                                        .after = f->after,
                                        .stale = !f->strict,
                                        .timeout_ms = f->opts.call_ms};
     }
-    bool waits_long = f->covered && !f->refreshed && !f->catching_up;
     uint32_t wait_ms =
-        waits_long ? f->opts.covered_watch_ms : f->opts.watch_ms;
-    if (f->catching_up) {
-        wait_ms = CATCH_UP_WAIT_MS;
-    }
+        f->catching_up || f->covered ? CATCH_UP_WAIT_MS : f->opts.watch_ms;
     return (struct rg_follow_step){
         .kind = RG_FOLLOW_WATCH,
         .revision = f->revision,
         .wait_ms = wait_ms,
         .timeout_ms = wait_ms + f->opts.call_ms,
-        .waits_long = waits_long,
     };
 }
 
@@ -131,12 +128,11 @@
     if (f->catching_up) {
         f->catching_up = false;
         f->complete = true;
-        f->strict = true;
+        f->strict = false;
         return;
     }
     if (changes) {
-        f->not_before_ms = now_ms + (f->covered ? f->opts.covered_pause_ms
-                                                : f->opts.pause_ms);
+        f->not_before_ms = now_ms + f->opts.pause_ms;
     }
 }
 
@@ -144,7 +140,9 @@
 rg_follow_forgotten(struct rg_follow *f, uint64_t now_ms)
 {
     answered(f, now_ms);
-    f->strict = true;
+    /* A stale listing whose own history is gone would be of no use again. */
+    f->strict = f->catching_up;
+    f->catching_up = false;
     restart_listing(f);
 }
 
@@ -181,8 +179,7 @@
 void
 rg_follow_refresh(struct rg_follow *f)
 {
-    f->refreshed = true;
-    f->not_before_ms = 0;
+    f->refresh = true;
 }
 
 void
@@ -191,14 +188,14 @@
     f->listing = false;
     f->catching_up = false;
     f->complete = true;
-    f->strict = true;
+    f->strict = false;
     f->revision = revision;
 }
 
 uint64_t
 rg_follow_revision(const struct rg_follow *f)
 {
-    return f->complete ? f->revision : 0;
+    return f->complete || f->catching_up ? f->revision : 0;
 }
 
 bool
@@ -239,8 +236,6 @@
     return (struct rg_follow_opts){
         .pause_ms = percent(bound_ms, PAUSE_PERCENT),
         .watch_ms = percent(bound_ms, WATCH_PERCENT),
-        .covered_pause_ms = percent(bound_ms, COVERED_PAUSE_PERCENT),
-        .covered_watch_ms = COVERED_WATCH_MS,
         .call_ms = percent(bound_ms, CALL_PERCENT),
         .connect_ms = percent(bound_ms, CONNECT_PERCENT),
         .retry_first_ms = RETRY_FIRST_MS,
--- a/balance/follow.h
+++ b/balance/follow.h
@@ -1,13 +1,13 @@
 /* Following the store: which call to make next, and how fresh the view is.
  *
  * Lists all keys, then watches them from the revision of the listing's first
- * page on. The first listing of a boot may be a stale one, which costs less
- * and is not counted against the store's rates: a fleet that starts at once
- * does not exhaust them. The watch after it brings what it lacks, and only
- * then is the view complete. Watches follow each other with a pause after each
- * return so that one call carries many changes. A listing starts again when
- * the store has forgotten the history. Calls that fail are repeated with
- * growing, random pauses. No I/O; time is passed in; one owner. */
+ * page on. Listings may be stale, which costs less and is not counted against
+ * the store's rates: a fleet that starts at once does not exhaust them. The
+ * watch after it brings what it lacks, and only then is the view complete.
+ * Watches follow each other with a pause after each return so that one call
+ * carries many changes. A listing starts again when the store has forgotten
+ * the history. Calls that fail are repeated with growing, random pauses. No
+ * I/O; time is passed in; one owner. */
 #ifndef RG_BALANCE_FOLLOW_H
 #define RG_BALANCE_FOLLOW_H
 
@@ -20,10 +20,8 @@
 #define RG_FOLLOW_KEY_MAX 200
 
 struct rg_follow_opts {
-    uint32_t pause_ms;         /* after a watch that brought changes */
-    uint32_t watch_ms;         /* longest wait of one watch */
-    uint32_t covered_pause_ms; /* the same while covered */
-    uint32_t covered_watch_ms;
+    uint32_t pause_ms;       /* after a watch that brought changes */
+    uint32_t watch_ms;       /* longest wait of one watch */
     uint32_t call_ms;        /* limit of a call, beyond its wait */
     uint32_t connect_ms;     /* limit of opening a connection */
     uint32_t retry_first_ms; /* longest first pause after a failure */
@@ -47,7 +45,6 @@
     uint64_t revision;   /* of a watch: changes after this one */
     uint32_t wait_ms;    /* of a watch */
     uint32_t timeout_ms; /* of the call */
-    bool waits_long;     /* of a watch: as long as covered ones */
 };
 
 struct rg_follow;
@@ -77,18 +74,18 @@
 /* The store no longer has the history a watch asked for. */
 void rg_follow_forgotten(struct rg_follow *f, uint64_t now_ms);
 
-/* While covered, other instances ask the store often and tell this one when it
- * is behind: pauses and waits are long. */
+/* While covered, another instance asks the store often, and peers pass on what
+ * changes: once the view is complete no call is due, but for a refresh. */
 void rg_follow_set_covered(struct rg_follow *f, bool covered);
 
-/* The call in progress was dropped: the next is due at once, waits no longer
- * than an uncovered one, and nothing counts as a failure. */
+/* One call is due though covered, once pauses are over. */
 void rg_follow_refresh(struct rg_follow *f);
 
 /* The view was taken from another instance, as of `revision`. */
 void rg_follow_adopt(struct rg_follow *f, uint64_t revision);
 
-/* Revision of the store the view stands at, 0 before the first listing. */
+/* Revision of the store the view stands at, 0 before the first listing has
+ * ended. */
 uint64_t rg_follow_revision(const struct rg_follow *f);
 
 /* A call failed or went unanswered. */
--- a/balance/peers.c
+++ b/balance/peers.c
@@ -14,14 +14,15 @@
 /* A seed or a peer unheard of is still told digests, this seldom: one in so
  * many. */
 #define STRANGER_ONE_IN 4
+/* Of the others, one in so many is in another data centre. */
+#define REMOTE_ONE_IN 4
 /* The view is covered while the store has answered someone within this share
  * of the bound, percent. Readers ask it within 25, and a digest takes up to
  * four periods to get round; what is left of the bound is for asking it
  * oneself. */
 #define COVERED_PERCENT 55
-/* An own call in progress gets this long before the instance counts as
- * behind. */
-#define BEHIND_MS 400
+/* Peers get this long to pass on what is known before the store is asked. */
+#define BEHIND_MS 700
 
 struct peer {
     struct rg_addr addr;
@@ -33,6 +34,7 @@
     uint64_t fresh_ms; /* when the store last answered it */
     bool reader;
     bool leaving;
+    bool local; /* in the own data centre */
 };
 
 struct rg_peers {
@@ -152,22 +154,30 @@
     peer->revision = d->revision;
     peer->fresh_ms = time_of(d->revision, d->age_ms, now_ms);
     peer->leaving = d->leaving;
+    peer->local = rg_name_eq(&d->data_centre, &p->opts.data_centre);
 }
 
-/* A random peer; strangers now and then, as they may be back. */
+/* A random peer: strangers now and then, as they may be back, and mostly those
+ * of the own data centre, as traffic between them is dear. */
 static const struct peer *
 pick(struct rg_peers *p, uint64_t now_ms)
 {
     size_t start = rg_rand_below(&p->rand, (uint32_t)p->count);
     bool stranger = rg_rand_below(&p->rand, STRANGER_ONE_IN) == 0;
+    bool local = rg_rand_below(&p->rand, REMOTE_ONE_IN) != 0;
+    const struct peer *second = NULL;
 
     for (size_t i = 0; i < p->count; i++) {
         const struct peer *peer = &p->peers[(start + i) % p->count];
-        if (is_heard(peer, now_ms) != stranger) {
+        if (is_heard(peer, now_ms) == stranger) {
+            continue;
+        }
+        if (stranger || peer->local == local) {
             return peer;
         }
+        second = peer;
     }
-    return &p->peers[start];
+    return second ? second : &p->peers[start];
 }
 
 static void
@@ -193,6 +203,7 @@
     }
     memset(out, 0, sizeof(*out));
     out->from = p->opts.name;
+    out->data_centre = p->opts.data_centre;
     out->addr = p->opts.addr;
     out->version = view->version;
     out->revision = view->fresh_ms ? view->revision : 0;
@@ -249,24 +260,36 @@
 }
 
 bool
-rg_peers_ahead(const struct rg_peers *p, const struct rg_peers_view *view,
+rg_peers_ahead(struct rg_peers *p, const struct rg_peers_view *view,
                uint64_t now_ms, struct rg_addr *out)
 {
-    const struct peer *best = NULL;
+    size_t start = rg_rand_below(&p->rand, (uint32_t)p->count);
 
-    for (size_t i = 0; i < p->count; i++) {
-        const struct peer *peer = &p->peers[i];
-        if (is_heard(peer, now_ms) && peer->fresh_ms > view->fresh_ms &&
-            knows_more(peer, view) &&
-            (!best || peer->fresh_ms > best->fresh_ms))
-        {
-            best = peer;
+    const struct peer *found = NULL;
+
+    /* Any of them: the few that know first must not serve all others. */
+    for (size_t i = 0; i < p->count && !(found && found->local); i++) {
+        const struct peer *peer = &p->peers[(start + i) % p->count];
+        bool ahead = is_heard(peer, now_ms) && knows_more(peer, view) &&
+                     peer->fresh_ms != 0;
+        if (ahead && (!found || peer->local)) {
+            found = peer;
         }
     }
-    if (best) {
-        *out = best->addr;
+    if (found) {
+        *out = found->addr;
     }
-    return best != NULL;
+    return found != NULL;
+}
+
+uint64_t
+rg_peers_confirmed_ms(const struct rg_peers *p,
+                      const struct rg_peers_view *view)
+{
+    bool lacks = view->version < p->latest.version ||
+                 view->revision < p->latest.revision;
+
+    return lacks ? 0 : p->latest.fresh_ms;
 }
 
 size_t
--- a/balance/peers.h
+++ b/balance/peers.h
@@ -22,6 +22,7 @@
 
 struct rg_peers_opts {
     struct rg_name name;
+    struct rg_name data_centre;
     struct rg_addr addr; /* where others reach this instance */
     uint32_t bound_ms;   /* on a view's lag behind the store */
     uint64_t seed;
@@ -31,7 +32,7 @@
 struct rg_peers_view {
     uint64_t version;
     uint64_t revision;
-    uint64_t fresh_ms; /* the store answered, 0: never */
+    uint64_t fresh_ms; /* it was the store's then, 0: never */
     bool leaving;
 };
 
@@ -66,11 +67,16 @@
 bool rg_peers_behind(struct rg_peers *p, const struct rg_peers_view *view,
                      uint64_t now_ms);
 
-/* The peer with the freshest view that is newer than `view`, to have it from;
- * false if there is none. */
-bool rg_peers_ahead(const struct rg_peers *p, const struct rg_peers_view *view,
+/* One of the peers whose view is newer than `view`, to have it from, in the
+ * own data centre if there is one; false if there is none. */
+bool rg_peers_ahead(struct rg_peers *p, const struct rg_peers_view *view,
                     uint64_t now_ms, struct rg_addr *out);
 
+/* When the store last answered anyone heard of, if `view` lacks nothing that
+ * was known then; else 0. */
+uint64_t rg_peers_confirmed_ms(const struct rg_peers *p,
+                               const struct rg_peers_view *view);
+
 /* Peers heard lately. */
 size_t rg_peers_count(const struct rg_peers *p, uint64_t now_ms);
 
--- a/balance/pool.c
+++ b/balance/pool.c
@@ -35,6 +35,7 @@
     size_t room;
     uint32_t listing;
     uint64_t anybody_ms; /* last sign of life of any boot */
+    uint64_t forgotten;  /* greatest revision of a boot that was freed */
 };
 
 /* --- tables -------------------------------------------------------------- */
@@ -342,11 +343,15 @@
 }
 
 void
-rg_pool_end_listing(struct rg_pool *p, uint64_t keep_ms, uint64_t now_ms)
+rg_pool_end_listing(struct rg_pool *p, uint64_t revision, uint64_t keep_ms,
+                    uint64_t now_ms)
 {
     for (size_t i = 0; i < p->count; i++) {
         struct rg_boot *b = p->all[i];
-        if (b->state != RG_BOOT_GONE && b->listing != p->listing) {
+        if (b->state != RG_BOOT_GONE && b->listing != p->listing &&
+            b->revision <= revision)
+        {
+            b->revision = revision; /* known to be gone by then */
             remove_boot(p, b, keep_ms, now_ms);
         }
     }
@@ -364,6 +369,9 @@
         }
         if (b->state == RG_BOOT_GONE && b->refs == 0 &&
             now_ms >= b->keep_until_ms) {
+            if (b->revision > p->forgotten) {
+                p->forgotten = b->revision;
+            }
             table_drop(p, &p->by_token, b);
             free(b);
             continue;
@@ -402,6 +410,32 @@
     }
 }
 
+void
+rg_pool_each(const struct rg_pool *p,
+             void (*cb)(void *ctx, const struct rg_boot *boot), void *ctx)
+{
+    for (size_t i = 0; i < p->count; i++) {
+        cb(ctx, p->all[i]);
+    }
+}
+
+uint64_t
+rg_pool_forgotten(const struct rg_pool *p)
+{
+    return p->forgotten;
+}
+
+void
+rg_pool_end_boot(struct rg_pool *p, const struct rg_name *id, uint64_t boot_ms,
+                 uint64_t revision, uint64_t keep_ms, uint64_t now_ms)
+{
+    const struct rg_boot *b = find_id(p, id);
+
+    if (b && b->boot_ms == boot_ms) {
+        rg_pool_remove(p, id, revision, keep_ms, now_ms);
+    }
+}
+
 size_t
 rg_pool_listed(const struct rg_pool *p)
 {
--- a/balance/pool.h
+++ b/balance/pool.h
@@ -111,10 +111,12 @@
 void rg_pool_remove(struct rg_pool *p, const struct rg_name *id,
                     uint64_t revision, uint64_t keep_ms, uint64_t now_ms);
 
-/* A whole listing: entries named between the two calls stand, others are
- * removed as by rg_pool_remove(). */
+/* A whole listing as of `revision`: entries named between the two calls stand,
+ * and so do those known to be younger; others are removed as by
+ * rg_pool_remove(). */
 void rg_pool_begin_listing(struct rg_pool *p);
-void rg_pool_end_listing(struct rg_pool *p, uint64_t keep_ms, uint64_t now_ms);
+void rg_pool_end_listing(struct rg_pool *p, uint64_t revision,
+                         uint64_t keep_ms, uint64_t now_ms);
 
 /* Drops what has outlived its time. Call it a few times a second. */
 void rg_pool_tick(struct rg_pool *p, uint64_t now_ms);
@@ -127,10 +129,21 @@
 struct rg_boot *const *rg_pool_boots(const struct rg_pool *p, uint32_t service,
                                      size_t *count);
 
-/* Calls `cb` for each boot with an entry. */
+/* As rg_pool_remove(), for one boot of an upstream; a younger one stands. */
+void rg_pool_end_boot(struct rg_pool *p, const struct rg_name *id,
+                      uint64_t boot_ms, uint64_t revision, uint64_t keep_ms,
+                      uint64_t now_ms);
+
+/* Calls `cb` for each boot with an entry, or for all that are known. */
 void rg_pool_each_listed(const struct rg_pool *p,
                          void (*cb)(void *ctx, const struct rg_boot *boot),
                          void *ctx);
+void rg_pool_each(const struct rg_pool *p,
+                  void (*cb)(void *ctx, const struct rg_boot *boot),
+                  void *ctx);
+
+/* Ends of boots up to this revision may no longer be known. */
+uint64_t rg_pool_forgotten(const struct rg_pool *p);
 
 /* Boots with an entry, and all that are known. */
 size_t rg_pool_listed(const struct rg_pool *p);
--- a/balance/transfer.c
+++ b/balance/transfer.c
@@ -65,17 +65,36 @@
     struct rg_text *out;
     const struct rg_pool *pool;
     uint64_t now_ms;
+    uint64_t after; /* revision the receiver has */
 };
 
+static bool
+is_wanted(const struct boots_writer *w, const struct rg_boot *b)
+{
+    if (w->after == 0) {
+        return b->state == RG_BOOT_READY || b->state == RG_BOOT_DRAINING;
+    }
+    return b->revision > w->after;
+}
+
+static uint32_t
+time_left(uint64_t until_ms, uint64_t now_ms)
+{
+    return until_ms > now_ms ? (uint32_t)(until_ms - now_ms) : 0;
+}
+
 static void
 write_boot(void *ctx, const struct rg_boot *b)
 {
     struct boots_writer *w = ctx;
     struct rg_msg_boots_part *part = &w->m.u.boots_part;
     size_t most = sizeof(part->boots) / sizeof(part->boots[0]);
-    uint64_t cold_ms =
-        b->cold_until_ms > w->now_ms ? b->cold_until_ms - w->now_ms : 0;
+    bool missing = b->state == RG_BOOT_MISSING;
 
+    if (!is_wanted(w, b)) {
+        return;
+    }
+    part->total++;
     part->boots[part->boots_count++] = (struct rg_msg_boot){
         .id = b->id,
         .wire_id = b->wire_id,
@@ -85,7 +104,9 @@
         .addr = b->addr,
         .slots = b->slots,
         .draining = b->state == RG_BOOT_DRAINING,
-        .cold_left_ms = (uint32_t)cold_ms,
+        .gone = b->state == RG_BOOT_GONE || missing,
+        .keep_ms = missing ? time_left(b->keep_until_ms, w->now_ms) : 0,
+        .cold_left_ms = time_left(b->cold_until_ms, w->now_ms),
         .revision = b->revision,
     };
     if (part->boots_count == most) {
@@ -95,21 +116,27 @@
 }
 
 void
-rg_transfer_write(struct rg_balancer *b, uint64_t revision, uint64_t now_ms,
+rg_transfer_write(struct rg_balancer *b, uint64_t revision,
+                  const struct rg_transfer_base *base, uint64_t now_ms,
                   struct rg_text *out)
 {
     struct rg_pool *pool = rg_balancer_pool(b);
     struct boots_writer *w = rg_calloc(1, sizeof(*w));
 
-    write_routes(rg_balancer_routes(b), out);
+    if (rg_balancer_version(b) > base->version) {
+        write_routes(rg_balancer_routes(b), out);
+    }
+    if (base->revision >= rg_pool_forgotten(pool)) {
+        w->after = base->revision;
+    }
     w->m.kind = RG_MSG_BOOTS_PART;
     w->m.u.boots_part.revision = revision;
-    w->m.u.boots_part.total = (uint32_t)rg_pool_listed(pool);
+    w->m.u.boots_part.after = w->after;
     w->out = out;
     w->pool = pool;
     w->now_ms = now_ms;
-    rg_pool_each_listed(pool, write_boot, w);
-    write_message(&w->m, out); /* ends the view, empty or not */
+    rg_pool_each(pool, write_boot, w);
+    write_message(&w->m, out); /* the last part tells the total */
     free(w);
 }
 
@@ -125,6 +152,7 @@
     struct rg_msg_boot *boots;
     size_t boot_count;
     size_t boot_total;
+    uint64_t after;
 };
 
 static bool
@@ -171,6 +199,7 @@
 
     v->revision = part->revision;
     v->boot_total = part->total;
+    v->after = part->after;
     v->boots = rg_realloc(v->boots, (count + 1) * sizeof(*v->boots));
     memcpy(v->boots + v->boot_count, part->boots,
            part->boots_count * sizeof(*v->boots));
@@ -208,16 +237,23 @@
         }
         at += len;
     }
-    return at == bytes.len && v->version > 0 && v->revision > 0 &&
+    return at == bytes.len && v->revision > 0 &&
            v->route_count == v->route_total && v->boot_count == v->boot_total;
 }
 
 static void
 apply_boots(struct rg_pool *pool, const struct view *v, uint64_t now_ms)
 {
-    rg_pool_begin_listing(pool);
+    if (v->after == 0) {
+        rg_pool_begin_listing(pool);
+    }
     for (size_t i = 0; i < v->boot_count; i++) {
         const struct rg_msg_boot *b = &v->boots[i];
+        if (b->gone) {
+            rg_pool_end_boot(pool, &b->id, b->boot_ms, b->revision, b->keep_ms,
+                             now_ms);
+            continue;
+        }
         struct rg_boot_report report = {
             .id = b->id,
             .wire_id = b->wire_id,
@@ -231,7 +267,9 @@
         };
         rg_pool_report(pool, &report, b->revision, now_ms);
     }
-    rg_pool_end_listing(pool, 0, now_ms);
+    if (v->after == 0) {
+        rg_pool_end_listing(pool, v->revision, 0, now_ms);
+    }
 }
 
 bool
@@ -242,6 +280,7 @@
     struct view v = {0};
     bool ok = take_all(&v, bytes, m);
 
+    ok = ok && v.after <= *revision;
     if (ok && v.version > rg_balancer_version(b)) {
         rg_balancer_set_routes(
             b, rg_routes_create(v.version, v.routes, v.route_count));
--- a/balance/transfer.h
+++ b/balance/transfer.h
@@ -1,5 +1,5 @@
-/* A whole view passed from one instance to another: routes and upstreams as a
- * run of messages, each behind its length. */
+/* A view passed from one instance to another: routes and upstreams as a run of
+ * messages, each behind its length. Whole, or only what has changed. */
 #ifndef RG_BALANCE_TRANSFER_H
 #define RG_BALANCE_TRANSFER_H
 
@@ -10,9 +10,18 @@
 #include "common/str.h"
 #include "common/text.h"
 
-/* Appends the balancer's view as of the store's `revision`. */
+/* What the receiver has. */
+struct rg_transfer_base {
+    uint64_t version;  /* routes older than this are left out, 0: none held */
+    uint64_t revision; /* 0: all upstreams are wanted */
+};
+
+/* Appends the balancer's view as of the store's `revision`, as far as it is
+ * newer than `base`. Falls back to all upstreams if it no longer knows what
+ * ended since. */
 void rg_transfer_write(struct rg_balancer *b, uint64_t revision,
-                       uint64_t now_ms, struct rg_text *out);
+                       const struct rg_transfer_base *base, uint64_t now_ms,
+                       struct rg_text *out);
 
 /* Takes over what is newer in a view from another instance. `revision` is of
  * the own view and is raised to that of the transfer. Returns false, having
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -1,5 +1,6 @@
 #include "edge/gossip.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,15 +12,14 @@
 #include "proto/messages.gen.h"
 
 #define DIGEST_MAX 2048
-#define VIEW_PATH "/view"
+/* What is newer than a version of routes and a revision of the store. */
+#define VIEW_PATH "/view/%llu/%llu"
 /* Largest view taken from another instance. */
 #define VIEW_BODY_MOST (16 * 1024 * 1024)
 #define VIEW_CONNECT_MS 150
 #define VIEW_CALL_MS 1000
 /* Pause between views taken from others. */
-#define VIEW_PAUSE_MS 700
-/* An own watch this young may still bring what a peer tells of. */
-#define NUDGE_AGE_MS 300
+#define VIEW_PAUSE_MS 500
 
 struct rg_gossip {
     struct rg_gossip_opts opts;
@@ -142,14 +142,17 @@
 answer_view(void *ctx, const char *path, struct rg_text *body)
 {
     struct rg_gossip *g = ctx;
+    unsigned long long version;
+    unsigned long long revision;
 
-    if (strcmp(path, VIEW_PATH) != 0) {
+    if (sscanf(path, VIEW_PATH, &version, &revision) != 2) {
         return 404;
     }
     if (!rg_balancer_ready(g->opts.balancer)) {
         return 503;
     }
-    rg_transfer_write(g->opts.balancer, rg_sync_revision(g->opts.sync),
+    struct rg_transfer_base base = {.version = version, .revision = revision};
+    rg_transfer_write(g->opts.balancer, rg_sync_revision(g->opts.sync), &base,
                       rg_edge_now_ms(), body);
     return 200;
 }
@@ -165,7 +168,8 @@
         answer->status == 200 &&
         rg_transfer_read(g->opts.balancer, answer->body, &revision, now);
 
-    rg_log_event(g->opts.log, RG_LOG_NOTICE, "VIEW_FROM_PEER",
+    rg_log_event(g->opts.log, taken ? RG_LOG_INFO : RG_LOG_NOTICE,
+                 "VIEW_FROM_PEER",
                  "peer=\"%s\" taken=\"%d\" status=\"%u\" version=\"%llu\" "
                  "revision=\"%llu\"",
                  rg_addr_text(&g->asked, from), taken, answer->status,
@@ -173,15 +177,17 @@
                  (unsigned long long)revision);
     if (taken) {
         counters(g)[RG_TALLY_VIEWS_FROM_PEERS]++;
-        rg_sync_adopt(g->opts.sync, revision, now);
+        rg_sync_adopt(g->opts.sync, revision, 0);
     }
 }
 
-/* The store does not answer this instance but has answered another. */
+/* Another instance knows more: what it has is fetched, which spares the
+ * store. */
 static void
 fetch_view(struct rg_gossip *g, const struct rg_peers_view *view)
 {
     uint64_t now = rg_edge_now_ms();
+    char path[64];
 
     if (rg_http_client_busy(g->client) || now - g->asked_ms < VIEW_PAUSE_MS ||
         !rg_peers_ahead(g->peers, view, now, &g->asked))
@@ -190,7 +196,9 @@
     }
     g->asked_ms = now;
     rg_http_client_set_server(g->client, &g->asked);
-    rg_http_client_get(g->client, VIEW_PATH, VIEW_CALL_MS);
+    snprintf(path, sizeof(path), VIEW_PATH, (unsigned long long)view->version,
+             (unsigned long long)view->revision);
+    rg_http_client_get(g->client, path, VIEW_CALL_MS);
 }
 
 /* --- the timer ----------------------------------------------------------- */
@@ -201,19 +209,20 @@
     struct rg_gossip *g = timer->data;
     struct rg_peers_view view = own_view(g);
     uint64_t now = rg_edge_now_ms();
+    bool reader = rg_peers_reader(g->peers, now);
 
     for (int i = 0; i < RG_PEERS_FANOUT; i++) {
         tell(g, &view);
     }
-    rg_sync_set_covered(g->opts.sync, !rg_peers_reader(g->peers, now));
-    if (!rg_peers_behind(g->peers, &view, now)) {
-        return;
-    }
-    if (rg_sync_failing(g->opts.sync)) {
+    rg_sync_set_covered(g->opts.sync, !reader);
+    if (!reader || rg_sync_failing(g->opts.sync)) {
         fetch_view(g, &view);
     }
-    else {
-        rg_sync_refresh(g->opts.sync, NUDGE_AGE_MS);
+    if (view.fresh_ms != 0) {
+        rg_sync_confirm(g->opts.sync, rg_peers_confirmed_ms(g->peers, &view));
+    }
+    if (rg_peers_behind(g->peers, &view, now) && !reader) {
+        rg_sync_refresh(g->opts.sync);
     }
 }
 
--- a/edge/main.c
+++ b/edge/main.c
@@ -419,6 +419,7 @@
     struct rg_gossip_opts opts = {
         .loop = &e->loop,
         .peers = {.name = set->name,
+                  .data_centre = set->data_centre,
                   .addr = set->peer_address,
                   .bound_ms = view_bound_ms(set),
                   .seed = seed},
--- a/edge/sync.c
+++ b/edge/sync.c
@@ -21,8 +21,8 @@
     uv_timer_t timer;
     enum rg_follow_kind calling; /* the call in progress */
     bool reachable;              /* the last call was answered */
-    bool waits_long;             /* the watch in progress */
     uint64_t called_ms;
+    uint64_t fresh_ms; /* the view stood at the store's then, 0: never */
 };
 
 static void step(struct rg_sync *s);
@@ -124,12 +124,13 @@
     else if (rg_follow_listed(s->follow, answer.last_key, answer.more,
                               answer.revision, now))
     {
-        rg_pool_end_listing(pool, rg_follow_keep_ms(s->follow, now), now);
+        rg_pool_end_listing(pool, rg_follow_revision(s->follow),
+                            rg_follow_keep_ms(s->follow, now), now);
     }
     note_reachable(s, true, "answered");
     if (rg_follow_complete(s->follow)) {
         /* The answer tells what stood when the call arrived, at the least. */
-        rg_balancer_fresh(s->opts.balancer, now);
+        rg_sync_confirm(s, now);
     }
 }
 
@@ -180,30 +181,23 @@
     }
     counters(s)[RG_TALLY_STORE_CALLS]++;
     s->calling = next.kind;
-    s->waits_long = next.waits_long;
     s->called_ms = now;
     rg_kv_path(path, &next);
     rg_http_client_get(s->client, path, next.timeout_ms);
 }
 
 void
-rg_sync_refresh(struct rg_sync *s, uint64_t age_ms)
+rg_sync_refresh(struct rg_sync *s)
 {
-    /* A short watch ends soon, and an answer may be long on its way over a
-     * narrow link: both are left alone. */
-    if (rg_http_client_busy(s->client) && s->waits_long &&
-        !rg_http_client_receiving(s->client) &&
-        rg_edge_now_ms() - s->called_ms >= age_ms)
-    {
-        counters(s)[RG_TALLY_STORE_NUDGES]++;
-        rg_log_event(s->opts.log, RG_LOG_NOTICE, "STORE_ASKED_ANEW",
-                     "watch_ms=\"%llu\" revision=\"%llu\"",
-                     (unsigned long long)(rg_edge_now_ms() - s->called_ms),
-                     (unsigned long long)rg_follow_revision(s->follow));
-        rg_http_client_cancel(s->client);
-        rg_follow_refresh(s->follow);
-        step(s);
+    if (rg_http_client_busy(s->client)) {
+        return; /* its answer tells, or its limit ends it */
     }
+    counters(s)[RG_TALLY_STORE_NUDGES]++;
+    rg_log_event(s->opts.log, RG_LOG_NOTICE, "STORE_ASKED",
+                 "why=\"behind\" revision=\"%llu\"",
+                 (unsigned long long)rg_follow_revision(s->follow));
+    rg_follow_refresh(s->follow);
+    step(s);
 }
 
 void
@@ -211,7 +205,7 @@
 {
     rg_follow_set_covered(s->follow, covered);
     if (!covered) {
-        rg_sync_refresh(s, s->opts.follow.watch_ms + s->opts.follow.call_ms);
+        step(s);
     }
 }
 
@@ -219,7 +213,16 @@
 rg_sync_adopt(struct rg_sync *s, uint64_t revision, uint64_t fresh_ms)
 {
     rg_follow_adopt(s->follow, revision);
-    rg_balancer_fresh(s->opts.balancer, fresh_ms);
+    rg_sync_confirm(s, fresh_ms);
+}
+
+void
+rg_sync_confirm(struct rg_sync *s, uint64_t fresh_ms)
+{
+    if (fresh_ms > s->fresh_ms) {
+        s->fresh_ms = fresh_ms;
+        rg_balancer_fresh(s->opts.balancer, fresh_ms);
+    }
 }
 
 void
@@ -244,7 +247,7 @@
 uint64_t
 rg_sync_fresh_ms(const struct rg_sync *s)
 {
-    return rg_follow_fresh_ms(s->follow);
+    return s->fresh_ms;
 }
 
 bool
--- a/edge/sync.h
+++ b/edge/sync.h
@@ -26,14 +26,15 @@
 struct rg_sync *rg_sync_create(const struct rg_sync_opts *opts);
 void rg_sync_destroy(struct rg_sync *s);
 
-/* Asks the store anew if a long watch is in progress for `age_ms` or more
- * without a byte of an answer. */
-void rg_sync_refresh(struct rg_sync *s, uint64_t age_ms);
+/* Asks the store once, though covered. */
+void rg_sync_refresh(struct rg_sync *s);
 
-/* See rg_follow_set_covered(); a watch that waits too long for an instance
- * that is no longer covered is dropped. */
+/* See rg_follow_set_covered(). */
 void rg_sync_set_covered(struct rg_sync *s, bool covered);
 
+/* The view lacks nothing that the store held at `fresh_ms`. */
+void rg_sync_confirm(struct rg_sync *s, uint64_t fresh_ms);
+
 /* The view was taken from another instance whose view stands at `revision` and
  * was confirmed by the store at `fresh_ms`. */
 void rg_sync_adopt(struct rg_sync *s, uint64_t revision, uint64_t fresh_ms);
@@ -42,7 +43,7 @@
 void rg_sync_move(struct rg_sync *s, const struct rg_addr *store);
 
 uint64_t rg_sync_revision(const struct rg_sync *s);
-/* Time of the store's last answer, 0 for none. */
+/* Time at which the view is known to have been the store's, 0 for none. */
 uint64_t rg_sync_fresh_ms(const struct rg_sync *s);
 /* True while calls of the store fail. */
 bool rg_sync_failing(const struct rg_sync *s);
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -247,7 +247,7 @@
 static void
 pack_boot(msgpack_packer *pk, const struct rg_msg_boot *m)
 {
-    rg_pack_list(pk, 10);
+    rg_pack_list(pk, 12);
     rg_pack_name(pk, &m->id);
     rg_pack_u64(pk, m->wire_id);
     rg_pack_u64(pk, m->boot_ms);
@@ -256,6 +256,8 @@
     rg_pack_addr(pk, &m->addr);
     rg_pack_u64(pk, m->slots);
     rg_pack_u64(pk, m->draining);
+    rg_pack_u64(pk, m->gone);
+    rg_pack_u64(pk, m->keep_ms);
     rg_pack_u64(pk, m->cold_left_ms);
     rg_pack_u64(pk, m->revision);
 }
@@ -265,7 +267,7 @@
 {
     uint64_t value;
 
-    if (!rg_unpack_shape(o, 10)) {
+    if (!rg_unpack_shape(o, 12)) {
         return false;
     }
     if (!rg_unpack_name(&o->via.array.ptr[0], &m->id)) {
@@ -298,11 +300,19 @@
         return false;
     }
     m->draining = (uint8_t)value;
-    if (!rg_unpack_u64(&o->via.array.ptr[8], 4294967295U, &value)) {
+    if (!rg_unpack_u64(&o->via.array.ptr[8], 255U, &value)) {
+        return false;
+    }
+    m->gone = (uint8_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[9], 4294967295U, &value)) {
+        return false;
+    }
+    m->keep_ms = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[10], 4294967295U, &value)) {
         return false;
     }
     m->cold_left_ms = (uint32_t)value;
-    if (!rg_unpack_u64(&o->via.array.ptr[9], 18446744073709551615ULL, &value))
+    if (!rg_unpack_u64(&o->via.array.ptr[11], 18446744073709551615ULL, &value))
     {
         return false;
     }
@@ -673,6 +683,7 @@
 pack_digest(msgpack_packer *pk, const struct rg_msg_digest *m)
 {
     rg_pack_name(pk, &m->from);
+    rg_pack_name(pk, &m->data_centre);
     rg_pack_addr(pk, &m->addr);
     rg_pack_u64(pk, m->version);
     rg_pack_u64(pk, m->revision);
@@ -696,61 +707,64 @@
 {
     uint64_t value;
 
-    if (!rg_unpack_shape(o, 13)) {
+    if (!rg_unpack_shape(o, 14)) {
         return false;
     }
     if (!rg_unpack_name(&o->via.array.ptr[2], &m->from)) {
         return false;
     }
-    if (!rg_unpack_addr(&o->via.array.ptr[3], &m->addr)) {
+    if (!rg_unpack_name(&o->via.array.ptr[3], &m->data_centre)) {
         return false;
     }
-    if (!rg_unpack_u64(&o->via.array.ptr[4], 18446744073709551615ULL, &value))
+    if (!rg_unpack_addr(&o->via.array.ptr[4], &m->addr)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[5], 18446744073709551615ULL, &value))
     {
         return false;
     }
     m->version = (uint64_t)value;
-    if (!rg_unpack_u64(&o->via.array.ptr[5], 18446744073709551615ULL, &value))
+    if (!rg_unpack_u64(&o->via.array.ptr[6], 18446744073709551615ULL, &value))
     {
         return false;
     }
     m->revision = (uint64_t)value;
-    if (!rg_unpack_u64(&o->via.array.ptr[6], 4294967295U, &value)) {
+    if (!rg_unpack_u64(&o->via.array.ptr[7], 4294967295U, &value)) {
         return false;
     }
     m->age_ms = (uint32_t)value;
-    if (!rg_unpack_u64(&o->via.array.ptr[7], 18446744073709551615ULL, &value))
+    if (!rg_unpack_u64(&o->via.array.ptr[8], 18446744073709551615ULL, &value))
     {
         return false;
     }
     m->latest_version = (uint64_t)value;
-    if (!rg_unpack_u64(&o->via.array.ptr[8], 18446744073709551615ULL, &value))
+    if (!rg_unpack_u64(&o->via.array.ptr[9], 18446744073709551615ULL, &value))
     {
         return false;
     }
     m->latest_revision = (uint64_t)value;
-    if (!rg_unpack_u64(&o->via.array.ptr[9], 4294967295U, &value)) {
+    if (!rg_unpack_u64(&o->via.array.ptr[10], 4294967295U, &value)) {
         return false;
     }
     m->latest_age_ms = (uint32_t)value;
-    if (!rg_unpack_u64(&o->via.array.ptr[10], 255U, &value)) {
+    if (!rg_unpack_u64(&o->via.array.ptr[11], 255U, &value)) {
         return false;
     }
     m->leaving = (uint8_t)value;
-    if (!rg_unpack_list(&o->via.array.ptr[11], 6, &m->contacts_count)) {
+    if (!rg_unpack_list(&o->via.array.ptr[12], 6, &m->contacts_count)) {
         return false;
     }
     for (uint16_t i = 0; i < m->contacts_count; i++) {
-        if (!unpack_contact(&o->via.array.ptr[11].via.array.ptr[i],
+        if (!unpack_contact(&o->via.array.ptr[12].via.array.ptr[i],
                             &m->contacts[i])) {
             return false;
         }
     }
-    if (!rg_unpack_list(&o->via.array.ptr[12], 12, &m->verdicts_count)) {
+    if (!rg_unpack_list(&o->via.array.ptr[13], 12, &m->verdicts_count)) {
         return false;
     }
     for (uint16_t i = 0; i < m->verdicts_count; i++) {
-        if (!unpack_verdict(&o->via.array.ptr[12].via.array.ptr[i],
+        if (!unpack_verdict(&o->via.array.ptr[13].via.array.ptr[i],
                             &m->verdicts[i])) {
             return false;
         }
@@ -802,6 +816,7 @@
 pack_boots_part(msgpack_packer *pk, const struct rg_msg_boots_part *m)
 {
     rg_pack_u64(pk, m->revision);
+    rg_pack_u64(pk, m->after);
     rg_pack_u64(pk, m->total);
     rg_pack_list(pk, m->boots_count);
     for (uint16_t i = 0; i < m->boots_count; i++) {
@@ -814,7 +829,7 @@
 {
     uint64_t value;
 
-    if (!rg_unpack_shape(o, 5)) {
+    if (!rg_unpack_shape(o, 6)) {
         return false;
     }
     if (!rg_unpack_u64(&o->via.array.ptr[2], 18446744073709551615ULL, &value))
@@ -822,15 +837,20 @@
         return false;
     }
     m->revision = (uint64_t)value;
-    if (!rg_unpack_u64(&o->via.array.ptr[3], 4294967295U, &value)) {
+    if (!rg_unpack_u64(&o->via.array.ptr[3], 18446744073709551615ULL, &value))
+    {
+        return false;
+    }
+    m->after = (uint64_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[4], 4294967295U, &value)) {
         return false;
     }
     m->total = (uint32_t)value;
-    if (!rg_unpack_list(&o->via.array.ptr[4], 16, &m->boots_count)) {
+    if (!rg_unpack_list(&o->via.array.ptr[5], 16, &m->boots_count)) {
         return false;
     }
     for (uint16_t i = 0; i < m->boots_count; i++) {
-        if (!unpack_boot(&o->via.array.ptr[4].via.array.ptr[i], &m->boots[i]))
+        if (!unpack_boot(&o->via.array.ptr[5].via.array.ptr[i], &m->boots[i]))
         {
             return false;
         }
@@ -919,7 +939,7 @@
         pack_content(&pk, &m->u.content);
         break;
     case RG_MSG_DIGEST:
-        rg_pack_list(&pk, 13);
+        rg_pack_list(&pk, 14);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_digest(&pk, &m->u.digest);
@@ -931,7 +951,7 @@
         pack_routes_part(&pk, &m->u.routes_part);
         break;
     case RG_MSG_BOOTS_PART:
-        rg_pack_list(&pk, 5);
+        rg_pack_list(&pk, 6);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_boots_part(&pk, &m->u.boots_part);
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -105,6 +105,11 @@
     uint32_t slots;
     /* 1: takes no new flows */
     uint8_t draining;
+    /* 1: its entry is no more; revision is that of its end */
+    uint8_t gone;
+    /* of one gone: time for which it may still be used, since entries lapse
+     * with the store */
+    uint32_t keep_ms;
     /* time until it has warmed up */
     uint32_t cold_left_ms;
     /* of its entry */
@@ -230,6 +235,8 @@
 struct rg_msg_digest {
     /* sender */
     struct rg_name from;
+    /* its data centre */
+    struct rg_name data_centre;
     /* its peer address */
     struct rg_addr addr;
     /* configuration in force there */
@@ -269,6 +276,9 @@
 struct rg_msg_boots_part {
     /* of the store when they were */
     uint64_t revision;
+    /* only what changed after this revision; 0: all, and what is not named is
+     * gone */
+    uint64_t after;
     /* upstreams in all parts */
     uint32_t total;
     /* upstreams */
