--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -1,53 +1,24 @@
 #include "balance/balancer.h"
 
 #include <arpa/inet.h>
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "balance/choose.h"
 #include "balance/evidence.h"
+#include "balance/priv.h"
 #include "balance/token.h"
-#include "balance/track.h"
 #include "common/mem.h"
-#include "common/rand.h"
-
-/* An opening is given up by its caller after this time. */
-#define OPENING_LIFE_MS 1600
-/* A request that shows no progress for this long no longer counts as work. */
-#define REQUEST_LIFE_MS 4000
-/* An open flow without packets is forgotten (it is steered by its token all
- * the same). */
-#define IDLE_LIFE_MS 5000
-#define CLOSED_LIFE_MS 1000
+
 /* An opening is overdue after this many times the usual time to an answer, and
  * no sooner than the least. */
 #define OVERDUE_TIMES 4
 #define OVERDUE_LEAST_MS 25
 #define OVERDUE_MOST_MS 180
-/* A request is overdue after this many times its route's usual time to an
- * answer, and no sooner than the least. */
-#define REQUEST_LATE_TIMES 8
-#define REQUEST_LATE_LEAST_MS 250
-#define OPENING_GAIN 0.05
-
-struct rg_balancer {
-    struct rg_balancer_opts opts;
-    struct rg_pool *pool;
-    struct rg_routes *routes; /* NULL before the first */
-    struct rg_tracks *tracks;
-    struct rg_rand rand;
-    struct rg_tally tally;
-    double opening_ms; /* usual time from opening to the caller's answer */
-    uint64_t choices;  /* made so far */
-    uint64_t started_ms;
-    uint64_t fresh_ms; /* the store confirmed the view, 0: never */
-    uint64_t now_ms;
-};
 
-static void
-count(struct rg_balancer *b, enum rg_tally_counter c)
+void
+rg_bal_count(struct rg_balancer *b, enum rg_tally_counter c)
 {
     b->tally.counters[c]++;
 }
@@ -55,16 +26,14 @@
 static struct rg_steer
 dropped(struct rg_balancer *b, enum rg_tally_counter why)
 {
-    count(b, why);
+    rg_bal_count(b, why);
     return (struct rg_steer){.kind = RG_STEER_DROP};
 }
 
 /* --- logs ---------------------------------------------------------------- */
 
-#define FLOW_TEXT_MAX 48
-
-static const char *
-flow_text(const struct rg_flow_id *f, char out[FLOW_TEXT_MAX])
+const char *
+rg_flow_text(const struct rg_flow_id *f, char out[RG_FLOW_TEXT_MAX])
 {
     char caller[INET_ADDRSTRLEN];
     char service[INET_ADDRSTRLEN];
@@ -73,7 +42,7 @@
 
     inet_ntop(AF_INET, &from, caller, sizeof(caller));
     inet_ntop(AF_INET, &to, service, sizeof(service));
-    snprintf(out, FLOW_TEXT_MAX, "%s:%u>%s:%u", caller, f->caller_port,
+    snprintf(out, RG_FLOW_TEXT_MAX, "%s:%u>%s:%u", caller, f->caller_port,
              service, f->service_port);
     return out;
 }
@@ -87,149 +56,35 @@
         [RG_CHOOSE_BEST] = "best",
         [RG_CHOOSE_TRIAL] = "trial",
     };
-    char flow[FLOW_TEXT_MAX];
+    char flow[RG_FLOW_TEXT_MAX];
 
     rg_log_event(b->opts.log, RG_LOG_INFO, "OPENING",
                  "flow=\"%s\" copy=\"%u\" upstream=\"%s\" token=\"%08x\" "
                  "rule=\"%s\" cost=\"%.2f\" work=\"%u\" version=\"%llu\" "
                  "age_ms=\"%llu\"",
-                 flow_text(&s->flow, flow), s->ack, made->boot->id.s,
+                 rg_flow_text(&s->flow, flow), s->ack, made->boot->id.s,
                  made->boot->token, rules[made->rule], made->cost,
                  made->boot->open_work,
                  (unsigned long long)rg_balancer_version(b),
                  (unsigned long long)(b->now_ms - b->fresh_ms));
 }
 
-static struct rg_steer
-refuse(struct rg_balancer *b, const struct rg_segment *s,
-       enum rg_tally_counter why, const char *reason)
+struct rg_steer
+rg_bal_refuse(struct rg_balancer *b, const struct rg_segment *s,
+              enum rg_tally_counter why, const char *reason)
 {
-    char flow[FLOW_TEXT_MAX];
+    char flow[RG_FLOW_TEXT_MAX];
 
-    count(b, why);
+    rg_bal_count(b, why);
     rg_log_event(b->opts.log, RG_LOG_INFO, "REFUSED",
                  "flow=\"%s\" opening=\"%d\" reason=\"%s\" version=\"%llu\" "
                  "age_ms=\"%llu\"",
-                 flow_text(&s->flow, flow), s->opening, reason,
+                 rg_flow_text(&s->flow, flow), s->opening, reason,
                  (unsigned long long)rg_balancer_version(b),
                  (unsigned long long)(b->now_ms - b->fresh_ms));
     return (struct rg_steer){.kind = RG_STEER_REFUSE};
 }
 
-/* --- tracked flows ------------------------------------------------------- */
-
-static bool
-counts_as_work(const struct rg_track *t)
-{
-    return t->state == RG_TRACK_OPENING || t->state == RG_TRACK_REQUEST;
-}
-
-static void
-set_track_state(struct rg_track *t, enum rg_track_state state, uint64_t now_ms)
-{
-    bool before = counts_as_work(t);
-
-    t->state = (uint8_t)state;
-    t->since_ms = now_ms;
-    if (before && !counts_as_work(t)) {
-        t->boot->open_work--;
-    }
-    if (!before && counts_as_work(t)) {
-        t->boot->open_work++;
-    }
-}
-
-static void
-hold(struct rg_track *t, struct rg_boot *boot)
-{
-    t->boot = boot;
-    boot->refs++;
-    if (counts_as_work(t)) {
-        boot->open_work++;
-    }
-}
-
-static void
-let_go(struct rg_track *t)
-{
-    t->boot->refs--;
-    if (counts_as_work(t)) {
-        t->boot->open_work--;
-    }
-}
-
-/* A request that may be repeated, at an upstream that will not answer: its
- * caller is told to try again, which it could else do only after its deadline.
- * A request that may run once only is left alone: nobody knows whether it
- * has. */
-static bool
-is_lost(const struct rg_balancer *b, const struct rg_track *t)
-{
-    const struct rg_route *route =
-        rg_routes_find(b->routes, t->flow.service_ip, t->flow.service_port);
-
-    return t->state == RG_TRACK_REQUEST && t->repeats > 0 && route &&
-           route->repeat == RG_REPEAT_SAFE && rg_boot_dead(t->boot, b->now_ms);
-}
-
-/* Resets a lost flow without waiting for its next packet. */
-static void
-give_up(struct rg_balancer *b, struct rg_track *t)
-{
-    struct rg_segment last = {.flow = t->flow, .ack = t->last_ack};
-
-    if (!b->opts.refuse || !is_lost(b, t)) {
-        return;
-    }
-    refuse(b, &last, RG_TALLY_REFUSED_DEAD_UPSTREAM, "dead-upstream");
-    set_track_state(t, RG_TRACK_CLOSED, b->now_ms);
-    b->opts.refuse(b->opts.ctx, &last);
-}
-
-/* A request that waits far longer than its route's usual counts as failed,
- * once. */
-static void
-note_overdue(struct rg_balancer *b, struct rg_track *t)
-{
-    if (t->state != RG_TRACK_REQUEST || t->overdue) {
-        return;
-    }
-    const struct rg_route *route =
-        rg_routes_find(b->routes, t->flow.service_ip, t->flow.service_port);
-    double usual = route ? route->usual_ms : 0;
-    double limit = fmax(REQUEST_LATE_TIMES * usual, REQUEST_LATE_LEAST_MS);
-    if (usual > 0 && (double)(b->now_ms - t->since_ms) > limit) {
-        t->overdue = true;
-        count(b, RG_TALLY_REQUESTS_OVERDUE);
-        rg_boot_outcome(t->boot, true, b->now_ms);
-    }
-}
-
-static bool
-expired(void *ctx, struct rg_track *t)
-{
-    static const uint32_t life_ms[] = {
-        [RG_TRACK_OPENING] = OPENING_LIFE_MS,
-        [RG_TRACK_IDLE] = IDLE_LIFE_MS,
-        [RG_TRACK_REQUEST] = REQUEST_LIFE_MS,
-        [RG_TRACK_CLOSED] = CLOSED_LIFE_MS,
-    };
-    struct rg_balancer *b = ctx;
-
-    note_overdue(b, t);
-    give_up(b, t);
-    if (b->now_ms - t->last_ms < life_ms[t->state]) {
-        return false;
-    }
-    let_go(t);
-    for (int i = 0; i < RG_TRACK_TRIES_MAX; i++) {
-        if (t->tried[i]) {
-            t->tried[i]->refs--;
-        }
-    }
-    return true;
-}
-
 /* --- openings ------------------------------------------------------------ */
 
 static uint32_t
@@ -256,10 +111,10 @@
 {
     bool before = rg_boot_ejected(t->boot, b->now_ms);
 
-    count(b, RG_TALLY_OPENINGS_REPEATED);
+    rg_bal_count(b, RG_TALLY_OPENINGS_REPEATED);
     rg_boot_unanswered(t->boot, b->now_ms);
     if (!before && rg_boot_ejected(t->boot, b->now_ms)) {
-        count(b, RG_TALLY_EJECTIONS);
+        rg_bal_count(b, RG_TALLY_EJECTIONS);
         rg_log_event(
             b->opts.log, RG_LOG_NOTICE, "EJECTED",
             "upstream=\"%s\" unanswered=\"%u\" alive_ms_ago=\"%llu\" "
@@ -301,38 +156,11 @@
 static struct rg_steer
 forward(struct rg_balancer *b, const struct rg_boot *boot)
 {
-    count(b, RG_TALLY_FORWARDED);
+    rg_bal_count(b, RG_TALLY_FORWARDED);
     return (struct rg_steer){
         .kind = RG_STEER_FORWARD, .boot = boot, .token = boot->token};
 }
 
-static void
-start_track(struct rg_balancer *b, const struct rg_flow_id *flow,
-            struct rg_boot *boot)
-{
-    struct rg_track *t = rg_tracks_add(b->tracks, flow);
-
-    if (!t) {
-        count(b, RG_TALLY_UNTRACKED);
-        return;
-    }
-    t->since_ms = b->now_ms;
-    t->last_ms = b->now_ms;
-    t->state = RG_TRACK_OPENING;
-    hold(t, boot);
-}
-
-static void
-move_track(struct rg_balancer *b, struct rg_track *t, struct rg_boot *boot)
-{
-    if (boot != t->boot) {
-        count(b, RG_TALLY_OPENINGS_MOVED);
-        let_go(t);
-        hold(t, boot);
-    }
-    t->last_ms = b->now_ms;
-}
-
 /* A caller reuses the ports of a flow that has ended. */
 static bool
 is_new_flow(const struct rg_track *t)
@@ -348,15 +176,15 @@
     struct rg_track *t = rg_tracks_find(b->tracks, &s->flow);
     uint32_t service;
 
-    count(b, RG_TALLY_OPENINGS);
+    rg_bal_count(b, RG_TALLY_OPENINGS);
     if (!route && b->now_ms - b->fresh_ms > b->opts.stale_ms) {
         return dropped(b, RG_TALLY_DROPPED_STALE_VIEW);
     }
     if (!route) {
-        return refuse(b, s, RG_TALLY_REFUSED_NO_ROUTE, "no-route");
+        return rg_bal_refuse(b, s, RG_TALLY_REFUSED_NO_ROUTE, "no-route");
     }
     if (!rg_route_pick(route, flow_hash(&s->flow), &service)) {
-        return refuse(b, s, RG_TALLY_REFUSED_NO_UPSTREAM, "no-service");
+        return rg_bal_refuse(b, s, RG_TALLY_REFUSED_NO_UPSTREAM, "no-service");
     }
     if (t && !is_new_flow(t)) {
         note_repeated(b, t);
@@ -366,15 +194,16 @@
         return dropped(b, RG_TALLY_DROPPED_STALE_VIEW);
     }
     if (!made.boot) {
-        return refuse(b, s, RG_TALLY_REFUSED_NO_UPSTREAM, "no-upstream");
+        return rg_bal_refuse(b, s, RG_TALLY_REFUSED_NO_UPSTREAM,
+                             "no-upstream");
     }
     log_opening(b, s, &made);
     if (t) {
-        move_track(b, t, made.boot);
-        set_track_state(t, RG_TRACK_OPENING, b->now_ms);
+        rg_flows_move(b, t, made.boot);
+        rg_flows_set_state(t, RG_TRACK_OPENING, b->now_ms);
     }
     else {
-        start_track(b, &s->flow, made.boot);
+        rg_flows_start(b, &s->flow, made.boot);
     }
     rg_boot_asked(made.boot, b->now_ms);
     return forward(b, made.boot);
@@ -382,105 +211,6 @@
 
 /* --- open flows ---------------------------------------------------------- */
 
-/* The first packet after an opening: the upstream has answered it. */
-static void
-note_opened(struct rg_balancer *b, struct rg_track *t,
-            const struct rg_segment *s)
-{
-    uint64_t ms = b->now_ms - t->since_ms;
-
-    rg_tally_observe(&b->tally, RG_TALLY_OPENING_MS, ms);
-    b->opening_ms += OPENING_GAIN * ((double)ms - b->opening_ms);
-    rg_boot_alive(t->boot, b->now_ms);
-    t->last_ack = s->ack;
-    set_track_state(t, RG_TRACK_IDLE, b->now_ms);
-}
-
-static void
-note_progress(struct rg_balancer *b, struct rg_track *t,
-              const struct rg_segment *s)
-{
-    if ((int32_t)(s->ack - t->last_ack) <= 0) {
-        return;
-    }
-    t->last_ack = s->ack;
-    if (t->state != RG_TRACK_REQUEST) {
-        rg_boot_alive(t->boot, b->now_ms);
-        return;
-    }
-    uint64_t ms = b->now_ms - t->since_ms;
-    rg_tally_observe(&b->tally, RG_TALLY_ANSWER_MS, ms);
-    rg_boot_answered(t->boot, (double)ms, b->now_ms);
-    t->answer_ms = (uint32_t)ms;
-    set_track_state(t, RG_TRACK_IDLE, b->now_ms);
-}
-
-static void
-note_data(struct rg_balancer *b, struct rg_track *t,
-          const struct rg_segment *s)
-{
-    if (s->len == 0) {
-        return;
-    }
-    if (t->state == RG_TRACK_REQUEST && s->seq == t->last_seq) {
-        if (t->repeats++ == 0) {
-            rg_boot_stalled(t->boot, b->now_ms);
-        }
-        return;
-    }
-    t->last_seq = s->seq;
-    t->repeats = 0;
-    if (t->state == RG_TRACK_IDLE) {
-        t->request_ack = t->last_ack;
-        t->answer_ms = RG_TRACK_UNANSWERED;
-        t->overdue = false;
-        set_track_state(t, RG_TRACK_REQUEST, b->now_ms);
-    }
-}
-
-/* The caller has closed its side: what it got is complete. */
-static void
-note_closed(struct rg_balancer *b, struct rg_track *t,
-            const struct rg_segment *s, struct rg_route *route)
-{
-    char flow[FLOW_TEXT_MAX];
-    uint32_t bytes = t->last_ack - t->request_ack;
-    bool failed = false;
-
-    if (t->state == RG_TRACK_CLOSED || t->answer_ms == RG_TRACK_UNANSWERED) {
-        return;
-    }
-    double ms = fmax((double)t->answer_ms - b->opening_ms, 0);
-    failed = rg_route_answered(route, ms, bytes);
-    rg_boot_outcome(t->boot, failed, b->now_ms);
-    if (failed) {
-        count(b, RG_TALLY_ANSWERS_ERROR_LIKE);
-    }
-    rg_log_event(b->opts.log, failed ? RG_LOG_INFO : RG_LOG_DEBUG, "CLOSED",
-                 "flow=\"%s\" upstream=\"%s\" answer_ms=\"%u\" bytes=\"%u\" "
-                 "usual_ms=\"%.1f\" usual_bytes=\"%.0f\" error_like=\"%d\"",
-                 flow_text(&s->flow, flow), t->boot->id.s, t->answer_ms, bytes,
-                 route->usual_ms, route->usual_bytes, failed);
-}
-
-static void
-note_packet(struct rg_balancer *b, struct rg_track *t,
-            const struct rg_segment *s, struct rg_route *route)
-{
-    t->last_ms = b->now_ms;
-    if (t->state == RG_TRACK_OPENING) {
-        note_opened(b, t, s);
-    }
-    note_progress(b, t, s);
-    note_data(b, t, s);
-    if (s->fin) {
-        note_closed(b, t, s, route);
-    }
-    if (s->fin || s->reset) {
-        set_track_state(t, RG_TRACK_CLOSED, b->now_ms);
-    }
-}
-
 /* Whether a token may lead from this route's address to this boot. Flows
  * older than this instance may have been opened under a version it never
  * saw. */
@@ -502,7 +232,7 @@
 
     if (s->token == RG_TOKEN_NONE) {
         if (t && (s->fin || s->reset)) {
-            set_track_state(t, RG_TRACK_CLOSED, b->now_ms);
+            rg_flows_set_state(t, RG_TRACK_CLOSED, b->now_ms);
             return forward(b, t->boot);
         }
         return dropped(b, RG_TALLY_DROPPED_NO_TOKEN);
@@ -511,20 +241,21 @@
         return dropped(b, RG_TALLY_DROPPED_UNKNOWN_TOKEN);
     }
     if (!route) {
-        return refuse(b, s, RG_TALLY_REFUSED_NO_ROUTE, "route-removed");
+        return rg_bal_refuse(b, s, RG_TALLY_REFUSED_NO_ROUTE, "route-removed");
     }
     if (!may_lead(b, route, boot, t)) {
         return dropped(b, RG_TALLY_DROPPED_WRONG_SERVICE);
     }
     if (t && t->boot != boot) {
-        move_track(b, t, boot);
+        rg_flows_move(b, t, boot);
     }
     if (t) {
-        note_packet(b, t, s, route);
+        rg_flows_note(b, t, s, route);
     }
-    if (t && is_lost(b, t)) {
-        set_track_state(t, RG_TRACK_CLOSED, b->now_ms);
-        return refuse(b, s, RG_TALLY_REFUSED_DEAD_UPSTREAM, "dead-upstream");
+    if (t && rg_flows_lost(b, t)) {
+        rg_flows_set_state(t, RG_TRACK_CLOSED, b->now_ms);
+        return rg_bal_refuse(b, s, RG_TALLY_REFUSED_DEAD_UPSTREAM,
+                             "dead-upstream");
     }
     return forward(b, boot);
 }
@@ -534,7 +265,7 @@
                    uint64_t now_ms)
 {
     b->now_ms = now_ms;
-    count(b, RG_TALLY_PACKETS);
+    rg_bal_count(b, RG_TALLY_PACKETS);
     if (!rg_balancer_ready(b)) {
         return dropped(b, RG_TALLY_DROPPED_NOT_READY);
     }
@@ -620,7 +351,7 @@
     {
         return;
     }
-    count(b, RG_TALLY_VERDICTS_HEARD);
+    rg_bal_count(b, RG_TALLY_VERDICTS_HEARD);
     rg_boot_hearsay(boot, now_ms);
 }
 
@@ -652,7 +383,7 @@
 rg_balancer_tick(struct rg_balancer *b, uint64_t now_ms)
 {
     b->now_ms = now_ms;
-    rg_tracks_sweep(b->tracks, expired, b);
+    rg_tracks_sweep(b->tracks, rg_flows_expired, b);
     rg_pool_tick(b->pool, now_ms);
 }
 
--- /dev/null
+++ b/balance/flows.c
@@ -0,0 +1,258 @@
+/* Tracked flows: what they count as, and what their packets tell. */
+#include <math.h>
+
+#include "balance/evidence.h"
+#include "balance/priv.h"
+
+/* An opening is given up by its caller after this time. */
+#define OPENING_LIFE_MS 1600
+/* A request that shows no progress for this long no longer counts as work. */
+#define REQUEST_LIFE_MS 4000
+/* An open flow without packets is forgotten (it is steered by its token all
+ * the same). */
+#define IDLE_LIFE_MS 5000
+#define CLOSED_LIFE_MS 1000
+/* A request is overdue after this many times its route's usual time to an
+ * answer, and no sooner than the least. */
+#define REQUEST_LATE_TIMES 8
+#define REQUEST_LATE_LEAST_MS 250
+#define OPENING_GAIN 0.05
+
+static bool
+counts_as_work(const struct rg_track *t)
+{
+    return t->state == RG_TRACK_OPENING || t->state == RG_TRACK_REQUEST;
+}
+
+void
+rg_flows_set_state(struct rg_track *t, enum rg_track_state state,
+                   uint64_t now_ms)
+{
+    bool before = counts_as_work(t);
+
+    t->state = (uint8_t)state;
+    t->since_ms = now_ms;
+    if (before && !counts_as_work(t)) {
+        t->boot->open_work--;
+    }
+    if (!before && counts_as_work(t)) {
+        t->boot->open_work++;
+    }
+}
+
+static void
+hold(struct rg_track *t, struct rg_boot *boot)
+{
+    t->boot = boot;
+    boot->refs++;
+    if (counts_as_work(t)) {
+        boot->open_work++;
+    }
+}
+
+static void
+let_go(struct rg_track *t)
+{
+    t->boot->refs--;
+    if (counts_as_work(t)) {
+        t->boot->open_work--;
+    }
+}
+
+/* A request that may be repeated, at an upstream that will not answer: its
+ * caller is told to try again, which it could else do only after its deadline.
+ * A request that may run once only is left alone: nobody knows whether it
+ * has. */
+bool
+rg_flows_lost(const struct rg_balancer *b, const struct rg_track *t)
+{
+    const struct rg_route *route =
+        rg_routes_find(b->routes, t->flow.service_ip, t->flow.service_port);
+
+    return t->state == RG_TRACK_REQUEST && t->repeats > 0 && route &&
+           route->repeat == RG_REPEAT_SAFE && rg_boot_dead(t->boot, b->now_ms);
+}
+
+/* Resets a lost flow without waiting for its next packet. */
+static void
+give_up(struct rg_balancer *b, struct rg_track *t)
+{
+    struct rg_segment last = {.flow = t->flow, .ack = t->last_ack};
+
+    if (!b->opts.refuse || !rg_flows_lost(b, t)) {
+        return;
+    }
+    rg_bal_refuse(b, &last, RG_TALLY_REFUSED_DEAD_UPSTREAM, "dead-upstream");
+    rg_flows_set_state(t, RG_TRACK_CLOSED, b->now_ms);
+    b->opts.refuse(b->opts.ctx, &last);
+}
+
+/* A request that waits far longer than its route's usual counts as failed,
+ * once. */
+static void
+note_overdue(struct rg_balancer *b, struct rg_track *t)
+{
+    if (t->state != RG_TRACK_REQUEST || t->overdue) {
+        return;
+    }
+    const struct rg_route *route =
+        rg_routes_find(b->routes, t->flow.service_ip, t->flow.service_port);
+    double usual = route ? route->usual_ms : 0;
+    double limit = fmax(REQUEST_LATE_TIMES * usual, REQUEST_LATE_LEAST_MS);
+    if (usual > 0 && (double)(b->now_ms - t->since_ms) > limit) {
+        t->overdue = true;
+        rg_bal_count(b, RG_TALLY_REQUESTS_OVERDUE);
+        rg_boot_outcome(t->boot, true, b->now_ms);
+    }
+}
+
+bool
+rg_flows_expired(void *ctx, struct rg_track *t)
+{
+    static const uint32_t life_ms[] = {
+        [RG_TRACK_OPENING] = OPENING_LIFE_MS,
+        [RG_TRACK_IDLE] = IDLE_LIFE_MS,
+        [RG_TRACK_REQUEST] = REQUEST_LIFE_MS,
+        [RG_TRACK_CLOSED] = CLOSED_LIFE_MS,
+    };
+    struct rg_balancer *b = ctx;
+
+    note_overdue(b, t);
+    give_up(b, t);
+    if (b->now_ms - t->last_ms < life_ms[t->state]) {
+        return false;
+    }
+    let_go(t);
+    for (int i = 0; i < RG_TRACK_TRIES_MAX; i++) {
+        if (t->tried[i]) {
+            t->tried[i]->refs--;
+        }
+    }
+    return true;
+}
+
+void
+rg_flows_start(struct rg_balancer *b, const struct rg_flow_id *flow,
+               struct rg_boot *boot)
+{
+    struct rg_track *t = rg_tracks_add(b->tracks, flow);
+
+    if (!t) {
+        rg_bal_count(b, RG_TALLY_UNTRACKED);
+        return;
+    }
+    t->since_ms = b->now_ms;
+    t->last_ms = b->now_ms;
+    t->state = RG_TRACK_OPENING;
+    hold(t, boot);
+}
+
+void
+rg_flows_move(struct rg_balancer *b, struct rg_track *t, struct rg_boot *boot)
+{
+    if (boot != t->boot) {
+        rg_bal_count(b, RG_TALLY_OPENINGS_MOVED);
+        let_go(t);
+        hold(t, boot);
+    }
+    t->last_ms = b->now_ms;
+}
+
+/* The first packet after an opening: the upstream has answered it. */
+static void
+note_opened(struct rg_balancer *b, struct rg_track *t,
+            const struct rg_segment *s)
+{
+    uint64_t ms = b->now_ms - t->since_ms;
+
+    rg_tally_observe(&b->tally, RG_TALLY_OPENING_MS, ms);
+    b->opening_ms += OPENING_GAIN * ((double)ms - b->opening_ms);
+    rg_boot_alive(t->boot, b->now_ms);
+    t->last_ack = s->ack;
+    rg_flows_set_state(t, RG_TRACK_IDLE, b->now_ms);
+}
+
+static void
+note_progress(struct rg_balancer *b, struct rg_track *t,
+              const struct rg_segment *s)
+{
+    if ((int32_t)(s->ack - t->last_ack) <= 0) {
+        return;
+    }
+    t->last_ack = s->ack;
+    if (t->state != RG_TRACK_REQUEST) {
+        rg_boot_alive(t->boot, b->now_ms);
+        return;
+    }
+    uint64_t ms = b->now_ms - t->since_ms;
+    rg_tally_observe(&b->tally, RG_TALLY_ANSWER_MS, ms);
+    rg_boot_answered(t->boot, (double)ms, b->now_ms);
+    t->answer_ms = (uint32_t)ms;
+    rg_flows_set_state(t, RG_TRACK_IDLE, b->now_ms);
+}
+
+static void
+note_data(struct rg_balancer *b, struct rg_track *t,
+          const struct rg_segment *s)
+{
+    if (s->len == 0) {
+        return;
+    }
+    if (t->state == RG_TRACK_REQUEST && s->seq == t->last_seq) {
+        if (t->repeats++ == 0) {
+            rg_boot_stalled(t->boot, b->now_ms);
+        }
+        return;
+    }
+    t->last_seq = s->seq;
+    t->repeats = 0;
+    if (t->state == RG_TRACK_IDLE) {
+        t->request_ack = t->last_ack;
+        t->answer_ms = RG_TRACK_UNANSWERED;
+        t->overdue = false;
+        rg_flows_set_state(t, RG_TRACK_REQUEST, b->now_ms);
+    }
+}
+
+/* The caller has closed its side: what it got is complete. */
+static void
+note_closed(struct rg_balancer *b, struct rg_track *t,
+            const struct rg_segment *s, struct rg_route *route)
+{
+    char flow[RG_FLOW_TEXT_MAX];
+    uint32_t bytes = t->last_ack - t->request_ack;
+    bool failed = false;
+
+    if (t->state == RG_TRACK_CLOSED || t->answer_ms == RG_TRACK_UNANSWERED) {
+        return;
+    }
+    double ms = fmax((double)t->answer_ms - b->opening_ms, 0);
+    failed = rg_route_answered(route, ms, bytes);
+    rg_boot_outcome(t->boot, failed, b->now_ms);
+    if (failed) {
+        rg_bal_count(b, RG_TALLY_ANSWERS_ERROR_LIKE);
+    }
+    rg_log_event(b->opts.log, failed ? RG_LOG_INFO : RG_LOG_DEBUG, "CLOSED",
+                 "flow=\"%s\" upstream=\"%s\" answer_ms=\"%u\" bytes=\"%u\" "
+                 "usual_ms=\"%.1f\" usual_bytes=\"%.0f\" error_like=\"%d\"",
+                 rg_flow_text(&s->flow, flow), t->boot->id.s, t->answer_ms,
+                 bytes, route->usual_ms, route->usual_bytes, failed);
+}
+
+void
+rg_flows_note(struct rg_balancer *b, struct rg_track *t,
+              const struct rg_segment *s, struct rg_route *route)
+{
+    t->last_ms = b->now_ms;
+    if (t->state == RG_TRACK_OPENING) {
+        note_opened(b, t, s);
+    }
+    note_progress(b, t, s);
+    note_data(b, t, s);
+    if (s->fin) {
+        note_closed(b, t, s, route);
+    }
+    if (s->fin || s->reset) {
+        rg_flows_set_state(t, RG_TRACK_CLOSED, b->now_ms);
+    }
+}
--- a/balance/peers.c
+++ b/balance/peers.c
@@ -16,6 +16,8 @@
 #define STRANGER_ONE_IN 4
 /* Of the others, one in so many is in another data centre. */
 #define REMOTE_ONE_IN 4
+/* One digest in so many names contacts: who exists changes slowly. */
+#define CONTACTS_ONE_IN 4
 /* The view is covered while the store has answered someone within this share
  * of the bound, percent. Readers ask it within 25, and a digest takes up to
  * four periods to get round; what is left of the bound is for asking it
@@ -214,7 +216,9 @@
     out->latest_age_ms =
         p->latest.fresh_ms ? (uint32_t)(now_ms - p->latest.fresh_ms) : 0;
     out->leaving = view->leaving;
-    add_contacts(p, now_ms, out);
+    if (rg_rand_below(&p->rand, CONTACTS_ONE_IN) == 0) {
+        add_contacts(p, now_ms, out);
+    }
     *to = pick(p, now_ms)->addr;
     return true;
 }
--- /dev/null
+++ b/balance/priv.h
@@ -0,0 +1,56 @@
+/* Private part of the balancer, shared by its source files only. */
+#ifndef RG_BALANCE_PRIV_H
+#define RG_BALANCE_PRIV_H
+
+#include "balance/balancer.h"
+#include "balance/track.h"
+#include "common/rand.h"
+
+struct rg_balancer {
+    struct rg_balancer_opts opts;
+    struct rg_pool *pool;
+    struct rg_routes *routes; /* NULL before the first */
+    struct rg_tracks *tracks;
+    struct rg_rand rand;
+    struct rg_tally tally;
+    double opening_ms; /* usual time from opening to the caller's answer */
+    uint64_t choices;  /* made so far */
+    uint64_t started_ms;
+    uint64_t fresh_ms; /* the store confirmed the view, 0: never */
+    uint64_t now_ms;
+};
+
+/* Room for the text of a flow: both ends. */
+#define RG_FLOW_TEXT_MAX 48
+
+const char *rg_flow_text(const struct rg_flow_id *f,
+                         char out[RG_FLOW_TEXT_MAX]);
+
+void rg_bal_count(struct rg_balancer *b, enum rg_tally_counter c);
+
+/* Counts and logs a refusal. */
+struct rg_steer rg_bal_refuse(struct rg_balancer *b,
+                              const struct rg_segment *s,
+                              enum rg_tally_counter why, const char *reason);
+
+/* Tracked flows; defined in flows.c. Each holds a reference to its boot and
+ * counts as work there while an opening or a request waits. */
+
+/* A flow whose opening goes to `boot`; not tracked if there is no room. */
+void rg_flows_start(struct rg_balancer *b, const struct rg_flow_id *flow,
+                    struct rg_boot *boot);
+/* The flow is at `boot` from now on. */
+void rg_flows_move(struct rg_balancer *b, struct rg_track *t,
+                   struct rg_boot *boot);
+void rg_flows_set_state(struct rg_track *t, enum rg_track_state state,
+                        uint64_t now_ms);
+/* Learns from a packet of an open flow. */
+void rg_flows_note(struct rg_balancer *b, struct rg_track *t,
+                   const struct rg_segment *s, struct rg_route *route);
+/* True if the flow's request will not be answered and may be repeated. */
+bool rg_flows_lost(const struct rg_balancer *b, const struct rg_track *t);
+/* Looks after one flow as time passes; true if it is to be forgotten. `ctx` is
+ * the balancer. */
+bool rg_flows_expired(void *ctx, struct rg_track *t);
+
+#endif
--- a/edge/main.c
+++ b/edge/main.c
@@ -21,9 +21,10 @@
 #include "edge/gossip.h"
 #include "edge/http_server.h"
 #include "edge/packet_port.h"
+#include "edge/settings.h"
+#include "edge/status.h"
 #include "edge/sync.h"
 #include "options/edge.gen.h"
-#include "options/settings.h"
 
 enum exit_code {
     EXIT_OK = 0,
@@ -141,22 +142,6 @@
 
 /* --- settings ------------------------------------------------------------ */
 
-/* Reads and checks the settings; `hash` tells one text from another. */
-static bool
-load_settings(struct rg_edge *out, const char *path, uint32_t *hash,
-              struct rg_err *err)
-{
-    size_t len;
-    RG_AUTO_FREE char *text = rg_read_file(path, &len, err);
-
-    memset(out, 0, sizeof(*out));
-    if (!text) {
-        return false;
-    }
-    *hash = rg_token_of((struct rg_str){text, len}, 0);
-    return rg_opt_load(&rg_edge_options, out, (struct rg_str){text, len}, err);
-}
-
 static void
 apply(struct edge *e, const struct rg_edge *fresh, const char *why)
 {
@@ -175,7 +160,7 @@
     RG_ERR_AUTO err = {.file = e->settings_path};
     struct rg_edge fresh;
     uint32_t hash = e->settings_hash;
-    bool ok = load_settings(&fresh, e->settings_path, &hash, &err);
+    bool ok = rg_edge_settings_load(&fresh, e->settings_path, &hash, &err);
 
     if (ok && hash != e->settings_hash) {
         apply(e, &fresh, why);
@@ -311,31 +296,10 @@
 static unsigned
 answer_metrics(void *ctx, const char *path, struct rg_text *body)
 {
-    const struct edge *e = ctx;
-    const struct rg_pool *pool = rg_balancer_pool(e->balancer);
+    struct edge *e = ctx;
 
     (void)path;
-    rg_tally_print(rg_balancer_tally(e->balancer), body);
-    rg_text_add(body,
-                "# TYPE rattangap_config_version gauge\n"
-                "rattangap_config_version %llu\n"
-                "# TYPE rattangap_upstreams gauge\n"
-                "rattangap_upstreams{listed=\"yes\"} %zu\n"
-                "rattangap_upstreams{listed=\"no\"} %zu\n"
-                "# TYPE rattangap_flows_tracked gauge\n"
-                "rattangap_flows_tracked %zu\n"
-                "# TYPE rattangap_peers gauge\n"
-                "rattangap_peers %zu\n"
-                "# TYPE rattangap_log_suppressed counter\n"
-                "rattangap_log_suppressed %llu\n",
-                (unsigned long long)rg_balancer_version(e->balancer),
-                rg_pool_listed(pool),
-                rg_pool_known(pool) - rg_pool_listed(pool),
-                rg_balancer_tracked(e->balancer),
-                e->gossip ? rg_peers_count(rg_gossip_peers(e->gossip),
-                                           rg_edge_now_ms())
-                          : 0,
-                (unsigned long long)rg_log_suppressed(e->log.queue));
+    rg_status_metrics(e->balancer, e->gossip, &e->log, body);
     return 200;
 }
 
@@ -373,13 +337,6 @@
     }
 }
 
-/* The view must not lag behind the store by more. */
-static uint32_t
-view_bound_ms(const struct rg_edge *set)
-{
-    return set->drain_ms < set->apply_ms ? set->drain_ms : set->apply_ms;
-}
-
 static void
 on_instance(void *ctx, const struct rg_addr *addr)
 {
@@ -395,7 +352,7 @@
 {
     const struct rg_edge *set = &e->settings;
     struct rg_follow_opts times =
-        rg_follow_opts_for(view_bound_ms(set), set->store.settle_ms);
+        rg_follow_opts_for(rg_edge_view_bound_ms(set), set->store.settle_ms);
     struct rg_announcer_opts opts = {
         .loop = &e->loop,
         .store = set->store.address,
@@ -421,7 +378,7 @@
         .peers = {.name = set->name,
                   .data_centre = set->data_centre,
                   .addr = set->peer_address,
-                  .bound_ms = view_bound_ms(set),
+                  .bound_ms = rg_edge_view_bound_ms(set),
                   .seed = seed},
         .balancer = e->balancer,
         .sync = e->sync,
@@ -441,7 +398,8 @@
     struct rg_sync_opts sync = {
         .loop = &e->loop,
         .store = set->store.address,
-        .follow = rg_follow_opts_for(view_bound_ms(set), set->store.settle_ms),
+        .follow = rg_follow_opts_for(rg_edge_view_bound_ms(set),
+                                     set->store.settle_ms),
         .balancer = e->balancer,
         .log = &e->log,
         .on_instance = on_instance,
@@ -540,7 +498,8 @@
     e.last_turn_ms = e.started_ms;
     e.settings_path = args.settings;
     err.file = args.settings;
-    if (!load_settings(&e.settings, args.settings, &e.settings_hash, &err)) {
+    if (!rg_edge_settings_load(&e.settings, args.settings, &e.settings_hash,
+                               &err)) {
         RG_AUTO_FREE char *text = rg_err_text(&err);
         fputs(text, stderr);
         return EXIT_SETTINGS;
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -56,6 +56,8 @@
 check generated python3 tools/generate.py --check
 run_tests build ""
 run_tests build-san "-sanitized"
+check soak env RG_BIN_DIR=build tools/soak.sh 1 4
+check soak-sanitized env RG_BIN_DIR=build-san tools/soak.sh 5 8
 if [ -x tools/spec.sh ]; then
     while read -r model; do
         check "spec-$model" tools/spec.sh "$model"
