--- a/balance/pool.c
+++ b/balance/pool.c
@@ -69,7 +69,7 @@
     struct table old = *t;
 
     t->size = old.size ? old.size * 2 : TABLE_MIN;
-    t->slots = rg_calloc(t->size, sizeof(struct rg_boot *));
+    t->slots = rg_calloc(t->size, sizeof(void *));
     for (size_t i = 0; i < old.size; i++) {
         if (old.slots[i]) {
             place(p, t, old.slots[i]);
@@ -162,7 +162,7 @@
 
     if (s->count == s->room) {
         s->room = s->room ? s->room * 2 : 16;
-        s->boots = rg_realloc(s->boots, s->room * sizeof(*s->boots));
+        s->boots = rg_realloc(s->boots, s->room * sizeof(void *));
     }
     s->boots[s->count++] = b;
 }
@@ -188,8 +188,7 @@
             return p->places[i];
         }
     }
-    p->places = rg_realloc(p->places,
-                           (p->place_count + 1) * sizeof(struct rg_place *));
+    p->places = rg_realloc(p->places, (p->place_count + 1) * sizeof(void *));
     struct rg_place *made = rg_calloc(1, sizeof(*made));
     made->name = *name;
     p->places[p->place_count++] = made;
@@ -242,7 +241,7 @@
     b->service = rg_pool_service(p, &r->service);
     if (p->count == p->room) {
         p->room = p->room ? p->room * 2 : 64;
-        p->all = rg_realloc(p->all, p->room * sizeof(struct rg_boot *));
+        p->all = rg_realloc(p->all, p->room * sizeof(void *));
     }
     p->all[p->count++] = b;
     return b;
--- a/daemon/packet_io.c
+++ b/daemon/packet_io.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "common/mem.h"
+#include "common/udp.h"
 
 #define BATCH 64
 #define DATAGRAM_MAX 9216
@@ -85,33 +86,10 @@
     }
 }
 
-static int
-open_socket(const struct rg_addr *addr)
-{
-    struct sockaddr_storage sa;
-    socklen_t len = rg_addr_to_sock(addr, &sa);
-    int size = SOCKET_BUFFER_BYTES;
-    int fd =
-        socket(sa.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-    if (fd < 0) {
-        return -1;
-    }
-    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
-    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
-    if (bind(fd, (struct sockaddr *)&sa, len) != 0) {
-        int saved = errno;
-        close(fd);
-        errno = saved;
-        return -1;
-    }
-    return fd;
-}
-
 struct rg_packet_io *
 rg_packet_io_create(struct rg_daemon *d, struct rg_err *err)
 {
-    int fd = open_socket(&d->settings.packet_address);
+    int fd = rg_udp_open(&d->settings.packet_address, SOCKET_BUFFER_BYTES);
 
     if (fd < 0) {
         rg_err_add(err, "packet_address", "an address this host can bind",
--- a/edge/packet_port.c
+++ b/edge/packet_port.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "common/mem.h"
+#include "common/udp.h"
 #include "edge/edge.h"
 #include "platform/packet.h"
 
@@ -187,33 +188,11 @@
     }
 }
 
-static int
-open_socket(const struct rg_addr *addr)
-{
-    struct sockaddr_storage sa;
-    socklen_t len = rg_addr_to_sock(addr, &sa);
-    int size = SOCKET_BUFFER_BYTES;
-    int fd =
-        socket(sa.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-    if (fd < 0) {
-        return -1;
-    }
-    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
-    if (bind(fd, (struct sockaddr *)&sa, len) != 0) {
-        int saved = errno;
-        close(fd);
-        errno = saved;
-        return -1;
-    }
-    return fd;
-}
-
 struct rg_packet_port *
 rg_packet_port_create(const struct rg_packet_port_opts *opts,
                       struct rg_err *err)
 {
-    int fd = open_socket(&opts->address);
+    int fd = rg_udp_open(&opts->address, SOCKET_BUFFER_BYTES);
 
     if (fd < 0) {
         rg_err_add(err, "packet_address", "an address this host can bind",
