soak: stand with the other stand-ins

It speaks the users' platform's wire as upstreams, callers and store do, which is what standin/ is for; no file outside platform/, deploy/, standin/ and tests holds the platform's names. No behaviour changes.

--- a/soak/callers.c
+++ b/standin/soak/callers.c
@@ -4,8 +4,8 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "soak/soak.h"
-#include "soak/wire.h"
+#include "standin/soak/soak.h"
+#include "standin/soak/wire.h"
 
 #define TRIES_MOST 3
 #define OPENING_LIFE_MS 1400
--- a/soak/edges.c
+++ b/standin/soak/edges.c
@@ -8,7 +8,7 @@
 #include <unistd.h>
 
 #include "edge/http_client.h"
-#include "soak/soak.h"
+#include "standin/soak/soak.h"
 
 #define HEALTH_PORT 5301
 #define PEER_PORT 5302
--- a/soak/faults.c
+++ b/standin/soak/faults.c
@@ -2,7 +2,7 @@
 #include <signal.h>
 #include <string.h>
 
-#include "soak/soak.h"
+#include "standin/soak/soak.h"
 
 #define FAULT_MS 350 /* mean pause between two */
 
--- a/soak/hosts.c
+++ b/standin/soak/hosts.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "soak/soak.h"
-#include "soak/wire.h"
+#include "standin/soak/soak.h"
+#include "standin/soak/wire.h"
 
 #define HOST_PORT 8080
 #define REPORT_MS 400
--- a/soak/main.c
+++ b/standin/soak/main.c
@@ -11,7 +11,7 @@
 
 #include "common/mem.h"
 #include "edge/edge.h"
-#include "soak/soak.h"
+#include "standin/soak/soak.h"
 
 #define TICK_MS 10
 #define WARM_MS 2500
--- a/soak/soak.h
+++ b/standin/soak/soak.h
@@ -3,8 +3,8 @@
  *
  * Everything runs on one libuv loop; faults come from one seed. The parts
  * share struct soak and call each other only through the functions below. */
-#ifndef RG_SOAK_SOAK_H
-#define RG_SOAK_SOAK_H
+#ifndef RG_STANDIN_SOAK_SOAK_H
+#define RG_STANDIN_SOAK_SOAK_H
 
 #include <glib.h>
 #include <stdbool.h>
@@ -20,7 +20,7 @@
 #define SOAK_DRAIN_MS 3000
 #define SOAK_APPLY_MS 3000
 #define SOAK_GRACE_MS 3000
-/* After a disturbance ends nothing is held against what it touched for this
+/* After a fault ends nothing is held against what it touched for this
  * long. */
 #define SOAK_SETTLE_MS 4000
 #define SOAK_DEADLINE_MS 1500
@@ -46,7 +46,7 @@
     bool dark; /* takes nothing, says nothing */
     bool leaving;
     uint64_t draining_ms;  /* its entry said so then, 0: not */
-    uint64_t disturbed_ms; /* last moment of a disturbance */
+    uint64_t disturbed_ms; /* last moment of a fault there */
     uint32_t work_ms;
 };
 
--- a/soak/store.c
+++ b/standin/soak/store.c
@@ -8,7 +8,7 @@
 
 #include "common/addr.h"
 #include "common/mem.h"
-#include "soak/soak.h"
+#include "standin/soak/soak.h"
 
 #define STORE_PORT 8169
 #define PAGE 20
--- a/soak/wire.c
+++ b/standin/soak/wire.c
@@ -1,4 +1,4 @@
-#include "soak/wire.h"
+#include "standin/soak/wire.h"
 
 #include <string.h>
 
--- a/soak/wire.h
+++ b/standin/soak/wire.h
@@ -1,6 +1,6 @@
 /* The platform's packets as upstreams and callers write them. */
-#ifndef RG_SOAK_WIRE_H
-#define RG_SOAK_WIRE_H
+#ifndef RG_STANDIN_SOAK_WIRE_H
+#define RG_STANDIN_SOAK_WIRE_H
 
 #include <stddef.h>
 #include <stdint.h>
