--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "balance/choose.h"
 #include "balance/evidence.h"
+#include "balance/pick.h"
 #include "balance/priv.h"
 #include "balance/token.h"
 #include "common/mem.h"
@@ -23,11 +23,11 @@
     b->tally.counters[c]++;
 }
 
-static struct rg_steer
+static struct rg_decision
 dropped(struct rg_balancer *b, enum rg_tally_counter why)
 {
     rg_bal_count(b, why);
-    return (struct rg_steer){.kind = RG_STEER_DROP};
+    return (struct rg_decision){.kind = RG_DECISION_DROP};
 }
 
 /* --- logs ---------------------------------------------------------------- */
@@ -49,12 +49,12 @@
 
 static void
 log_opening(const struct rg_balancer *b, const struct rg_segment *s,
-            const struct rg_choice_made *made)
+            const struct rg_pick *made)
 {
     static const char *const rules[] = {
-        [RG_CHOOSE_NONE] = "none",
-        [RG_CHOOSE_BEST] = "best",
-        [RG_CHOOSE_TRIAL] = "trial",
+        [RG_PICK_NONE] = "none",
+        [RG_PICK_BEST] = "best",
+        [RG_PICK_TRIAL] = "trial",
     };
     char flow[RG_FLOW_TEXT_MAX];
 
@@ -69,7 +69,7 @@
                  (unsigned long long)(b->now_ms - b->fresh_ms));
 }
 
-struct rg_steer
+struct rg_decision
 rg_bal_refuse(struct rg_balancer *b, const struct rg_segment *s,
               enum rg_tally_counter why, const char *reason)
 {
@@ -82,7 +82,7 @@
                  rg_flow_text(&s->flow, flow), s->opening, reason,
                  (unsigned long long)rg_balancer_version(b),
                  (unsigned long long)(b->now_ms - b->fresh_ms));
-    return (struct rg_steer){.kind = RG_STEER_REFUSE};
+    return (struct rg_decision){.kind = RG_DECISION_REFUSE};
 }
 
 /* --- openings ------------------------------------------------------------ */
@@ -132,10 +132,10 @@
     }
 }
 
-static struct rg_choice_made
+static struct rg_pick
 choose(struct rg_balancer *b, const struct rg_track *t, uint32_t service)
 {
-    struct rg_choose_opts opts = {
+    struct rg_pick_opts opts = {
         .service = service,
         .avoid = t ? t->tried : NULL,
         .avoid_count = t ? RG_TRACK_TRIES_MAX : 0,
@@ -144,21 +144,21 @@
         .overdue_ms = overdue_ms(b),
         .rand = &b->rand,
     };
-    struct rg_choice_made made = rg_choose(b->pool, &opts);
+    struct rg_pick made = rg_pick_upstream(b->pool, &opts);
 
     if (!made.boot && t) {
         opts.avoid_count = 0;
-        made = rg_choose(b->pool, &opts);
+        made = rg_pick_upstream(b->pool, &opts);
     }
     return made;
 }
 
-static struct rg_steer
+static struct rg_decision
 forward(struct rg_balancer *b, const struct rg_boot *boot)
 {
     rg_bal_count(b, RG_TALLY_FORWARDED);
-    return (struct rg_steer){
-        .kind = RG_STEER_FORWARD, .boot = boot, .token = boot->token};
+    return (struct rg_decision){
+        .kind = RG_DECISION_FORWARD, .boot = boot, .token = boot->token};
 }
 
 /* A caller reuses the ports of a flow that has ended. */
@@ -168,7 +168,7 @@
     return t->state != RG_TRACK_OPENING;
 }
 
-static struct rg_steer
+static struct rg_decision
 steer_opening(struct rg_balancer *b, const struct rg_segment *s)
 {
     const struct rg_route *route =
@@ -189,7 +189,7 @@
     if (t && !is_new_flow(t)) {
         note_repeated(b, t);
     }
-    struct rg_choice_made made = choose(b, t, service);
+    struct rg_pick made = choose(b, t, service);
     if (!made.boot && b->now_ms - b->fresh_ms > b->opts.stale_ms) {
         return dropped(b, RG_TALLY_DROPPED_STALE_VIEW);
     }
@@ -222,7 +222,7 @@
            b->now_ms - b->started_ms < b->opts.flow_age_ms;
 }
 
-static struct rg_steer
+static struct rg_decision
 steer_open(struct rg_balancer *b, const struct rg_segment *s)
 {
     struct rg_track *t = rg_tracks_find(b->tracks, &s->flow);
@@ -260,7 +260,7 @@
     return forward(b, boot);
 }
 
-struct rg_steer
+struct rg_decision
 rg_balancer_packet(struct rg_balancer *b, const struct rg_segment *s,
                    uint64_t now_ms)
 {
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -25,20 +25,20 @@
     size_t tracked_flows;     /* most flows tracked at once */
     uint64_t seed;            /* of the random choices */
     const struct rg_log *log; /* borrowed */
-    /* Answers the caller of a flow with a reset, as RG_STEER_REFUSE does; may
-     * be called from rg_balancer_tick(). */
+    /* Answers the caller of a flow with a reset, as RG_DECISION_REFUSE does;
+     * may be called from rg_balancer_tick(). */
     void (*refuse)(void *ctx, const struct rg_segment *last);
     void *ctx;
 };
 
-enum rg_steer_kind {
-    RG_STEER_DROP,
-    RG_STEER_FORWARD, /* to `boot`, with `token` in the packet */
-    RG_STEER_REFUSE,  /* answer the caller with a reset */
+enum rg_decision_kind {
+    RG_DECISION_DROP,
+    RG_DECISION_FORWARD, /* to `boot`, with `token` in the packet */
+    RG_DECISION_REFUSE,  /* answer the caller with a reset */
 };
 
-struct rg_steer {
-    enum rg_steer_kind kind;
+struct rg_decision {
+    enum rg_decision_kind kind;
     const struct rg_boot *boot; /* valid until the balancer is next called */
     uint32_t token;
 };
@@ -68,9 +68,9 @@
 /* True once there are routes and the upstreams have been listed. */
 bool rg_balancer_ready(const struct rg_balancer *b);
 
-struct rg_steer rg_balancer_packet(struct rg_balancer *b,
-                                   const struct rg_segment *segment,
-                                   uint64_t now_ms);
+struct rg_decision rg_balancer_packet(struct rg_balancer *b,
+                                      const struct rg_segment *segment,
+                                      uint64_t now_ms);
 
 /* Time passes; call it every RG_BALANCER_TICK_MS or so. */
 #define RG_BALANCER_TICK_MS 100
--- a/balance/choose.c
+++ b/balance/pick.c
@@ -1,4 +1,4 @@
-#include "balance/choose.h"
+#include "balance/pick.h"
 
 #include <math.h>
 
@@ -66,7 +66,7 @@
 }
 
 static bool
-is_overdue(const struct rg_boot *b, const struct rg_choose_opts *opts)
+is_overdue(const struct rg_boot *b, const struct rg_pick_opts *opts)
 {
     uint64_t age = opts->now_ms - b->waiting_since_ms;
 
@@ -77,7 +77,7 @@
 /* True if the oldest opening it has not answered counts against it. One that
  * was ejected gets one opening at a time until it answers. */
 static bool
-keeps_waiting(const struct rg_boot *b, const struct rg_choose_opts *opts)
+keeps_waiting(const struct rg_boot *b, const struct rg_pick_opts *opts)
 {
     uint64_t age = opts->now_ms - b->waiting_since_ms;
 
@@ -89,7 +89,7 @@
 
 static double
 cost_of(const struct rg_boot *b, double mean_ms,
-        const struct rg_choose_opts *opts)
+        const struct rg_pick_opts *opts)
 {
     double cost = ((double)b->open_work + 1) / (double)b->slots;
 
@@ -120,7 +120,7 @@
  * waiting and none has answered since the first of these was sent. */
 static void
 judge_places(struct rg_boot *const *boots, size_t count,
-             const struct rg_choose_opts *opts)
+             const struct rg_pick_opts *opts)
 {
     for (size_t i = 0; i < count; i++) {
         struct rg_boot *first = boots[i];
@@ -142,7 +142,7 @@
 }
 
 static bool
-tried(const struct rg_choose_opts *opts, const struct rg_boot *b)
+tried(const struct rg_pick_opts *opts, const struct rg_boot *b)
 {
     for (size_t i = 0; i < opts->avoid_count; i++) {
         if (opts->avoid[i] == b) {
@@ -170,8 +170,7 @@
 /* Of equal costs the one chosen longest ago is taken, so that idle upstreams
  * take turns. */
 static bool
-is_better(const struct rg_choice_made *best, const struct rg_boot *b,
-          double cost)
+is_better(const struct rg_pick *best, const struct rg_boot *b, double cost)
 {
     if (!best->boot || cost < best->cost - COST_EQUAL) {
         return true;
@@ -195,7 +194,7 @@
 /* Fills `out` with upstreams of the service that take flows, from a random one
  * on; returns their number. */
 static size_t
-candidates(const struct rg_pool *pool, const struct rg_choose_opts *opts,
+candidates(const struct rg_pool *pool, const struct rg_pick_opts *opts,
            struct rg_boot *out[LOOK_AT_MOST])
 {
     size_t count;
@@ -212,14 +211,14 @@
     return found;
 }
 
-struct rg_choice_made
-rg_choose(const struct rg_pool *pool, const struct rg_choose_opts *opts)
+struct rg_pick
+rg_pick_upstream(const struct rg_pool *pool, const struct rg_pick_opts *opts)
 {
     struct rg_boot *boots[LOOK_AT_MOST];
     size_t count = candidates(pool, opts, boots);
     double mean_ms = service_latency(boots, count);
     bool use_ejected = most_are_ejected(boots, count, opts->now_ms);
-    struct rg_choice_made best = {.rule = RG_CHOOSE_NONE};
+    struct rg_pick best = {.rule = RG_PICK_NONE};
 
     judge_places(boots, count, opts);
     for (size_t n = 0; n < count; n++) {
@@ -230,12 +229,12 @@
         }
         if (place_is_due(b, opts->now_ms)) {
             b->place->trial_ms = opts->now_ms;
-            best = (struct rg_choice_made){b, RG_CHOOSE_TRIAL, 0};
+            best = (struct rg_pick){b, RG_PICK_TRIAL, 0};
             break;
         }
         double cost = cost_of(b, mean_ms, opts);
         if (is_better(&best, b, cost)) {
-            best = (struct rg_choice_made){b, RG_CHOOSE_BEST, cost};
+            best = (struct rg_pick){b, RG_PICK_BEST, cost};
         }
     }
     if (best.boot) {
--- a/balance/choose.h
+++ b/balance/pick.h
@@ -1,8 +1,8 @@
 /* Choice of an upstream for a new flow, from what this instance sees: its own
  * open work there, the upstream's answers to callers, its entry and its
  * place. */
-#ifndef RG_BALANCE_CHOOSE_H
-#define RG_BALANCE_CHOOSE_H
+#ifndef RG_BALANCE_PICK_H
+#define RG_BALANCE_PICK_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -13,13 +13,13 @@
 #include "common/rand.h"
 
 /* Why an upstream was chosen. */
-enum rg_choose_rule {
-    RG_CHOOSE_NONE,  /* no upstream can take the flow */
-    RG_CHOOSE_BEST,  /* least expected wait */
-    RG_CHOOSE_TRIAL, /* shows whether a suspected data centre is back */
+enum rg_pick_rule {
+    RG_PICK_NONE,  /* no upstream can take the flow */
+    RG_PICK_BEST,  /* least expected wait */
+    RG_PICK_TRIAL, /* shows whether a suspected data centre is back */
 };
 
-struct rg_choose_opts {
+struct rg_pick_opts {
     uint32_t service;
     struct rg_boot *const *avoid; /* tried for this flow; NULL entries skip */
     size_t avoid_count;
@@ -30,13 +30,13 @@
     struct rg_rand *rand; /* borrowed; breaks ties */
 };
 
-struct rg_choice_made {
-    struct rg_boot *boot; /* NULL for RG_CHOOSE_NONE */
-    enum rg_choose_rule rule;
+struct rg_pick {
+    struct rg_boot *boot; /* NULL for RG_PICK_NONE */
+    enum rg_pick_rule rule;
     double cost; /* of the chosen, in requests ahead */
 };
 
-struct rg_choice_made rg_choose(const struct rg_pool *pool,
-                                const struct rg_choose_opts *opts);
+struct rg_pick rg_pick_upstream(const struct rg_pool *pool,
+                                const struct rg_pick_opts *opts);
 
 #endif
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -29,9 +29,10 @@
 void rg_bal_count(struct rg_balancer *b, enum rg_tally_counter c);
 
 /* Counts and logs a refusal. */
-struct rg_steer rg_bal_refuse(struct rg_balancer *b,
-                              const struct rg_segment *s,
-                              enum rg_tally_counter why, const char *reason);
+struct rg_decision rg_bal_refuse(struct rg_balancer *b,
+                                 const struct rg_segment *s,
+                                 enum rg_tally_counter why,
+                                 const char *reason);
 
 /* Tracked flows; defined in flows.c. Each holds a reference to its boot and
  * counts as work there while an opening or a request waits. */
--- a/edge/packet_port.c
+++ b/edge/packet_port.c
@@ -51,17 +51,17 @@
 
 static void
 send_on(struct rg_packet_port *p, uint8_t *data, size_t len,
-        const struct rg_steer *steer)
+        const struct rg_decision *decision)
 {
     unsigned i = p->out_count;
     struct msghdr *m = next_out(p);
 
-    rg_wire_set_token(data, steer->token);
-    rg_wire_prefix(p->prefix[i], steer->boot->wire_id);
+    rg_wire_set_token(data, decision->token);
+    rg_wire_prefix(p->prefix[i], decision->boot->wire_id);
     p->out_iov[i][0] = (struct iovec){p->prefix[i], RG_WIRE_PREFIX_LEN};
     p->out_iov[i][1] = (struct iovec){data, len};
     m->msg_iovlen = 2;
-    m->msg_namelen = rg_addr_to_sock(&steer->boot->addr, &p->out_to[i]);
+    m->msg_namelen = rg_addr_to_sock(&decision->boot->addr, &p->out_to[i]);
 }
 
 /* Callers take packets at the port that this instance does. */
@@ -120,16 +120,16 @@
         rg_balancer_tally(p->opts.balancer)->counters[RG_TALLY_MALFORMED]++;
         return;
     }
-    struct rg_steer steer =
+    struct rg_decision decision =
         rg_balancer_packet(p->opts.balancer, &segment, now_ms);
-    switch (steer.kind) {
-    case RG_STEER_FORWARD:
-        send_on(p, data, len, &steer);
+    switch (decision.kind) {
+    case RG_DECISION_FORWARD:
+        send_on(p, data, len, &decision);
         break;
-    case RG_STEER_REFUSE:
+    case RG_DECISION_REFUSE:
         send_reset(p, &segment);
         break;
-    case RG_STEER_DROP:
+    case RG_DECISION_DROP:
         break;
     }
 }
--- a/standin/bench.c
+++ b/standin/bench.c
@@ -175,11 +175,11 @@
             exit(1);
         }
         segment.flow.caller_ip += (uint32_t)(i / FLOWS) << 8;
-        struct rg_steer steer =
+        struct rg_decision decision =
             rg_balancer_packet(b->balancer, &segment, now_ms);
-        if (steer.kind == RG_STEER_FORWARD) {
-            rg_wire_set_token(data, steer.token);
-            rg_wire_prefix(prefix, steer.boot->wire_id);
+        if (decision.kind == RG_DECISION_FORWARD) {
+            rg_wire_set_token(data, decision.token);
+            rg_wire_prefix(prefix, decision.boot->wire_id);
         }
         if (i % FLOWS == FLOWS - 1) {
             now_ms += 100;
--- a/test/fake_service.h
+++ b/test/fake_service.h
@@ -163,7 +163,7 @@
     g_free(s);
 }
 
-static inline struct rg_steer
+static inline struct rg_decision
 fake_send(struct fake_service *s, struct fake_flow *f,
           struct rg_segment segment)
 {
@@ -186,18 +186,18 @@
 {
     static const uint32_t waits_ms[] = {200, 400, 800};
     struct rg_segment syn = {.opening = true, .ack = f->copies};
-    struct rg_steer steer = fake_send(s, f, syn);
+    struct rg_decision decision = fake_send(s, f, syn);
 
-    if (steer.kind == RG_STEER_REFUSE) {
+    if (decision.kind == RG_DECISION_REFUSE) {
         fake_end(s, f, &s->refused);
         return;
     }
     f->upstream = -1;
-    if (steer.kind == RG_STEER_FORWARD) {
-        int i = (int)steer.boot->wire_id - 1;
+    if (decision.kind == RG_DECISION_FORWARD) {
+        int i = (int)decision.boot->wire_id - 1;
         if (s->upstreams[i].condition != FAKE_DARK) {
             f->upstream = i;
-            f->token = steer.token;
+            f->token = decision.token;
             f->phase = FAKE_QUEUED;
             f->next_ms = s->now_ms + FAKE_RTT_MS;
             return;
--- a/test/test_balancer.c
+++ b/test/test_balancer.c
@@ -108,7 +108,7 @@
     };
 }
 
-static struct rg_steer
+static struct rg_decision
 opening(struct rg_balancer *b, uint16_t caller_port, uint16_t service_port,
         uint32_t copy, uint64_t now_ms)
 {
@@ -119,7 +119,7 @@
     return rg_balancer_packet(b, &s, now_ms);
 }
 
-static struct rg_steer
+static struct rg_decision
 data(struct rg_balancer *b, uint16_t caller_port, uint16_t service_port,
      uint32_t token, uint64_t now_ms)
 {
@@ -151,15 +151,15 @@
 {
     struct rg_balancer *b = make_balancer();
     struct rg_balancer *other = make_balancer();
-    struct rg_steer s = opening(b, 1, SHOP_PORT, 0, START_MS);
+    struct rg_decision s = opening(b, 1, SHOP_PORT, 0, START_MS);
 
-    g_assert_cmpint(s.kind, ==, RG_STEER_FORWARD);
+    g_assert_cmpint(s.kind, ==, RG_DECISION_FORWARD);
     g_assert_cmpuint(s.token, ==, s.boot->token);
     uint32_t token = s.token;
     s = data(b, 1, SHOP_PORT, token, START_MS + 7);
     g_assert_cmpuint(s.token, ==, token);
     s = data(other, 1, SHOP_PORT, token, START_MS + 7);
-    g_assert_cmpint(s.kind, ==, RG_STEER_FORWARD);
+    g_assert_cmpint(s.kind, ==, RG_DECISION_FORWARD);
     g_assert_cmpuint(s.token, ==, token);
     rg_balancer_destroy(b);
     rg_balancer_destroy(other);
@@ -174,9 +174,9 @@
 
     g_assert_false(rg_balancer_ready(b));
     g_assert_cmpint(opening(b, 1, SHOP_PORT, 0, START_MS).kind, ==,
-                    RG_STEER_DROP);
+                    RG_DECISION_DROP);
     g_assert_cmpint(data(b, 1, SHOP_PORT, 99, START_MS).kind, ==,
-                    RG_STEER_DROP);
+                    RG_DECISION_DROP);
     configure_both(b, 1);
     g_assert_false(rg_balancer_ready(b));
     rg_balancer_fresh(b, START_MS);
@@ -195,7 +195,7 @@
     g_assert_cmpuint(first, !=, second);
     g_assert_cmpuint(counted(b, RG_TALLY_OPENINGS_MOVED), ==, 1);
     /* The caller takes the first after all: it is followed. */
-    struct rg_steer s = data(b, 1, SHOP_PORT, first, START_MS + 210);
+    struct rg_decision s = data(b, 1, SHOP_PORT, first, START_MS + 210);
     g_assert_cmpuint(s.token, ==, first);
     rg_balancer_destroy(b);
 }
@@ -206,9 +206,10 @@
 {
     struct rg_balancer *b = make_balancer();
 
-    g_assert_cmpint(opening(b, 1, 99, 0, START_MS).kind, ==, RG_STEER_REFUSE);
+    g_assert_cmpint(opening(b, 1, 99, 0, START_MS).kind, ==,
+                    RG_DECISION_REFUSE);
     g_assert_cmpint(opening(b, 1, 99, 0, START_MS + STALE_MS + 1).kind, ==,
-                    RG_STEER_DROP);
+                    RG_DECISION_DROP);
     rg_balancer_destroy(b);
 }
 
@@ -225,11 +226,11 @@
     }
     report(b, "u-2", "shop", true, 3);
     g_assert_cmpint(opening(b, 30, SHOP_PORT, 0, START_MS).kind, ==,
-                    RG_STEER_REFUSE);
+                    RG_DECISION_REFUSE);
     g_assert_cmpint(opening(b, 30, SHOP_PORT, 0, START_MS + STALE_MS + 1).kind,
-                    ==, RG_STEER_DROP);
+                    ==, RG_DECISION_DROP);
     g_assert_cmpint(data(b, 3, SHOP_PORT, token_of("u-2"), START_MS).kind, ==,
-                    RG_STEER_FORWARD);
+                    RG_DECISION_FORWARD);
     rg_balancer_destroy(b);
 }
 
@@ -241,9 +242,9 @@
     struct rg_balancer *b = make_balancer();
 
     g_assert_cmpint(data(b, 1, SHOP_PORT, 12345, START_MS).kind, ==,
-                    RG_STEER_DROP);
+                    RG_DECISION_DROP);
     g_assert_cmpint(data(b, 1, SHOP_PORT, RG_TOKEN_NONE, START_MS).kind, ==,
-                    RG_STEER_DROP);
+                    RG_DECISION_DROP);
     g_assert_cmpuint(counted(b, RG_TALLY_DROPPED_UNKNOWN_TOKEN), ==, 1);
     rg_balancer_destroy(b);
 }
@@ -257,9 +258,9 @@
     uint64_t later = START_MS + FLOW_AGE_MS;
 
     g_assert_cmpint(data(b, 1, SHOP_PORT, token_of("u-3"), later).kind, ==,
-                    RG_STEER_DROP);
+                    RG_DECISION_DROP);
     g_assert_cmpint(data(b, 1, GALLERY_PORT, token_of("u-3"), later).kind, ==,
-                    RG_STEER_FORWARD);
+                    RG_DECISION_FORWARD);
     rg_balancer_destroy(b);
 }
 
@@ -277,7 +278,7 @@
     struct rg_route moved = route_to(SHOP_PORT, "gallery");
     configure(b, 3, &moved, 1);
     g_assert_cmpint(data(b, 1, SHOP_PORT, token, later + 10).kind, ==,
-                    RG_STEER_FORWARD);
+                    RG_DECISION_FORWARD);
     g_assert_cmpuint(opening(b, 2, SHOP_PORT, 0, later + 10).token, ==,
                      token_of("u-3"));
     configure_both(b, 2);
@@ -285,7 +286,7 @@
     struct rg_route other = route_to(GALLERY_PORT, "gallery");
     configure(b, 4, &other, 1);
     g_assert_cmpint(data(b, 1, SHOP_PORT, token, later + 20).kind, ==,
-                    RG_STEER_REFUSE);
+                    RG_DECISION_REFUSE);
     rg_balancer_destroy(b);
 }
 
@@ -326,10 +327,10 @@
     struct rg_balancer *b = make_balancer();
 
     for (uint16_t port = 1; port <= 1000; port++) {
-        struct rg_steer s = opening(b, port, SHOP_PORT, 0, START_MS);
-        g_assert_cmpint(s.kind, ==, RG_STEER_FORWARD);
+        struct rg_decision s = opening(b, port, SHOP_PORT, 0, START_MS);
+        g_assert_cmpint(s.kind, ==, RG_DECISION_FORWARD);
         s = data(b, port, SHOP_PORT, s.token, START_MS);
-        g_assert_cmpint(s.kind, ==, RG_STEER_FORWARD);
+        g_assert_cmpint(s.kind, ==, RG_DECISION_FORWARD);
     }
     g_assert_cmpuint(rg_balancer_tracked(b), ==, 64);
     rg_balancer_tick(b, START_MS + 60000);
@@ -347,7 +348,7 @@
 
     rg_pool_remove(rg_balancer_pool(b), &id, 2, 0, START_MS);
     g_assert_cmpint(data(b, 1, SHOP_PORT, token_of("u-1"), START_MS).kind, ==,
-                    RG_STEER_FORWARD);
+                    RG_DECISION_FORWARD);
     for (uint16_t port = 1; port < 20; port++) {
         g_assert_cmpuint(opening(b, port, SHOP_PORT, 0, START_MS).token, ==,
                          token_of("u-2"));
@@ -393,7 +394,7 @@
 answer_elsewhere(struct rg_balancer *b, uint32_t not_token, uint16_t port,
                  uint64_t now_ms)
 {
-    struct rg_steer s = opening(b, port, SHOP_PORT, 0, now_ms - 5);
+    struct rg_decision s = opening(b, port, SHOP_PORT, 0, now_ms - 5);
 
     if (s.token != not_token) {
         data(b, port, SHOP_PORT, s.token, now_ms);
@@ -408,7 +409,7 @@
 
     for (int i = 0; i < f->count; i++) {
         refused += data(b, f->ports[i], SHOP_PORT, f->token, now_ms).kind ==
-                   RG_STEER_REFUSE;
+                   RG_DECISION_REFUSE;
     }
     return refused;
 }
