--- a/standin/soak/store.c
+++ b/standin/soak/store.c
@@ -13,6 +13,9 @@
 #define STORE_PORT 8169
 #define PAGE 20
 #define SLOW_MS 300
+/* Second bytes of loopback addresses to try when others are taken. */
+#define NET_STEP 1
+#define NET_LAST 250
 
 struct item {
     char *key;
@@ -35,7 +38,6 @@
 };
 
 struct soak_store {
-    uv_tcp_t listener;
     GHashTable *items;  /* key -> struct item */
     GPtrArray *history; /* struct item, oldest first */
     GPtrArray *conns;
@@ -410,24 +412,41 @@
     }
 }
 
+static bool
+listen_here(struct soak *s)
+{
+    uv_tcp_t *listener = g_new0(uv_tcp_t, 1);
+    struct sockaddr_in sa;
+    char ip[32];
+
+    soak_ip(s, 0, 1, ip);
+    uv_ip4_addr(ip, STORE_PORT, &sa);
+    uv_tcp_init(&s->loop, listener);
+    listener->data = s;
+    if (uv_tcp_bind(listener, (const struct sockaddr *)&sa, 0) < 0 ||
+        uv_listen((uv_stream_t *)listener, 128, on_connection) < 0)
+    {
+        uv_close((uv_handle_t *)listener, (uv_close_cb)g_free);
+        return false;
+    }
+    return true;
+}
+
 void
 soak_store_start(struct soak *s)
 {
     struct soak_store *t = g_new0(struct soak_store, 1);
-    struct sockaddr_in sa;
-    char ip[32];
 
     s->store = t;
     t->items = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_item);
     t->history = g_ptr_array_new_with_free_func(free_item);
     t->conns = g_ptr_array_new();
-    soak_ip(s, 0, 1, ip);
-    uv_ip4_addr(ip, STORE_PORT, &sa);
-    uv_tcp_init(&s->loop, &t->listener);
-    t->listener.data = s;
-    if (uv_tcp_bind(&t->listener, (const struct sockaddr *)&sa, 0) < 0 ||
-        uv_listen((uv_stream_t *)&t->listener, 128, on_connection) < 0)
-    {
-        soak_finding(s, "the store cannot listen on %s", ip);
+    while (!listen_here(s)) {
+        /* Another run uses these addresses: take the next ones. */
+        s->net += NET_STEP;
+        if (s->net > NET_LAST) {
+            soak_finding(s, "no loopback addresses are free");
+            return;
+        }
     }
 }
