--- a/balance/follow.c
+++ b/balance/follow.c
@@ -34,7 +34,7 @@
     bool covered;
     bool refresh; /* one call is due, though covered */
     char after[RG_FOLLOW_KEY_MAX + 1];
-    uint64_t listing_revision; /* of the listing's first page */
+    uint64_t listing_revision; /* of the oldest page of the listing */
     uint64_t revision;
     uint64_t not_before_ms; /* no call before */
     uint64_t fresh_ms;
@@ -66,6 +66,14 @@
     f->fresh_ms = now_ms;
 }
 
+/* The first page is never stale: a listing of one page is complete at once,
+ * and of many only one counts against the store's rates. */
+static bool
+is_stale_page(const struct rg_follow *f)
+{
+    return !f->strict && !rg_follow_first_page(f);
+}
+
 struct rg_follow_step
 rg_follow_next(struct rg_follow *f, uint64_t now_ms)
 {
@@ -80,7 +88,7 @@
     if (f->listing) {
         return (struct rg_follow_step){.kind = RG_FOLLOW_LIST,
                                        .after = f->after,
-                                       .stale = !f->strict,
+                                       .stale = is_stale_page(f),
                                        .timeout_ms = f->opts.call_ms};
     }
     uint32_t wait_ms =
@@ -104,15 +112,18 @@
                  uint64_t revision, uint64_t now_ms)
 {
     answered(f, now_ms);
-    if (rg_follow_first_page(f)) {
+    if (rg_follow_first_page(f) || revision < f->listing_revision) {
         f->listing_revision = revision;
     }
+    bool was_stale = is_stale_page(f);
     if (more && last_key[0] != '\0') {
         snprintf(f->after, sizeof(f->after), "%s", last_key);
         return false;
     }
     f->listing = false;
-    f->catching_up = true;
+    f->catching_up = was_stale;
+    f->complete = f->complete || !was_stale;
+    f->strict = false;
     f->revision = f->listing_revision;
     return true;
 }
--- a/balance/follow.h
+++ b/balance/follow.h
@@ -1,13 +1,13 @@
 /* Following the store: which call to make next, and how fresh the view is.
  *
- * Lists all keys, then watches them from the revision of the listing's first
- * page on. Listings may be stale, which costs less and is not counted against
- * the store's rates: a fleet that starts at once does not exhaust them. The
- * watch after it brings what it lacks, and only then is the view complete.
- * Watches follow each other with a pause after each return so that one call
- * carries many changes. A listing starts again when the store has forgotten
- * the history. Calls that fail are repeated with growing, random pauses. No
- * I/O; time is passed in; one owner. */
+ * Lists all keys, then watches them from the revision of the listing's oldest
+ * page on. Pages after the first may be stale, which costs less and is not
+ * counted against the store's rates: a fleet that starts at once does not
+ * exhaust them. The watch after such a listing brings what it lacks, and only
+ * then is the view complete. Watches follow each other with a pause after each
+ * that brings changes, so that one call carries many. A listing starts again
+ * when the store has forgotten the history. Calls that fail are repeated with
+ * growing, random pauses. No I/O; time is passed in; one owner. */
 #ifndef RG_BALANCE_FOLLOW_H
 #define RG_BALANCE_FOLLOW_H
 
@@ -97,8 +97,8 @@
 /* True while the last call failed. */
 bool rg_follow_failing(const struct rg_follow *f);
 
-/* True once a listing and the watch after it have been answered, or a view
- * adopted. */
+/* True once a listing, and after stale pages a watch, has been answered, or a
+ * view adopted. */
 bool rg_follow_complete(const struct rg_follow *f);
 
 /* Time of the last answer, 0 for none: the view is this old at most. */
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -47,36 +47,49 @@
     rg_follow_destroy(f);
 }
 
-/* A listing may be stale: the view counts only once a watch that does not wait
- * has brought what it lacks. The listing after a stale one whose history is
- * gone is not stale. */
+/* Pages after the first may be stale: the view counts only once a watch that
+ * does not wait has brought what they lack, from the oldest page on. The
+ * listing after one whose history is gone is not stale. */
 static void
-test_stale_listing(void)
+test_stale_pages(void)
 {
     struct rg_follow *f = make_follow();
 
+    g_assert_false(rg_follow_next(f, 1000).stale);
+    g_assert_false(rg_follow_listed(f, "b", true, 10, 1000));
     g_assert_true(rg_follow_next(f, 1000).stale);
-    g_assert_true(rg_follow_listed(f, "b", false, 10, 1000));
+    g_assert_true(rg_follow_listed(f, "c", false, 7, 1000));
     g_assert_false(rg_follow_complete(f));
     struct rg_follow_step step = rg_follow_next(f, 1000);
     g_assert_cmpint(step.kind, ==, RG_FOLLOW_WATCH);
     g_assert_cmpuint(step.wait_ms, <=, 1);
+    g_assert_cmpuint(step.revision, ==, 7);
     rg_follow_forgotten(f, 1000);
-    step = rg_follow_next(f, 1000);
-    g_assert_cmpint(step.kind, ==, RG_FOLLOW_LIST);
-    g_assert_false(step.stale);
-    rg_follow_listed(f, "b", false, 12, 1000);
-    rg_follow_watched(f, 14, true, 1010);
+    rg_follow_listed(f, "b", true, 12, 1000);
+    g_assert_false(rg_follow_next(f, 1000).stale);
+    g_assert_true(rg_follow_listed(f, "c", false, 12, 1000));
     g_assert_true(rg_follow_complete(f));
-    g_assert_cmpuint(rg_follow_revision(f), ==, 14);
     step = rg_follow_next(f, 1010);
     g_assert_cmpint(step.kind, ==, RG_FOLLOW_WATCH);
     g_assert_cmpuint(step.wait_ms, >, 100);
     rg_follow_forgotten(f, 2000);
+    rg_follow_listed(f, "b", true, 20, 2000);
     g_assert_true(rg_follow_next(f, 2000).stale);
     rg_follow_destroy(f);
 }
 
+/* One page: the view is complete at once, without another call. */
+static void
+test_one_page(void)
+{
+    struct rg_follow *f = make_follow();
+
+    g_assert_true(rg_follow_listed(f, "b", false, 10, 1000));
+    g_assert_true(rg_follow_complete(f));
+    g_assert_cmpuint(rg_follow_revision(f), ==, 10);
+    rg_follow_destroy(f);
+}
+
 /* A failed page is asked for again; what came before is not read twice. */
 static void
 test_listing_resumes(void)
@@ -229,7 +242,8 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/follow/pages", test_pages);
-    g_test_add_func("/follow/stale-listing", test_stale_listing);
+    g_test_add_func("/follow/stale-pages", test_stale_pages);
+    g_test_add_func("/follow/one-page", test_one_page);
     g_test_add_func("/follow/listing-resumes", test_listing_resumes);
     g_test_add_func("/follow/bound-with-silent-connection",
                     test_bound_with_silent_connection);
