balance: bounds and callers' distances that have not been seen yet

Calls now have 300 ms at least, instances under 2.5 s read for themselves, and the usual time of an opening starts with the first one seen.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -1,6 +1,7 @@
 #include "balance/balancer.h"
 
 #include <arpa/inet.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,7 +16,10 @@
  * no sooner than the least. */
 #define OVERDUE_TIMES 4
 #define OVERDUE_LEAST_MS 25
-#define OVERDUE_MOST_MS 180
+#define OVERDUE_MOST_MS 1000
+/* Before the usual time is known: as long as a caller waits for its first
+ * copy. */
+#define OVERDUE_UNKNOWN_MS 200
 
 void
 rg_bal_count(struct rg_balancer *b, enum rg_tally_counter c)
@@ -90,12 +94,12 @@
 static uint32_t
 overdue_ms(const struct rg_balancer *b)
 {
-    double ms = b->opening_ms * OVERDUE_TIMES;
-
-    if (ms < OVERDUE_LEAST_MS) {
-        return OVERDUE_LEAST_MS;
+    if (b->opening_ms == 0) {
+        return OVERDUE_UNKNOWN_MS;
     }
-    return ms > OVERDUE_MOST_MS ? OVERDUE_MOST_MS : (uint32_t)ms;
+    return (uint32_t)fmin(
+        fmax(b->opening_ms * OVERDUE_TIMES, OVERDUE_LEAST_MS),
+        OVERDUE_MOST_MS);
 }
 
 static uint64_t
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -16,6 +16,7 @@
  * answer, and no sooner than the least. */
 #define REQUEST_LATE_TIMES 8
 #define REQUEST_LATE_LEAST_MS 250
+/* Share of a new opening in the usual time of one. */
 #define OPENING_GAIN 0.05
 
 static bool
@@ -166,7 +167,10 @@
     uint64_t ms = b->now_ms - t->since_ms;
 
     rg_tally_observe(&b->tally, RG_TALLY_OPENING_MS, ms);
-    b->opening_ms += OPENING_GAIN * ((double)ms - b->opening_ms);
+    b->opening_ms =
+        b->opening_ms == 0
+            ? (double)ms
+            : b->opening_ms + OPENING_GAIN * ((double)ms - b->opening_ms);
     rg_boot_alive(t->boot, b->now_ms);
     t->last_ack = s->ack;
     rg_flows_set_state(t, RG_TRACK_IDLE, b->now_ms);
--- a/balance/follow.c
+++ b/balance/follow.c
@@ -13,6 +13,9 @@
 #define WATCH_PERCENT 25
 #define CALL_PERCENT 12
 #define CONNECT_PERCENT 8
+/* A store in reach may take as long, whatever the bound. */
+#define CALL_LEAST_MS 300
+#define CONNECT_LEAST_MS 150
 
 /* How often a covered instance looks whether it still is. */
 #define COVERED_WAIT_MS 1000
@@ -48,6 +51,12 @@
     return (uint32_t)((uint64_t)whole * share / 100);
 }
 
+static uint32_t
+at_least(uint32_t value, uint32_t least)
+{
+    return value > least ? value : least;
+}
+
 static void
 restart_listing(struct rg_follow *f)
 {
@@ -247,8 +256,9 @@
     return (struct rg_follow_opts){
         .pause_ms = percent(bound_ms, PAUSE_PERCENT),
         .watch_ms = percent(bound_ms, WATCH_PERCENT),
-        .call_ms = percent(bound_ms, CALL_PERCENT),
-        .connect_ms = percent(bound_ms, CONNECT_PERCENT),
+        .call_ms = at_least(percent(bound_ms, CALL_PERCENT), CALL_LEAST_MS),
+        .connect_ms =
+            at_least(percent(bound_ms, CONNECT_PERCENT), CONNECT_LEAST_MS),
         .retry_first_ms = RETRY_FIRST_MS,
         .retry_most_ms = RETRY_MOST_MS,
         .settle_ms = settle_ms,
--- a/balance/peers.c
+++ b/balance/peers.c
@@ -23,6 +23,8 @@
  * four periods to get round; what is left of the bound is for asking it
  * oneself. */
 #define COVERED_PERCENT 55
+/* Under a tighter bound digests would come too late: all ask the store. */
+#define COVERED_LEAST_BOUND_MS 2500
 /* Peers get this long to pass on what is known before the store is asked. */
 #define BEHIND_MS 700
 
@@ -228,6 +230,9 @@
 {
     uint64_t age_ms = now_ms - p->latest.fresh_ms;
 
+    if (p->opts.bound_ms < COVERED_LEAST_BOUND_MS) {
+        return true;
+    }
     if (age_ms * 100 >= (uint64_t)p->opts.bound_ms * COVERED_PERCENT) {
         return true;
     }
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -129,6 +129,16 @@
     rg_follow_destroy(f);
 }
 
+/* A tight bound leaves a store in reach the time it may take, and is kept. */
+static void
+test_tight_bound(void)
+{
+    struct rg_follow_opts opts = rg_follow_opts_for(1000, SETTLE_MS);
+
+    g_assert_cmpuint(opts.call_ms, >=, 300);
+    g_assert_cmpuint(opts.pause_ms + opts.watch_ms + opts.call_ms, <, 1000);
+}
+
 /* A watch that brought nothing is repeated at once; one with changes after a
  * pause. Revisions never step back. */
 static void
@@ -247,6 +257,7 @@
     g_test_add_func("/follow/listing-resumes", test_listing_resumes);
     g_test_add_func("/follow/bound-with-silent-connection",
                     test_bound_with_silent_connection);
+    g_test_add_func("/follow/tight-bound", test_tight_bound);
     g_test_add_func("/follow/pause-after-changes", test_pause_after_changes);
     g_test_add_func("/follow/forgotten", test_forgotten);
     g_test_add_func("/follow/covered", test_covered);
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -304,6 +304,28 @@
     rg_peers_destroy(p);
 }
 
+/* Under a tight bound digests would come too late: every instance reads. */
+static void
+test_tight_bound(void)
+{
+    struct rg_peers_opts opts = {.addr = addr_of(0), .bound_ms = 1000};
+    struct rg_msg_digest d = {.latest_revision = 5, .latest_age_ms = 10};
+    struct rg_peers *p;
+
+    g_assert_true(rg_name_set(&opts.name, rg_str_of("edge-z")));
+    p = rg_peers_create(&opts);
+    d.addr = addr_of(1);
+    for (int i = 0; i < 20; i++) {
+        char name[16];
+        snprintf(name, sizeof(name), "edge-%d", i);
+        g_assert_true(rg_name_set(&d.from, rg_str_of(name)));
+        d.addr = addr_of(i + 1);
+        rg_peers_heard(p, &d, 5000);
+    }
+    g_assert_true(rg_peers_reader(p, 5000));
+    rg_peers_destroy(p);
+}
+
 /* A peer's view is asked for only if it is newer. */
 static void
 test_ahead(void)
@@ -358,6 +380,7 @@
     g_test_add_func("/peers/reader-dies", test_reader_dies);
     g_test_add_func("/peers/cut", test_cut);
     g_test_add_func("/peers/alone", test_alone);
+    g_test_add_func("/peers/tight-bound", test_tight_bound);
     g_test_add_func("/peers/ahead", test_ahead);
     g_test_add_func("/peers/bounded", test_bounded);
     return g_test_run();
