edge: serve from a peer's view alone, and keep every line that matters

Cause: reading the code, an instance that the store turned away from its start on took a view from a peer but never counted it as fresh, so that it was never ready. Notices are no longer bounded and have room of their own; lines go out in pieces of at most PIPE_BUF. /log/bound failed first.

--- a/common/log.h
+++ b/common/log.h
@@ -41,7 +41,7 @@
     __attribute__((format(printf, 4, 5)));
 
 /* A queue of lines for one task. `lines_per_s` bounds lines less severe than
- * a warning; `fd` is made non-blocking and stays the caller's. */
+ * a notice; `fd` is made non-blocking and stays the caller's. */
 struct rg_log_queue *rg_log_queue_create(int fd, uint32_t lines_per_s);
 void rg_log_queue_destroy(struct rg_log_queue *q);
 
--- a/common/log_queue.c
+++ b/common/log_queue.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <limits.h>
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,6 +12,8 @@
 
 /* Bytes held while the reader of the log is slow. */
 #define QUEUE_BYTES (64 * 1024)
+/* Of these, kept for lines that are not bounded. */
+#define RESERVED_BYTES (16 * 1024)
 
 struct rg_log_queue {
     int fd;
@@ -27,9 +30,11 @@
 rg_log_queue_add(struct rg_log_queue *q, enum rg_log_level level,
                  const char *line, size_t len)
 {
-    bool bounded = level > RG_LOG_WARNING;
+    bool bounded = level > RG_LOG_NOTICE;
+    size_t room =
+        bounded ? sizeof(q->bytes) - RESERVED_BYTES : sizeof(q->bytes);
 
-    if ((bounded && q->credit == 0) || q->len + len > sizeof(q->bytes)) {
+    if ((bounded && q->credit == 0) || q->len + len > room) {
         q->suppressed++;
         return;
     }
@@ -53,6 +58,19 @@
     q->credit_ms = now_ms;
 }
 
+/* Bytes of whole lines that a pipe takes in one piece; a longer first line is
+ * taken as it is. */
+static size_t
+whole_lines(const char *bytes, size_t len)
+{
+    size_t end = len < PIPE_BUF ? len : PIPE_BUF;
+
+    while (end > 0 && bytes[end - 1] != '\n') {
+        end--;
+    }
+    return end > 0 ? end : len;
+}
+
 void
 rg_log_flush(const struct rg_log *log, uint64_t now_ms)
 {
@@ -65,15 +83,17 @@
         rg_log_event(log, RG_LOG_NOTICE, "SUPPRESSED", "lines=\"%llu\"",
                      (unsigned long long)count);
     }
-    if (q->len == 0) {
-        return;
-    }
-    ssize_t written = write(q->fd, q->bytes, q->len);
-    if (written <= 0) {
-        return; /* kept for the next flush; what does not fit is counted */
+    size_t done = 0;
+    while (done < q->len) {
+        size_t len = whole_lines(q->bytes + done, q->len - done);
+        ssize_t written = write(q->fd, q->bytes + done, len);
+        if (written <= 0) {
+            break; /* kept for the next flush; what does not fit is counted */
+        }
+        done += (size_t)written;
     }
-    q->len -= (size_t)written;
-    memmove(q->bytes, q->bytes + written, q->len);
+    q->len -= done;
+    memmove(q->bytes, q->bytes + done, q->len);
 }
 
 uint64_t
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -218,7 +218,7 @@
     if (!reader || rg_sync_failing(g->opts.sync)) {
         fetch_view(g, &view);
     }
-    if (view.fresh_ms != 0) {
+    if (view.revision != 0) {
         rg_sync_confirm(g->opts.sync, rg_peers_confirmed_ms(g->peers, &view));
     }
     if (rg_peers_behind(g->peers, &view, now) && !reader) {
--- a/edge/http_server.c
+++ b/edge/http_server.c
@@ -166,12 +166,10 @@
     if (len == 0) {
         return;
     }
-    if (len < 0 || peer->write.handle) {
-        if (len < 0 ||
-            uv_stream_get_write_queue_size((uv_stream_t *)&peer->tcp) > 0) {
-            close_peer(peer);
-            return;
-        }
+    if (len < 0 ||
+        uv_stream_get_write_queue_size((uv_stream_t *)&peer->tcp) > 0) {
+        close_peer(peer);
+        return;
     }
     uv_timer_again(&peer->idle);
     http_parser_execute(&peer->parser, &parser_settings, peer->read,
--- a/edge/sync.c
+++ b/edge/sync.c
@@ -21,7 +21,6 @@
     uv_timer_t timer;
     enum rg_follow_kind calling; /* the call in progress */
     bool reachable;              /* the last call was answered */
-    uint64_t called_ms;
     uint64_t fresh_ms; /* the view stood at the store's then, 0: never */
 };
 
@@ -181,7 +180,6 @@
     }
     counters(s)[RG_TALLY_STORE_CALLS]++;
     s->calling = next.kind;
-    s->called_ms = now;
     rg_kv_path(path, &next);
     rg_http_client_get(s->client, path, next.timeout_ms);
 }
@@ -192,7 +190,7 @@
     if (rg_http_client_busy(s->client)) {
         return; /* its answer tells, or its limit ends it */
     }
-    counters(s)[RG_TALLY_STORE_NUDGES]++;
+    counters(s)[RG_TALLY_STORE_ASKED_BEHIND]++;
     rg_log_event(s->opts.log, RG_LOG_NOTICE, "STORE_ASKED",
                  "why=\"behind\" revision=\"%llu\"",
                  (unsigned long long)rg_follow_revision(s->follow));
--- a/options/edge.gen.h
+++ b/options/edge.gen.h
@@ -50,7 +50,7 @@
     uint32_t grace_ms;
     /* flows tracked at once; others are steered by token alone */
     uint32_t tracked_flows;
-    /* bound on log lines below the level warning */
+    /* bound on log lines below the level notice */
     uint32_t log_lines_per_s;
     /* least severe line written */
     uint32_t log_level; /* index of the choice */
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -66,7 +66,8 @@
     done(&f);
 }
 
-/* Past the bound lines are counted; warnings always pass. */
+/* Past the bound lines are counted; what tells of the process's life and of
+ * what it depends on always passes. */
 static void
 test_bound(void)
 {
@@ -75,13 +76,13 @@
     for (int i = 0; i < 50; i++) {
         rg_log_event(&f.log, RG_LOG_INFO, "MANY", "i=\"%d\"", i);
     }
-    rg_log_event(&f.log, RG_LOG_WARNING, "GRAVE", "i=\"1\"");
+    rg_log_event(&f.log, RG_LOG_NOTICE, "READY", "i=\"1\"");
     g_assert_cmpuint(rg_log_suppressed(f.log.queue), ==, 40);
     rg_log_flush(&f.log, 1000);
     g_autofree char *text = read_all(&f);
     g_assert_nonnull(strstr(text, "i=\"9\""));
     g_assert_null(strstr(text, "i=\"10\""));
-    g_assert_nonnull(strstr(text, "GRAVE"));
+    g_assert_nonnull(strstr(text, "READY"));
     g_assert_nonnull(strstr(text, "SUPPRESSED [rg m=\"-\" lines=\"40\"]"));
     done(&f);
 }
@@ -100,6 +101,26 @@
     done(&f);
 }
 
+/* Lines are written whole, in pieces that a pipe does not split. */
+static void
+test_pieces(void)
+{
+    struct fixture f = make();
+    char part[65536];
+
+    for (int i = 0; i < 200; i++) {
+        rg_log_event(&f.log, RG_LOG_NOTICE, "LINE", "i=\"%d\"", i);
+    }
+    rg_log_flush(&f.log, 1);
+    for (int i = 0; i < 2; i++) {
+        ssize_t len = read(f.ends[0], part, 4096);
+        g_assert_cmpint(len, >, 0);
+    }
+    g_autofree char *rest = read_all(&f);
+    g_assert_nonnull(strstr(rest, "i=\"199\"]\n"));
+    done(&f);
+}
+
 /* A hostile value cannot forge a line of its own. */
 static void
 test_control_characters(void)
@@ -120,6 +141,7 @@
     g_test_add_func("/log/event", test_event);
     g_test_add_func("/log/bound", test_bound);
     g_test_add_func("/log/no-reader", test_no_reader);
+    g_test_add_func("/log/pieces", test_pieces);
     g_test_add_func("/log/control-characters", test_control_characters);
     return g_test_run();
 }
