balance: drop packets of open flows on routes not known here

Cause: reading the code, a packet of an open flow on a route that this instance did not know was reset as if the route had been removed. After a change of the fabric's hash it may reach an instance that lags behind the one where the flow opened, and a reset would break it. Only addresses that an earlier table had are refused now (/balancer/route-not-known-yet failed first).

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -226,6 +226,18 @@
            b->now_ms - b->started_ms < b->opts.flow_age_ms;
 }
 
+/* A packet of an open flow whose route is not in force here: removed, or added
+ * by a version that only other instances hold yet. */
+static struct rg_decision
+without_route(struct rg_balancer *b, const struct rg_segment *s)
+{
+    if (!rg_routes_removed(b->routes, s->flow.service_ip,
+                           s->flow.service_port)) {
+        return dropped(b, RG_TALLY_DROPPED_UNKNOWN_ROUTE);
+    }
+    return rg_bal_refuse(b, s, RG_TALLY_REFUSED_NO_ROUTE, "route-removed");
+}
+
 static struct rg_decision
 steer_open(struct rg_balancer *b, const struct rg_segment *s)
 {
@@ -245,7 +257,7 @@
         return dropped(b, RG_TALLY_DROPPED_UNKNOWN_TOKEN);
     }
     if (!route) {
-        return rg_bal_refuse(b, s, RG_TALLY_REFUSED_NO_ROUTE, "route-removed");
+        return without_route(b, s);
     }
     if (!may_lead(b, route, boot, t)) {
         return dropped(b, RG_TALLY_DROPPED_WRONG_SERVICE);
--- a/balance/routes.c
+++ b/balance/routes.c
@@ -12,19 +12,29 @@
 /* An answer below both shares of the usual looks like an error. */
 #define ERROR_MS_SHARE 0.35
 #define ERROR_BYTES_SHARE 0.5
+/* Removed routes remembered; callers of older ones have long noticed. */
+#define REMOVED_MOST 4096
 
 struct rg_routes {
     uint64_t version;
     struct rg_route *routes;
     size_t count;
-    uint32_t *slots; /* index + 1 by address, 0 if free */
-    size_t size;     /* a power of two */
+    uint32_t *slots;   /* index + 1 by address, 0 if free */
+    size_t size;       /* a power of two */
+    uint64_t *removed; /* addresses of routes that are no more */
+    size_t removed_count;
 };
 
+static uint64_t
+address_of(uint32_t ip, uint16_t port)
+{
+    return (uint64_t)ip << 16 | port;
+}
+
 static size_t
 slot_of(const struct rg_routes *r, uint32_t ip, uint16_t port)
 {
-    return rg_mix64((uint64_t)ip << 16 | port) & (r->size - 1);
+    return rg_mix64(address_of(ip, port)) & (r->size - 1);
 }
 
 static void
@@ -67,6 +77,7 @@
     if (r) {
         free(r->routes);
         free(r->slots);
+        free(r->removed);
         free(r);
     }
 }
@@ -102,6 +113,28 @@
     return NULL;
 }
 
+static void
+remember_removed(struct rg_routes *r, uint64_t address)
+{
+    bool is_back = rg_routes_find(r, (uint32_t)(address >> 16),
+                                  (uint16_t)address) != NULL;
+
+    if (!is_back && r->removed_count < REMOVED_MOST) {
+        r->removed[r->removed_count++] = address;
+    }
+}
+
+bool
+rg_routes_removed(const struct rg_routes *r, uint32_t ip, uint16_t port)
+{
+    for (size_t i = 0; i < r->removed_count; i++) {
+        if (r->removed[i] == address_of(ip, port)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 rg_routes_inherit(struct rg_routes *r, const struct rg_routes *before)
 {
@@ -114,6 +147,15 @@
             route->usual_bytes = old->usual_bytes;
         }
     }
+    r->removed = rg_calloc(before->count + before->removed_count + 1,
+                           sizeof(*r->removed));
+    for (size_t i = 0; i < before->count; i++) {
+        remember_removed(
+            r, address_of(before->routes[i].ip, before->routes[i].port));
+    }
+    for (size_t i = 0; i < before->removed_count; i++) {
+        remember_removed(r, before->removed[i]);
+    }
 }
 
 /* Moves a running median towards a value. */
--- a/balance/routes.h
+++ b/balance/routes.h
@@ -54,9 +54,13 @@
 struct rg_route *rg_routes_find(const struct rg_routes *r, uint32_t ip,
                                 uint16_t port);
 
-/* Takes over the medians of routes that `before` has too. */
+/* Takes over the medians of routes that `before` has too, and remembers those
+ * that it had and this table has not. */
 void rg_routes_inherit(struct rg_routes *r, const struct rg_routes *before);
 
+/* True if an earlier table had a route with this address. */
+bool rg_routes_removed(const struct rg_routes *r, uint32_t ip, uint16_t port);
+
 /* An answer as a caller got it. Updates the medians. Returns true if it looks
  * like an error rather than an answer: far quicker and shorter than usual. */
 bool rg_route_answered(struct rg_route *route, double ms, double bytes);
--- a/balance/tally.c
+++ b/balance/tally.c
@@ -13,6 +13,7 @@
     [RG_TALLY_DROPPED_NOT_READY] = "dropped_not_ready",
     [RG_TALLY_DROPPED_STALE_VIEW] = "dropped_stale_view",
     [RG_TALLY_DROPPED_UNKNOWN_TOKEN] = "dropped_unknown_token",
+    [RG_TALLY_DROPPED_UNKNOWN_ROUTE] = "dropped_unknown_route",
     [RG_TALLY_DROPPED_NO_TOKEN] = "dropped_no_token",
     [RG_TALLY_DROPPED_WRONG_SERVICE] = "dropped_wrong_service",
     [RG_TALLY_DISCARDED] = "packets_discarded",
--- a/test/test_balancer.c
+++ b/test/test_balancer.c
@@ -290,6 +290,31 @@
     rg_balancer_destroy(b);
 }
 
+/* An open flow on a route this instance has never known: it may have been
+ * added by a version that only others hold yet. Dropped, not reset; a route it
+ * has seen removed is refused, until it is added again. */
+static void
+test_route_not_known_yet(void)
+{
+    struct rg_balancer *b = make_balancer();
+    struct rg_route shop = route_to(SHOP_PORT, "shop");
+    struct rg_route both[] = {route_to(SHOP_PORT, "shop"),
+                              route_to(GALLERY_PORT, "gallery")};
+
+    g_assert_cmpint(data(b, 1, 999, token_of("u-1"), START_MS).kind, ==,
+                    RG_DECISION_DROP);
+    configure(b, 2, &shop, 1);
+    g_assert_cmpint(data(b, 1, GALLERY_PORT, token_of("u-3"), START_MS).kind,
+                    ==, RG_DECISION_REFUSE);
+    configure(b, 3, &shop, 1);
+    g_assert_cmpint(data(b, 1, GALLERY_PORT, token_of("u-3"), START_MS).kind,
+                    ==, RG_DECISION_REFUSE);
+    configure(b, 4, both, 2);
+    g_assert_cmpint(data(b, 1, GALLERY_PORT, token_of("u-3"), START_MS).kind,
+                    ==, RG_DECISION_FORWARD);
+    rg_balancer_destroy(b);
+}
+
 /* A split is the same on every instance, for every copy, and in proportion. */
 static void
 test_split(void)
@@ -517,6 +542,7 @@
     g_test_add_func("/balancer/unknown-token", test_unknown_token);
     g_test_add_func("/balancer/forged-token", test_forged_token);
     g_test_add_func("/balancer/new-version", test_new_version);
+    g_test_add_func("/balancer/route-not-known-yet", test_route_not_known_yet);
     g_test_add_func("/balancer/split", test_split);
     g_test_add_func("/balancer/flood", test_flood);
     g_test_add_func("/balancer/gone-upstream", test_gone_upstream);
