--- a/core/upstream.c
+++ b/core/upstream.c
@@ -1,16 +1,12 @@
 #include "core/upstream.h"
 
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "common/mem.h"
 #include "common/rand.h"
+#include "core/table.h"
 
-/* Default table: entries per upstream, and bounds of its size. */
-#define TABLE_PER_UPSTREAM 64
-#define TABLE_MIN 256
-#define TABLE_MAX 16384
 /* A balance choice must win by this many flows per 100 of weight. */
 #define BALANCE_MARGIN 1
 /* Further candidates tried when both first ones cannot take the flow. */
@@ -24,14 +20,6 @@
 #define EJECT_MAX_PERCENT 50
 #define WEIGHT_UNIT 100
 
-struct table {
-    uint16_t *entries; /* offsets into members */
-    uint32_t size;     /* power of two, 0 if the service has none */
-    uint32_t *members; /* slots that may take new flows */
-    uint32_t member_count;
-    uint64_t signature; /* of members and weights, to spot a change */
-};
-
 struct rg_upstreams {
     struct rg_name data_centre;
     const struct rg_config *config;
@@ -42,7 +30,7 @@
     uint32_t by_id_mask;
     uint32_t *by_addr; /* the same for addresses in the configuration */
     uint32_t by_addr_mask;
-    struct table *tables; /* one a service */
+    struct rg_table *tables; /* one a service */
     size_t table_count;
     uint32_t ejected;
 };
@@ -159,56 +147,6 @@
     up->local = rg_name_eq(&from->data_centre, &u->data_centre);
 }
 
-static void
-table_clear(struct table *t)
-{
-    free(t->entries);
-    free(t->members);
-    memset(t, 0, sizeof(*t));
-}
-
-/* Weighted rendezvous: the highest of -weight / ln(uniform). */
-static double
-rendezvous_score(uint64_t id, uint32_t entry, uint32_t weight)
-{
-    uint64_t mixed = rg_mix64(id ^ rg_mix64((uint64_t)entry + 1));
-    double uniform = ((double)(mixed >> 11) + 1.0) / 9007199254740993.0;
-
-    return -(double)weight / log(uniform);
-}
-
-static uint16_t
-best_member(const struct rg_upstreams *u, const struct table *t,
-            uint32_t entry)
-{
-    double best = -1.0;
-    uint32_t at = 0;
-
-    for (uint32_t i = 0; i < t->member_count; i++) {
-        const struct rg_upstream *up = &u->slots[t->members[i]];
-        double score = rendezvous_score(up->id, entry, up->weight);
-        if (score > best) {
-            best = score;
-            at = i;
-        }
-    }
-    return (uint16_t)at;
-}
-
-static void
-table_fill(const struct rg_upstreams *u, struct table *t)
-{
-    t->size = TABLE_MIN;
-    while (t->size < t->member_count * TABLE_PER_UPSTREAM &&
-           t->size < TABLE_MAX) {
-        t->size *= 2;
-    }
-    t->entries = rg_calloc(t->size, sizeof(*t->entries));
-    for (uint32_t i = 0; i < t->size; i++) {
-        t->entries[i] = best_member(u, t, i);
-    }
-}
-
 static bool
 is_active(const struct rg_upstream *up)
 {
@@ -231,56 +169,51 @@
     return x->id < y->id ? -1 : x->id > y->id;
 }
 
-/* Collects the active upstreams that stand in one data centre. */
-static void
-table_collect(const struct rg_upstreams *u, struct table *t,
-              const struct rg_config_upstream *const *from, size_t count,
-              const struct rg_name *dc)
+/* Lists the active upstreams that stand in one data centre; returns how many
+ * there are. `members` has room for all. */
+static uint32_t
+collect(const struct rg_upstreams *u, struct rg_table_member *members,
+        const struct rg_config_upstream *const *from, size_t count,
+        const struct rg_name *dc)
 {
-    t->members = rg_calloc(count, sizeof(*t->members));
+    uint32_t found = 0;
+
     for (size_t i = 0; i < count; i++) {
         uint32_t slot = rg_upstreams_find(u, from[i]->id);
         if (is_active(&u->slots[slot]) &&
             rg_name_eq(&from[i]->data_centre, dc)) {
-            t->members[t->member_count++] = slot;
-            t->signature =
-                rg_mix64(t->signature ^ from[i]->id) + from[i]->weight + slot;
+            members[found++] = (struct rg_table_member){
+                .id = from[i]->id,
+                .slot = slot,
+                .weight = from[i]->weight,
+            };
         }
     }
+    return found;
 }
 
 /* Builds one service's table: of the local data centre, or of the first of
  * the service's spill list that has an active upstream. */
 static void
-table_build(const struct rg_upstreams *u, struct table *t,
+table_build(const struct rg_upstreams *u, struct rg_table *t,
             const struct rg_config_service *service,
             const struct rg_config_upstream *const *from, size_t count)
 {
-    struct table old = *t;
+    struct rg_table_member *members = rg_calloc(count, sizeof(*members));
+    uint32_t found = collect(u, members, from, count, &u->data_centre);
 
-    memset(t, 0, sizeof(*t));
-    table_collect(u, t, from, count, &u->data_centre);
-    for (size_t i = 0; t->member_count == 0 && i < service->spill_count; i++) {
-        free(t->members);
-        table_collect(u, t, from, count, &service->spill[i]);
-    }
-    if (t->member_count > 0 && t->signature == old.signature) {
-        t->size = old.size;
-        t->entries = old.entries;
-        old.entries = NULL;
+    for (size_t i = 0; found == 0 && i < service->spill_count; i++) {
+        found = collect(u, members, from, count, &service->spill[i]);
     }
-    else if (t->member_count > 0) {
-        table_fill(u, t);
-    }
-    table_clear(&old);
+    rg_table_set(t, members, found);
 }
 
 /* Moves the old tables to where the new configuration has their services, so
  * that unchanged ones need not be filled again. */
-static struct table *
+static struct rg_table *
 carry_tables(struct rg_upstreams *u, const struct rg_config *c)
 {
-    struct table *tables = rg_calloc(c->service_count, sizeof(*tables));
+    struct rg_table *tables = rg_calloc(c->service_count, sizeof(*tables));
 
     for (size_t i = 0; u->config && i < u->table_count; i++) {
         const struct rg_config_service *s = &u->config->services[i];
@@ -290,7 +223,7 @@
             tables[now - c->services] = u->tables[i];
         }
         else {
-            table_clear(&u->tables[i]);
+            rg_table_clear(&u->tables[i]);
         }
     }
     free(u->tables);
@@ -349,21 +282,13 @@
 }
 
 static uint32_t
-nth_candidate(const struct table *t, uint64_t hash, uint32_t n)
-{
-    uint64_t mixed = n == 0 ? hash : rg_mix64(hash + n);
-
-    return t->members[t->entries[(uint32_t)(mixed >> 7) & (t->size - 1)]];
-}
-
-static uint32_t
-least_loaded(const struct rg_upstreams *u, const struct table *t,
+least_loaded(const struct rg_upstreams *u, const struct rg_table *t,
              const struct rg_choose_opts *opts)
 {
     uint32_t best = RG_UPSTREAM_NONE;
 
     for (uint32_t i = 0; i < t->member_count; i++) {
-        uint32_t slot = t->members[i];
+        uint32_t slot = t->members[i].slot;
         if (rg_upstreams_accepts(u, slot, opts) &&
             (best == RG_UPSTREAM_NONE ||
              scaled_flows(&u->slots[slot]) < scaled_flows(&u->slots[best])))
@@ -375,11 +300,11 @@
 }
 
 static struct rg_choice
-fallback(const struct rg_upstreams *u, const struct table *t,
+fallback(const struct rg_upstreams *u, const struct rg_table *t,
          const struct rg_choose_opts *opts)
 {
     for (uint32_t n = 1; n <= FALLBACK_TRIES; n++) {
-        uint32_t slot = nth_candidate(t, opts->hash, n);
+        uint32_t slot = rg_table_pick(t, opts->hash, n);
         if (rg_upstreams_accepts(u, slot, opts)) {
             return (struct rg_choice){slot, RG_CHOICE_FALLBACK};
         }
@@ -393,16 +318,16 @@
 choose_member(const struct rg_upstreams *u, uint32_t service,
               const struct rg_choose_opts *opts)
 {
-    const struct table *t = &u->tables[service];
+    const struct rg_table *t = &u->tables[service];
 
     if (t->size == 0) {
         return (struct rg_choice){RG_UPSTREAM_NONE, RG_CHOICE_NONE};
     }
-    uint32_t first = nth_candidate(t, opts->hash, 0);
+    uint32_t first = rg_table_pick(t, opts->hash, 0);
     if (!rg_upstreams_accepts(u, first, opts)) {
         return fallback(u, t, opts);
     }
-    uint32_t other = nth_candidate(t, opts->hash, 1);
+    uint32_t other = rg_table_pick(t, opts->hash, 1);
     if (opts->may_deviate && rg_upstreams_accepts(u, other, opts) &&
         scaled_flows(&u->slots[other]) + BALANCE_MARGIN <
             scaled_flows(&u->slots[first]))
@@ -415,7 +340,7 @@
 static bool
 may_eject(const struct rg_upstreams *u, const struct rg_upstream *up)
 {
-    const struct table *t;
+    const struct rg_table *t;
     uint32_t ejected = 0;
 
     if (up->service == RG_UPSTREAM_NONE) {
@@ -423,7 +348,7 @@
     }
     t = &u->tables[up->service];
     for (uint32_t i = 0; i < t->member_count; i++) {
-        ejected += u->slots[t->members[i]].ejected_until_ms != 0;
+        ejected += u->slots[t->members[i].slot].ejected_until_ms != 0;
     }
     return (ejected + 1) * 100 <= t->member_count * EJECT_MAX_PERCENT;
 }
@@ -445,7 +370,7 @@
         return;
     }
     for (size_t i = 0; i < u->table_count; i++) {
-        table_clear(&u->tables[i]);
+        rg_table_clear(&u->tables[i]);
     }
     free(u->tables);
     free(u->slots);
@@ -576,9 +501,9 @@
 rg_upstreams_default(const struct rg_upstreams *u, uint32_t service,
                      uint64_t hash)
 {
-    const struct table *t = &u->tables[service];
+    const struct rg_table *t = &u->tables[service];
 
-    return t->size == 0 ? RG_UPSTREAM_NONE : nth_candidate(t, hash, 0);
+    return t->size == 0 ? RG_UPSTREAM_NONE : rg_table_pick(t, hash, 0);
 }
 
 struct rg_choice
