standin: the fleet by job: processes, files, questions, outcome

Cause: standin/fleet.c (912 lines) held five jobs, and two functions that only listed names told the same reading twice. Ruled out: one process module for the soak too, whose instances join another process group and network.

--- a/standin/experiment.c
+++ b/standin/experiment.c
@@ -9,6 +9,7 @@
 #include "common/mem.h"
 #include "standin/common.h"
 #include "standin/fleet.h"
+#include "standin/process.h"
 
 #define STOP_TIMEOUT_MS 60000
 #define JOIN_TIMEOUT_MS 20000
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -9,6 +9,8 @@
 #include <stdint.h>
 #include <sys/types.h>
 
+#include "standin/outcome.h"
+
 #define SD_FLEET_MAX 250
 
 struct sd_fleet_opts {
@@ -44,13 +46,6 @@
     bool verbose;
 };
 
-/* What callers and upstreams saw. */
-struct sd_outcome {
-    double flows, opened, answered, broken, refused, unanswered, wrong;
-    double false_refusals, unsure_refusals, wait_p50_ms, wait_p99_ms;
-    double requests, repeated, misrouted, strays, bad, late_opens, imbalance;
-};
-
 struct sd_fleet;
 
 struct sd_fleet *sd_fleet_create(const struct sd_fleet_opts *opts);
@@ -112,6 +107,4 @@
 /* True while the callers run. */
 bool sd_fleet_load_runs(struct sd_fleet *f);
 
-void sd_sleep_ms(uint32_t ms);
-
 #endif
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "standin/fleet.h"
+#include "standin/process.h"
 
 #define WAIT_MS 60000
 #define FAST_PROBES                                                           \
