standin: callers and upstreams by job; verdicts name their flow

Reading them showed two weak checks: a question asked twice is answered twice, and the second answer was taken for the next flow's verdict; refused flows past 100,000 were neither asked about nor counted as unsure. Both are mended; a full set of requests ends the run instead of searching forever. Ruled out: splitting the life of a flow from its packets, which share each field.

--- a/standin/callers.c
+++ b/standin/callers.c
@@ -1,7 +1,6 @@
 /* Stand-in for callers: keeps many flows open to the services of a document,
  * sends requests on them, and checks every byte of every answer. Ends by
  * itself and prints what it saw. */
-#include <argp.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,9 +8,11 @@
 
 #include "common/mem.h"
 #include "core/packet.h"
+#include "standin/callers_opts.h"
 #include "standin/common.h"
+#include "standin/recheck.h"
+#include "standin/tally.h"
 
-#define SECTIONS_MAX 16
 #define SERVICES_MAX 256
 #define PORT_FIRST 1024
 #define PORT_LAST 65000
@@ -19,9 +20,6 @@
 #define RTO_MAX_MS 2000
 #define TRIES_MAX 12
 #define GRACE_MS 15000
-#define WAITS_MAX (1u << 20)
-#define REFUSED_MAX 100000
-#define ASK_TRIES 5
 
 enum state {
     IDLE,    /* no flow; opens when due */
@@ -53,62 +51,22 @@
     uint64_t asked_ms;
 };
 
-struct results {
-    uint64_t flows;
-    uint64_t opened;
-    uint64_t answered;
-    uint64_t broken;
-    uint64_t refused;
-    uint64_t unanswered; /* openings nobody answered */
-    uint64_t wrong;      /* answers that were not the caller's own */
-    uint64_t false_refusals;
-    uint64_t unsure_refusals; /* the upstreams did not say */
-};
-
 static struct {
+    struct sd_callers_opts o;
     uv_loop_t loop;
     struct sd_udp udp;
-    struct sd_udp control;
     uv_timer_t timer;
     uv_signal_t enough;
     const struct rg_config *config;
-    struct rg_addr listen;
-    struct rg_addr fabric;
-    struct rg_addr upstreams;
-    uint32_t flow_count;
-    uint32_t requests;
-    uint32_t think_ms;
-    uint32_t pause_ms;
-    uint32_t ramp_ms;
-    uint32_t duration_ms;
-    uint32_t answer_len;
-    uint32_t net;
-    bool verbose;
     struct rg_rand rand;
     struct flow *flows;
     uint64_t start_ms;
     uint64_t next_id;
-    struct results r;
-    uint32_t *waits_ms; /* times to answer */
-    size_t wait_count;
-    uint64_t *refused;
-    size_t refused_count;
-    size_t refused_asked;
-    int ask_tries;
-    uint64_t asked_ms;
-    char *sections[SECTIONS_MAX];
-    size_t section_count;
+    struct sd_tally r;
+    struct sd_recheck recheck; /* of refused flows */
     uint32_t service_map[SERVICES_MAX];
     uint32_t service_count;
-    const char *only;
-} cl = {
-    .flow_count = 100,
-    .requests = 5,
-    .think_ms = 200,
-    .ramp_ms = 1000,
-    .duration_ms = 5000,
-    .answer_len = 300,
-};
+} cl;
 
 /* Flows are numbered by the last two bytes of their address and their port:
  * flow number n uses address n % 256 of the caller's network, so a packet
@@ -121,11 +79,11 @@
     if (v6) {
         static const uint8_t base[RG_IP_LEN] = {0x20, 0x01, 0x0d, 0xb8};
         memcpy(ip, base, RG_IP_LEN);
-        ip[14] = (uint8_t)cl.net;
+        ip[14] = (uint8_t)cl.o.net;
         ip[15] = (uint8_t)(1 + n % ADDRESSES);
         return;
     }
-    uint8_t v4[4] = {198, 18, (uint8_t)cl.net, (uint8_t)(1 + n % ADDRESSES)};
+    uint8_t v4[4] = {198, 18, (uint8_t)cl.o.net, (uint8_t)(1 + n % ADDRESSES)};
     rg_ip_from_v4(ip, v4);
 }
 
@@ -136,7 +94,7 @@
     uint32_t rank = (back->dport - PORT_FIRST) % 256;
     uint32_t n = rank * ADDRESSES + low;
 
-    if (n >= cl.flow_count) {
+    if (n >= cl.o.flow_count) {
         return NULL;
     }
     struct flow *f = &cl.flows[n];
@@ -154,7 +112,7 @@
     size_t len = rg_packet_build(out, sizeof(out), p);
 
     if (len > 0) {
-        sd_udp_send(&cl.udp, &cl.fabric, out, len);
+        sd_udp_send(&cl.udp, &cl.o.fabric, out, len);
     }
 }
 
@@ -229,20 +187,21 @@
 static bool
 time_is_up(uint64_t now)
 {
-    return now - cl.start_ms >= cl.duration_ms;
+    return now - cl.start_ms >= cl.o.duration_ms;
 }
 
 static void
 end_flow(struct flow *f, uint64_t now)
 {
     f->state = IDLE;
-    f->due_ms = now + (cl.pause_ms ? rg_rand_below(&cl.rand, cl.pause_ms) : 0);
+    f->due_ms =
+        now + (cl.o.pause_ms ? rg_rand_below(&cl.rand, cl.o.pause_ms) : 0);
 }
 
 static void
 complain(const struct flow *f, const char *what)
 {
-    if (cl.verbose) {
+    if (cl.o.verbose) {
         fprintf(stderr, "flow %016llx port %u state %u: %s\n",
                 (unsigned long long)f->id, f->key.sport, f->state, what);
     }
@@ -267,7 +226,7 @@
         .flow = f->id,
         .service = s->id,
         .answer_len =
-            cl.answer_len ? rg_rand_below(&cl.rand, cl.answer_len) : 0,
+            cl.o.answer_len ? rg_rand_below(&cl.rand, cl.o.answer_len) : 0,
     };
     if (is_udp(f) && f->request.answer_len > SD_SEGMENT_MAX) {
         f->request.answer_len = SD_SEGMENT_MAX;
@@ -286,7 +245,8 @@
 
     f->service = cl.service_map[rg_rand_below(&cl.rand, cl.service_count)];
     s = &cl.config->services[f->service];
-    f->id = rg_mix64(++cl.next_id ^ ((uint64_t)cl.net << 56) ^ cl.rand.state);
+    f->id =
+        rg_mix64(++cl.next_id ^ ((uint64_t)cl.o.net << 56) ^ cl.rand.state);
     memset(&f->key, 0, sizeof(f->key));
     fill_caller_ip(f->key.src, f->slot, !rg_ip_is_v4(s->ip));
     memcpy(f->key.dst, s->ip, RG_IP_LEN);
@@ -302,7 +262,7 @@
     f->key.proto = s->proto;
     f->isn = (uint32_t)rg_rand_next(&cl.rand);
     f->request_seq = 0;
-    f->requests_left = cl.requests;
+    f->requests_left = cl.o.requests;
     f->upstream = 0;
     cl.r.flows++;
     if (is_udp(f)) {
@@ -317,9 +277,7 @@
 note_refused(struct flow *f, uint64_t now)
 {
     cl.r.refused++;
-    if (cl.refused_count < REFUSED_MAX) {
-        cl.refused[cl.refused_count++] = f->id;
-    }
+    sd_recheck_add(&cl.recheck, f->id);
     end_flow(f, now);
 }
 
@@ -328,8 +286,8 @@
 {
     if (f->requests_left > 0 && !time_is_up(now)) {
         f->state = THINKING;
-        f->due_ms =
-            now + cl.think_ms / 2 + rg_rand_below(&cl.rand, cl.think_ms + 1);
+        f->due_ms = now + cl.o.think_ms / 2 +
+                    rg_rand_below(&cl.rand, cl.o.think_ms + 1);
         return;
     }
     if (is_udp(f)) {
@@ -343,9 +301,7 @@
 note_answer(struct flow *f, const struct sd_request *head, uint64_t now)
 {
     cl.r.answered++;
-    if (cl.wait_count < WAITS_MAX) {
-        cl.waits_ms[cl.wait_count++] = (uint32_t)(now - f->asked_ms);
-    }
+    sd_tally_wait(&cl.r, (uint32_t)(now - f->asked_ms));
     if (f->upstream != 0 && f->upstream != head->upstream + 1) {
         break_flow(f, now, "another upstream answers");
         return;
@@ -561,49 +517,6 @@
     send_state(f);
 }
 
-/* Asks the upstreams whether a refused flow ran after all; true once all are
- * asked. */
-static bool
-check_refused(uint64_t now)
-{
-    char line[64];
-
-    if (cl.refused_asked == cl.refused_count) {
-        return true;
-    }
-    if (cl.asked_ms != 0 && now - cl.asked_ms < 200) {
-        return false;
-    }
-    if (cl.ask_tries++ == ASK_TRIES) {
-        cl.r.unsure_refusals++;
-        cl.refused_asked++;
-        cl.ask_tries = 0;
-        cl.asked_ms = 0;
-        return false;
-    }
-    cl.asked_ms = now;
-    snprintf(line, sizeof(line), "executed %016llx",
-             (unsigned long long)cl.refused[cl.refused_asked]);
-    sd_udp_send(&cl.control, &cl.upstreams, line, strlen(line));
-    return false;
-}
-
-static void
-on_control(void *ctx, const struct rg_addr *from, const uint8_t *data,
-           size_t len)
-{
-    (void)ctx;
-    (void)from;
-    if (len < 1 || cl.refused_asked == cl.refused_count) {
-        return;
-    }
-    cl.r.false_refusals += data[0] == '1';
-    cl.refused_asked++;
-    cl.ask_tries = 0;
-    cl.asked_ms = 0;
-    check_refused(sd_now_ms());
-}
-
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -611,7 +524,7 @@
     bool busy = false;
 
     (void)timer;
-    for (uint32_t i = 0; i < cl.flow_count; i++) {
+    for (uint32_t i = 0; i < cl.o.flow_count; i++) {
         struct flow *f = &cl.flows[i];
         if (now >= f->due_ms) {
             on_due(f, now);
@@ -621,10 +534,10 @@
     if (!time_is_up(now)) {
         return;
     }
-    if (busy && now - cl.start_ms < cl.duration_ms + GRACE_MS) {
+    if (busy && now - cl.start_ms < cl.o.duration_ms + GRACE_MS) {
         return;
     }
-    if (check_refused(now)) {
+    if (sd_recheck_step(&cl.recheck, now)) {
         uv_stop(&cl.loop);
     }
 }
@@ -635,165 +548,22 @@
 {
     (void)handle;
     (void)signum;
-    cl.duration_ms = (uint32_t)(sd_now_ms() - cl.start_ms);
-}
-
-static int
-compare_waits(const void *a, const void *b)
-{
-    uint32_t x = *(const uint32_t *)a;
-    uint32_t y = *(const uint32_t *)b;
-
-    return x < y ? -1 : x > y;
-}
-
-static uint32_t
-wait_at(double share)
-{
-    if (cl.wait_count == 0) {
-        return 0;
-    }
-    return cl.waits_ms[(size_t)((double)(cl.wait_count - 1) * share)];
-}
-
-static void
-print_results(void)
-{
-    uint64_t stuck = 0;
-
-    for (uint32_t i = 0; cl.flows && i < cl.flow_count; i++) {
-        stuck += cl.flows[i].state == ASKING;
-    }
-    if (cl.waits_ms && cl.wait_count > 1) {
-        qsort(cl.waits_ms, cl.wait_count, sizeof(*cl.waits_ms), compare_waits);
-    }
-    printf("{\"flows\": %llu, \"opened\": %llu, \"answered\": %llu, "
-           "\"broken\": %llu, \"refused\": %llu, \"unanswered\": %llu, "
-           "\"wrong\": %llu, \"false_refusals\": %llu, "
-           "\"unsure_refusals\": %llu, \"wait_p50_ms\": %u, "
-           "\"wait_p99_ms\": %u}\n",
-           (unsigned long long)cl.r.flows, (unsigned long long)cl.r.opened,
-           (unsigned long long)cl.r.answered,
-           (unsigned long long)(cl.r.broken + stuck),
-           (unsigned long long)cl.r.refused,
-           (unsigned long long)cl.r.unanswered, (unsigned long long)cl.r.wrong,
-           (unsigned long long)cl.r.false_refusals,
-           (unsigned long long)cl.r.unsure_refusals, wait_at(0.50),
-           wait_at(0.99));
-}
-
-enum {
-    KEY_FLOWS = 'n',
-    KEY_REQUESTS = 'q',
-    KEY_THINK = 't',
-    KEY_PAUSE = 'p',
-    KEY_RAMP = 'a',
-    KEY_DURATION = 'd',
-    KEY_ANSWER = 'b',
-    KEY_SEED = 's',
-    KEY_NET = 'N',
-};
-
-static const struct argp_option options[] = {
-    {"section", 'f', "FILE", 0, "section of the document (repeat)", 0},
-    {"listen", 'l', "ADDRESS", 0, "own address (UDP)", 0},
-    {"control", 'c', "ADDRESS", 0, "own address for questions (UDP)", 0},
-    {"fabric", 'F', "ADDRESS", 0, "the fabric (UDP)", 0},
-    {"upstreams", 'u', "ADDRESS", 0, "the upstreams' control socket", 0},
-    {"only", 'o', "SERVICE", 0, "call this service alone", 0},
-    {"flows", KEY_FLOWS, "N", 0, "flows kept open", 0},
-    {"requests", KEY_REQUESTS, "N", 0, "requests a flow", 0},
-    {"think-ms", KEY_THINK, "MS", 0, "mean time between requests", 0},
-    {"pause-ms", KEY_PAUSE, "MS", 0, "most time between flows", 0},
-    {"ramp-ms", KEY_RAMP, "MS", 0, "time in which the first flows start", 0},
-    {"duration-ms", KEY_DURATION, "MS", 0, "time after which none start", 0},
-    {"answer-bytes", KEY_ANSWER, "N", 0, "most bytes of an answer", 0},
-    {"seed", KEY_SEED, "N", 0, "of the random choices", 0},
-    {"net", KEY_NET, "N", 0, "number of the callers' network", 0},
-    {"verbose", 'v', NULL, 0, "say what goes wrong with which flow", 0},
-    {0},
-};
-
-static uint32_t *
-number_option(int key)
-{
-    switch (key) {
-    case KEY_FLOWS:
-        return &cl.flow_count;
-    case KEY_REQUESTS:
-        return &cl.requests;
-    case KEY_THINK:
-        return &cl.think_ms;
-    case KEY_PAUSE:
-        return &cl.pause_ms;
-    case KEY_RAMP:
-        return &cl.ramp_ms;
-    case KEY_DURATION:
-        return &cl.duration_ms;
-    case KEY_ANSWER:
-        return &cl.answer_len;
-    case KEY_NET:
-        return &cl.net;
-    default:
-        return NULL;
-    }
-}
-
-static error_t
-parse_option(int key, char *arg, struct argp_state *state)
-{
-    uint32_t *number = number_option(key);
-
-    (void)state;
-    if (number) {
-        *number = (uint32_t)strtoul(arg, NULL, 10);
-        return 0;
-    }
-    switch (key) {
-    case 'f':
-        if (cl.section_count == SECTIONS_MAX) {
-            sd_die("too many sections");
-        }
-        cl.sections[cl.section_count++] = arg;
-        return 0;
-    case 'l':
-        cl.listen = sd_addr(arg);
-        return 0;
-    case 'c':
-        cl.control.ctx = arg;
-        return 0;
-    case 'F':
-        cl.fabric = sd_addr(arg);
-        return 0;
-    case 'u':
-        cl.upstreams = sd_addr(arg);
-        return 0;
-    case 'o':
-        cl.only = arg;
-        return 0;
-    case 'v':
-        cl.verbose = true;
-        return 0;
-    case KEY_SEED:
-        cl.rand.state = strtoull(arg, NULL, 10);
-        return 0;
-    default:
-        return ARGP_ERR_UNKNOWN;
-    }
+    cl.o.duration_ms = (uint32_t)(sd_now_ms() - cl.start_ms);
 }
 
 static void
 set_up_flows(void)
 {
-    if (cl.answer_len > SD_ANSWER_MAX) {
-        cl.answer_len = SD_ANSWER_MAX;
+    if (cl.o.answer_len > SD_ANSWER_MAX) {
+        cl.o.answer_len = SD_ANSWER_MAX;
     }
-    if (cl.flow_count > ADDRESSES * 256) {
+    if (cl.o.flow_count > ADDRESSES * 256) {
         sd_die("at most %d flows", ADDRESSES * 256);
     }
     for (uint32_t i = 0; i < cl.config->service_count; i++) {
         if (cl.service_count < SERVICES_MAX &&
-            (!cl.only || strcmp(cl.only, cl.config->services[i].name.s) == 0))
+            (!cl.o.only ||
+             strcmp(cl.o.only, cl.config->services[i].name.s) == 0))
         {
             cl.service_map[cl.service_count++] = i;
         }
@@ -801,42 +571,44 @@
     if (cl.service_count == 0) {
         sd_die("no service to call");
     }
-    struct flow *flows = rg_calloc(cl.flow_count, sizeof(*flows));
+    struct flow *flows = rg_calloc(cl.o.flow_count, sizeof(*flows));
     cl.flows = flows;
-    cl.waits_ms = rg_calloc(WAITS_MAX, sizeof(*cl.waits_ms));
-    cl.refused = rg_calloc(REFUSED_MAX, sizeof(*cl.refused));
     cl.start_ms = sd_now_ms();
-    for (uint32_t i = 0; i < cl.flow_count; i++) {
+    for (uint32_t i = 0; i < cl.o.flow_count; i++) {
         struct flow *f = &flows[i];
         f->slot = i;
         f->answer = rg_calloc(1, sizeof(struct sd_request) + SD_ANSWER_MAX);
-        f->due_ms = cl.start_ms + rg_rand_below(&cl.rand, cl.ramp_ms + 1);
+        f->due_ms = cl.start_ms + rg_rand_below(&cl.rand, cl.o.ramp_ms + 1);
+    }
+}
+
+/* Flows that still wait for an answer at the end are broken. */
+static void
+count_stuck(void)
+{
+    for (uint32_t i = 0; i < cl.o.flow_count; i++) {
+        cl.r.broken += cl.flows[i].state == ASKING;
     }
 }
 
 int
 main(int argc, char **argv)
 {
-    static const struct argp argp = {
-        .options = options,
-        .parser = parse_option,
-        .doc = "Stand-in for callers: load that checks what it gets.",
-    };
-    struct rg_addr control;
-
-    argp_parse(&argp, argc, argv, 0, NULL, NULL);
+    sd_callers_parse(&cl.o, argc, argv);
+    cl.rand.state = cl.o.seed;
     uv_loop_init(&cl.loop);
     sd_stop_on_signal(&cl.loop);
-    cl.config = sd_load_config(cl.sections, cl.section_count);
+    cl.config = sd_load_config(cl.o.sections, cl.o.section_count);
     set_up_flows();
-    control = sd_addr(cl.control.ctx ? cl.control.ctx : "");
-    sd_udp_open(&cl.udp, &cl.loop, &cl.listen, on_packet, NULL);
-    sd_udp_open(&cl.control, &cl.loop, &control, on_control, NULL);
+    sd_udp_open(&cl.udp, &cl.loop, &cl.o.listen, on_packet, NULL);
+    sd_recheck_open(&cl.recheck, &cl.loop, &cl.o.control, &cl.o.upstreams,
+                    &cl.r);
     uv_timer_init(&cl.loop, &cl.timer);
     uv_timer_start(&cl.timer, on_timer, 1, 2);
     uv_signal_init(&cl.loop, &cl.enough);
     uv_signal_start(&cl.enough, on_enough, SIGUSR1);
     uv_run(&cl.loop, UV_RUN_DEFAULT);
-    print_results();
+    count_stuck();
+    sd_tally_print(&cl.r);
     return 0;
 }
--- a/standin/upstreams.c
+++ b/standin/upstreams.c
@@ -13,37 +13,20 @@
 #include "common/mem.h"
 #include "core/packet.h"
 #include "standin/common.h"
+#include "standin/conns.h"
+#include "standin/ran.h"
 
 #define UPSTREAMS_MAX 1024
 #define SECTIONS_MAX 16
-#define CONN_BUCKETS 65536
 #define SLOTS 2
 #define CONNECTIONS_MAX 2000
 #define SAMPLE_MS 250
-#define EXECUTED_SLOTS (1u << 22)
 #define UDP_IDLE_MS 10000
 #define DEFAULT_SERVICE_MS 2
 
-struct conn {
-    struct conn *next;
-    uint32_t upstream;
-    struct rg_flow_key key;
-    uint32_t peer_isn;
-    uint32_t own_isn;
-    uint32_t rcv_next;
-    uint32_t snd_next; /* next byte to send */
-    bool established;
-    bool busy; /* a request runs */
-    uint64_t seen_ms;
-    struct sd_request last; /* request answered last */
-    uint32_t last_rcv_next; /* of the segment that carried it */
-    uint32_t answer_seq;    /* where its answer starts */
-    bool answered;
-};
-
 /* A request that runs or waits for a slot. */
 struct job {
-    struct conn *conn;
+    struct sd_conn *conn;
     struct sd_request request;
     uint64_t done_ms;
 };
@@ -74,11 +57,11 @@
     const struct rg_config *config;
     struct upstream *ups;
     struct spread *spread; /* one a service */
-    struct conn *buckets[CONN_BUCKETS];
+    struct sd_conns *conns;
     struct job *jobs;
     size_t job_count;
     size_t job_size;
-    uint64_t *executed;
+    struct sd_ran *ran;
     uv_timer_t timer;
     struct sd_udp control;
     struct rg_addr control_addr;
@@ -101,43 +84,12 @@
 /* --- connections ----------------------------------------------------------
  */
 
-static uint32_t
-conn_hash(uint32_t upstream, const struct rg_flow_key *key)
-{
-    uint64_t h = upstream;
-    uint64_t word;
-
-    for (size_t i = 0; i < sizeof(*key); i += sizeof(word)) {
-        memcpy(&word, (const uint8_t *)key + i, sizeof(word));
-        h = rg_mix64(h ^ word);
-    }
-    return (uint32_t)h % CONN_BUCKETS;
-}
-
-static struct conn *
-find_conn(uint32_t upstream, const struct rg_flow_key *key)
-{
-    struct conn *c = sd.buckets[conn_hash(upstream, key)];
-
-    while (c && (c->upstream != upstream ||
-                 memcmp(&c->key, key, sizeof(*key)) != 0))
-    {
-        c = c->next;
-    }
-    return c;
-}
-
-static struct conn *
+static struct sd_conn *
 add_conn(struct upstream *u, const struct rg_flow_key *key)
 {
-    struct conn **at = &sd.buckets[conn_hash(u->index, key)];
-    struct conn *c = rg_calloc(1, sizeof(*c));
+    struct sd_conn *c = sd_conns_add(sd.conns, u->index, key);
 
-    c->upstream = u->index;
-    c->key = *key;
-    c->next = *at;
     c->seen_ms = sd_now_ms();
-    *at = c;
     u->open++;
     u->opened++;
     u->last_open_ms = c->seen_ms;
@@ -148,14 +100,8 @@
 }
 
 static void
-drop_conn(struct conn *c)
+drop_conn(struct sd_conn *c)
 {
-    struct conn **at = &sd.buckets[conn_hash(c->upstream, &c->key)];
-
-    while (*at != c) {
-        at = &(*at)->next;
-    }
-    *at = c->next;
     sd.ups[c->upstream].open--;
     for (size_t i = 0; i < sd.job_count; i++) {
         if (sd.jobs[i].conn == c) {
@@ -163,7 +109,7 @@
             i--;
         }
     }
-    free(c);
+    sd_conns_remove(sd.conns, c);
 }
 
 /* --- sending --------------------------------------------------------------
@@ -212,7 +158,7 @@
 }
 
 static void
-send_answer(struct upstream *u, struct conn *c)
+send_answer(struct upstream *u, struct sd_conn *c)
 {
     uint8_t answer[sizeof(struct sd_request) + SD_ANSWER_MAX];
     size_t len = build_answer(u, &c->last, answer);
@@ -232,7 +178,7 @@
 }
 
 static void
-send_datagram_answer(struct upstream *u, struct conn *c)
+send_datagram_answer(struct upstream *u, struct sd_conn *c)
 {
     uint8_t answer[sizeof(struct sd_request) + SD_ANSWER_MAX];
     struct rg_packet p = {
@@ -247,39 +193,8 @@
 /* --- requests -------------------------------------------------------------
  */
 
-/* Notes that a request ran; true if it had run before. */
-static bool
-note_executed(uint64_t flow, uint32_t seq)
-{
-    uint64_t id = rg_mix64(flow ^ ((uint64_t)(seq + 1) << 48)) | 1;
-    uint32_t i = (uint32_t)id & (EXECUTED_SLOTS - 1);
-
-    while (sd.executed[i] != 0) {
-        if (sd.executed[i] == id) {
-            return true;
-        }
-        i = (i + 1) & (EXECUTED_SLOTS - 1);
-    }
-    sd.executed[i] = id;
-    return false;
-}
-
-static bool
-was_executed(uint64_t flow)
-{
-    uint64_t id = rg_mix64(flow ^ (1ULL << 48)) | 1;
-    uint32_t i = (uint32_t)id & (EXECUTED_SLOTS - 1);
-
-    for (; sd.executed[i] != 0; i = (i + 1) & (EXECUTED_SLOTS - 1)) {
-        if (sd.executed[i] == id) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static void
-start_job(struct upstream *u, struct conn *c, const struct sd_request *r)
+start_job(struct upstream *u, struct sd_conn *c, const struct sd_request *r)
 {
     uint64_t now = sd_now_ms();
     int slot = u->slot_free_ms[0] <= u->slot_free_ms[1] ? 0 : 1;
@@ -293,13 +208,13 @@
     sd.jobs[sd.job_count++] = (struct job){c, *r, start + u->service_ms};
     c->busy = true;
     sd.requests++;
-    sd.repeated += note_executed(r->flow, r->seq);
+    sd.repeated += sd_ran_note(sd.ran, r->flow, r->seq);
 }
 
 static void
 finish_job(const struct job *j)
 {
-    struct conn *c = j->conn;
+    struct sd_conn *c = j->conn;
     struct upstream *u = &sd.ups[c->upstream];
 
     c->busy = false;
@@ -331,7 +246,7 @@
  */
 
 static void
-on_syn(struct upstream *u, const struct rg_packet *p, struct conn *c)
+on_syn(struct upstream *u, const struct rg_packet *p, struct sd_conn *c)
 {
     if (c && c->peer_isn != p->tcp_seq) {
         drop_conn(c);
@@ -357,7 +272,7 @@
 }
 
 static void
-on_data(struct upstream *u, const struct rg_packet *p, struct conn *c)
+on_data(struct upstream *u, const struct rg_packet *p, struct sd_conn *c)
 {
     struct sd_request r;
 
@@ -382,7 +297,7 @@
 static void
 on_segment(struct upstream *u, const struct rg_packet *p)
 {
-    struct conn *c = find_conn(u->index, &p->key);
+    struct sd_conn *c = sd_conns_find(sd.conns, u->index, &p->key);
     uint8_t flags = p->tcp_flags;
 
     if ((flags & RG_TCP_SYN) && !(flags & RG_TCP_ACK)) {
@@ -418,7 +333,7 @@
 static void
 on_datagram(struct upstream *u, const struct rg_packet *p)
 {
-    struct conn *c = find_conn(u->index, &p->key);
+    struct sd_conn *c = sd_conns_find(sd.conns, u->index, &p->key);
     struct sd_request r;
 
     if (!read_request(u, p, &r)) {
@@ -494,17 +409,12 @@
 }
 
 static void
-expire_datagram_flows(uint64_t now)
+expire_datagram_flow(void *ctx, struct sd_conn *c)
 {
-    for (size_t i = 0; i < CONN_BUCKETS; i++) {
-        struct conn *next;
-        for (struct conn *c = sd.buckets[i]; c; c = next) {
-            next = c->next;
-            if (c->key.proto == RG_PROTO_UDP && now - c->seen_ms > UDP_IDLE_MS)
-            {
-                drop_conn(c);
-            }
-        }
+    const uint64_t *now = ctx;
+
+    if (c->key.proto == RG_PROTO_UDP && *now - c->seen_ms > UDP_IDLE_MS) {
+        drop_conn(c);
     }
 }
 
@@ -525,7 +435,7 @@
     }
     if (now - last_sample >= SAMPLE_MS) {
         last_sample = now;
-        expire_datagram_flows(now);
+        sd_conns_each(sd.conns, expire_datagram_flow, &now);
         for (size_t s = 0; s < sd.config->service_count; s++) {
             sample_service(s);
         }
@@ -610,8 +520,8 @@
     line[len] = '\0';
     sscanf(line, "%31s %127s %u", command, name, &value);
     if (strcmp(command, "executed") == 0) {
-        snprintf(out, sizeof(out), "%d",
-                 was_executed(strtoull(name, NULL, 16)));
+        snprintf(out, sizeof(out), "%d %s",
+                 sd_ran_before(sd.ran, strtoull(name, NULL, 16), 0), name);
     }
     else if (strcmp(command, "stats") == 0) {
         print_stats(out, sizeof(out));
@@ -685,7 +595,8 @@
     struct upstream *ups = rg_calloc(config->upstream_count, sizeof(*ups));
     sd.ups = ups;
     sd.spread = rg_calloc(config->service_count, sizeof(*sd.spread));
-    sd.executed = rg_calloc(EXECUTED_SLOTS, sizeof(*sd.executed));
+    sd.ran = sd_ran_create();
+    sd.conns = sd_conns_create();
     for (size_t i = 0; i < config->upstream_count; i++) {
         struct upstream *u = &ups[i];
         u->config = &config->upstreams[i];
