balance: refuse at once what could only be answered late

Admission compares own open requests, divided by the rate of answers, with the time to the route's target, while slots are taken and a quarter of the answers is slow.

Routes carry target and priority, also from peer to peer. Found on the way: a transfer cut between two messages was read as whole (/transfer/cut-short); the last part is marked now.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -172,6 +172,24 @@
     return t->state != RG_TRACK_OPENING;
 }
 
+/* Only the first packet of a flow is refused for want of room: a copy of it
+ * may be answered already. */
+static bool
+is_admitted(struct rg_balancer *b, const struct rg_segment *s,
+            const struct rg_track *t, const struct rg_route *route,
+            uint32_t service)
+{
+    if (s->ack != 0 || (t && !is_new_flow(t))) {
+        return true;
+    }
+    /* The way takes as long as an opening, and the request's answer as much.
+     */
+    double wait_ms = route->target_ms == 0
+                         ? INFINITY
+                         : fmax(route->target_ms - 2 * b->opening_ms, 0);
+    return rg_admit_opening(&b->admits[service], route->priority, wait_ms);
+}
+
 static struct rg_decision
 steer_opening(struct rg_balancer *b, const struct rg_segment *s)
 {
@@ -190,6 +208,9 @@
     if (!rg_route_pick(route, flow_hash(&s->flow), &service)) {
         return rg_bal_refuse(b, s, RG_TALLY_REFUSED_NO_UPSTREAM, "no-service");
     }
+    if (!is_admitted(b, s, t, route, service)) {
+        return rg_bal_refuse(b, s, RG_TALLY_REFUSED_OVERLOAD, "overload");
+    }
     if (t && !is_new_flow(t)) {
         note_repeated(b, t);
     }
@@ -290,6 +311,20 @@
 
 /* --- the rest ------------------------------------------------------------ */
 
+/* Makes room for the admission of a service. */
+static void
+reserve_admit(struct rg_balancer *b, uint32_t service)
+{
+    if (service < b->admit_count) {
+        return;
+    }
+    size_t count = service + 1;
+    b->admits = rg_realloc(b->admits, count * sizeof(*b->admits));
+    memset(b->admits + b->admit_count, 0,
+           (count - b->admit_count) * sizeof(*b->admits));
+    b->admit_count = count;
+}
+
 bool
 rg_balancer_set_routes(struct rg_balancer *b, struct rg_routes *routes)
 {
@@ -304,6 +339,7 @@
         for (uint8_t j = 0; j < r->share_count; j++) {
             r->shares[j].service_index =
                 rg_pool_service(b->pool, &r->shares[j].service);
+            reserve_admit(b, r->shares[j].service_index);
         }
     }
     rg_log_event(b->opts.log, RG_LOG_NOTICE, "CONFIG",
@@ -383,6 +419,12 @@
     return b->pool;
 }
 
+void
+rg_balancer_set_instances(struct rg_balancer *b, size_t count)
+{
+    b->instances = count;
+}
+
 void
 rg_balancer_fresh(struct rg_balancer *b, uint64_t at_ms)
 {
@@ -395,12 +437,46 @@
     return b->routes && b->fresh_ms != 0;
 }
 
+/* This instance's work at a service, and its share of the slots there,
+ * supposing that the others send as much work. Upstreams that do not answer
+ * are left out. */
+static struct rg_admit_load
+load_of(const struct rg_balancer *b, uint32_t service)
+{
+    size_t count;
+    struct rg_boot *const *boots = rg_pool_boots(b->pool, service, &count);
+    struct rg_admit_load load = {0};
+
+    for (size_t i = 0; i < count; i++) {
+        if (boots[i]->stalled == 0 && !rg_boot_ejected(boots[i], b->now_ms)) {
+            load.slots += boots[i]->slots;
+            load.open += boots[i]->open_work;
+        }
+    }
+    load.slots /= (double)b->instances;
+    return load;
+}
+
+static void
+tick_admission(struct rg_balancer *b)
+{
+    for (uint32_t i = 0; i < b->admit_count; i++) {
+        struct rg_admit *a = &b->admits[i];
+        struct rg_admit_load load = {0};
+        if (rg_admit_is_slow(a)) {
+            load = load_of(b, i);
+        }
+        rg_admit_tick(a, RG_BALANCER_TICK_MS, &load);
+    }
+}
+
 void
 rg_balancer_tick(struct rg_balancer *b, uint64_t now_ms)
 {
     b->now_ms = now_ms;
     rg_tracks_sweep(b->tracks, rg_flows_expired, b);
     rg_pool_tick(b->pool, now_ms);
+    tick_admission(b);
 }
 
 struct rg_tally *
@@ -429,6 +505,7 @@
     b->pool = rg_pool_create(&pool);
     b->tracks = rg_tracks_create(opts->tracked_flows);
     b->rand.state = opts->seed;
+    b->instances = 1;
     b->started_ms = now_ms;
     b->now_ms = now_ms;
     return b;
@@ -441,6 +518,7 @@
         rg_routes_destroy(b->routes);
         rg_tracks_destroy(b->tracks);
         rg_pool_destroy(b->pool);
+        free(b->admits);
         free(b);
     }
 }
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -62,6 +62,10 @@
 /* The upstreams; changed by whoever follows the store. */
 struct rg_pool *rg_balancer_pool(struct rg_balancer *b);
 
+/* Instances that share the upstreams, this one included, as far as is known;
+ * 1 to begin with. */
+void rg_balancer_set_instances(struct rg_balancer *b, size_t count);
+
 /* The view was complete and confirmed by the store at `at_ms`. */
 void rg_balancer_fresh(struct rg_balancer *b, uint64_t at_ms);
 
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -176,9 +176,26 @@
     rg_flows_set_state(t, RG_TRACK_IDLE, b->now_ms);
 }
 
+/* An answer came `ms` after its request passed here: as long as an opening
+ * takes is the way, the rest was spent at the upstream. */
+static void
+note_load(struct rg_balancer *b, const struct rg_track *t, double ms,
+          const struct rg_route *route)
+{
+    struct rg_admit_answer answer = {
+        .waited_ms = fmax(ms - b->opening_ms, 0),
+        .total_ms = ms + b->opening_ms,
+        .target_ms = route->target_ms,
+    };
+
+    if (t->boot->service < b->admit_count) {
+        rg_admit_answered(&b->admits[t->boot->service], &answer);
+    }
+}
+
 static void
 note_progress(struct rg_balancer *b, struct rg_track *t,
-              const struct rg_segment *s)
+              const struct rg_segment *s, const struct rg_route *route)
 {
     if ((int32_t)(s->ack - t->last_ack) <= 0) {
         return;
@@ -191,6 +208,7 @@
     uint64_t ms = b->now_ms - t->since_ms;
     rg_tally_observe(&b->tally, RG_TALLY_ANSWER_MS, ms);
     rg_boot_answered(t->boot, (double)ms, b->now_ms);
+    note_load(b, t, (double)ms, route);
     t->answer_ms = (uint32_t)ms;
     rg_flows_set_state(t, RG_TRACK_IDLE, b->now_ms);
 }
@@ -251,7 +269,7 @@
     if (t->state == RG_TRACK_OPENING) {
         note_opened(b, t, s);
     }
-    note_progress(b, t, s);
+    note_progress(b, t, s, route);
     note_data(b, t, s);
     if (s->fin) {
         note_closed(b, t, s, route);
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -2,6 +2,7 @@
 #ifndef RG_BALANCE_PRIV_H
 #define RG_BALANCE_PRIV_H
 
+#include "balance/admit.h"
 #include "balance/balancer.h"
 #include "balance/track.h"
 #include "common/rand.h"
@@ -13,6 +14,9 @@
     struct rg_tracks *tracks;
     struct rg_rand rand;
     struct rg_tally tally;
+    struct rg_admit *admits; /* one for each service, by its index */
+    size_t admit_count;
+    size_t instances;  /* that share the upstreams, this one included */
     double opening_ms; /* usual time from opening to the caller's answer */
     uint64_t choices;  /* made so far */
     uint64_t started_ms;
--- a/balance/routes.h
+++ b/balance/routes.h
@@ -32,6 +32,8 @@
     uint8_t repeat; /* enum rg_repeat */
     uint8_t share_count;
     uint32_t timeout_ms; /* a request's deadline, 0 if none is set */
+    uint32_t target_ms;  /* aimed at from opening to answer, 0 if none */
+    uint32_t priority;   /* 0 is the most important */
     struct rg_route_share shares[RG_ROUTE_SPLIT_MAX];
     /* Medians of what callers got here, 0 before the first. */
     double usual_ms;    /* from request to answer, without the way there */
--- a/balance/tally.c
+++ b/balance/tally.c
@@ -10,6 +10,7 @@
     [RG_TALLY_REFUSED_NO_ROUTE] = "refused_no_route",
     [RG_TALLY_REFUSED_NO_UPSTREAM] = "refused_no_upstream",
     [RG_TALLY_REFUSED_DEAD_UPSTREAM] = "refused_dead_upstream",
+    [RG_TALLY_REFUSED_OVERLOAD] = "refused_overload",
     [RG_TALLY_DROPPED_NOT_READY] = "dropped_not_ready",
     [RG_TALLY_DROPPED_STALE_VIEW] = "dropped_stale_view",
     [RG_TALLY_DROPPED_UNKNOWN_TOKEN] = "dropped_unknown_token",
--- a/balance/transfer.c
+++ b/balance/transfer.c
@@ -31,6 +31,8 @@
         .port = r->port,
         .repeat = r->repeat,
         .timeout_ms = r->timeout_ms,
+        .target_ms = r->target_ms,
+        .priority = r->priority,
         .shares_count = r->share_count,
     };
     for (uint8_t i = 0; i < r->share_count; i++) {
@@ -136,7 +138,8 @@
     w->pool = pool;
     w->now_ms = now_ms;
     rg_pool_each(pool, write_boot, w);
-    write_message(&w->m, out); /* the last part tells the total */
+    w->m.u.boots_part.last = true;
+    write_message(&w->m, out);
     free(w);
 }
 
@@ -153,6 +156,7 @@
     size_t boot_count;
     size_t boot_total;
     uint64_t after;
+    bool ended; /* the last part has come */
 };
 
 static bool
@@ -163,6 +167,8 @@
         .port = r->port,
         .repeat = r->repeat,
         .timeout_ms = r->timeout_ms,
+        .target_ms = r->target_ms,
+        .priority = r->priority,
         .share_count = (uint8_t)r->shares_count,
     };
     for (uint16_t i = 0; i < r->shares_count; i++) {
@@ -200,6 +206,7 @@
     v->revision = part->revision;
     v->boot_total = part->total;
     v->after = part->after;
+    v->ended = part->last;
     v->boots = rg_realloc(v->boots, (count + 1) * sizeof(*v->boots));
     memcpy(v->boots + v->boot_count, part->boots,
            part->boots_count * sizeof(*v->boots));
@@ -209,6 +216,9 @@
 static bool
 take_message(struct view *v, const struct rg_msg *m)
 {
+    if (v->ended) {
+        return false;
+    }
     switch (m->kind) {
     case RG_MSG_ROUTES_PART:
         return take_routes(v, &m->u.routes_part);
@@ -237,7 +247,7 @@
         }
         at += len;
     }
-    return at == bytes.len && v->revision > 0 &&
+    return at == bytes.len && v->ended && v->revision > 0 &&
            v->route_count == v->route_total && v->boot_count == v->boot_total;
 }
 
--- a/core/member_probe.c
+++ b/core/member_probe.c
@@ -129,7 +129,8 @@
     for (uint16_t i = 0; i < m->slot_count; i++) {
         const struct rg_member *e = &m->slots[i];
         if (e->used && e->state == RG_MEMBER_ALIVE && e->newborn &&
-            rg_addr_eq(&e->addr, addr)) {
+            rg_addr_eq(&e->addr, addr))
+        {
             return true;
         }
     }
@@ -159,8 +160,8 @@
 void
 rg_mb_try_join(struct rg_members *m, uint32_t now_ms)
 {
-    if (now_ms - m->first_tick_ms >= RG_MEMBERS_JOIN_MS ||
-        all_are_newborn(m)) {
+    if (now_ms - m->first_tick_ms >= RG_MEMBERS_JOIN_MS || all_are_newborn(m))
+    {
         rg_mb_set_joined(m, now_ms);
         return;
     }
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -215,6 +215,8 @@
         tell(g, &view);
     }
     rg_sync_set_covered(g->opts.sync, !reader);
+    rg_balancer_set_instances(g->opts.balancer,
+                              rg_peers_count(g->peers, now) + 1);
     if (!reader || rg_sync_failing(g->opts.sync)) {
         fetch_view(g, &view);
     }
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -197,11 +197,13 @@
 static void
 pack_route(msgpack_packer *pk, const struct rg_msg_route *m)
 {
-    rg_pack_list(pk, 5);
+    rg_pack_list(pk, 7);
     rg_pack_u64(pk, m->ip);
     rg_pack_u64(pk, m->port);
     rg_pack_u64(pk, m->repeat);
     rg_pack_u64(pk, m->timeout_ms);
+    rg_pack_u64(pk, m->target_ms);
+    rg_pack_u64(pk, m->priority);
     rg_pack_list(pk, m->shares_count);
     for (uint16_t i = 0; i < m->shares_count; i++) {
         pack_share(pk, &m->shares[i]);
@@ -213,7 +215,7 @@
 {
     uint64_t value;
 
-    if (!rg_unpack_shape(o, 5)) {
+    if (!rg_unpack_shape(o, 7)) {
         return false;
     }
     if (!rg_unpack_u64(&o->via.array.ptr[0], 4294967295U, &value)) {
@@ -232,11 +234,19 @@
         return false;
     }
     m->timeout_ms = (uint32_t)value;
-    if (!rg_unpack_list(&o->via.array.ptr[4], 8, &m->shares_count)) {
+    if (!rg_unpack_u64(&o->via.array.ptr[4], 4294967295U, &value)) {
+        return false;
+    }
+    m->target_ms = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[5], 4294967295U, &value)) {
+        return false;
+    }
+    m->priority = (uint32_t)value;
+    if (!rg_unpack_list(&o->via.array.ptr[6], 8, &m->shares_count)) {
         return false;
     }
     for (uint16_t i = 0; i < m->shares_count; i++) {
-        if (!unpack_share(&o->via.array.ptr[4].via.array.ptr[i],
+        if (!unpack_share(&o->via.array.ptr[6].via.array.ptr[i],
                           &m->shares[i])) {
             return false;
         }
@@ -834,6 +844,7 @@
     rg_pack_u64(pk, m->revision);
     rg_pack_u64(pk, m->after);
     rg_pack_u64(pk, m->total);
+    rg_pack_u64(pk, m->last);
     rg_pack_list(pk, m->boots_count);
     for (uint16_t i = 0; i < m->boots_count; i++) {
         pack_boot(pk, &m->boots[i]);
@@ -845,7 +856,7 @@
 {
     uint64_t value;
 
-    if (!rg_unpack_shape(o, 6)) {
+    if (!rg_unpack_shape(o, 7)) {
         return false;
     }
     if (!rg_unpack_u64(&o->via.array.ptr[2], 18446744073709551615ULL, &value))
@@ -862,11 +873,15 @@
         return false;
     }
     m->total = (uint32_t)value;
-    if (!rg_unpack_list(&o->via.array.ptr[5], 16, &m->boots_count)) {
+    if (!rg_unpack_u64(&o->via.array.ptr[5], 255U, &value)) {
+        return false;
+    }
+    m->last = (uint8_t)value;
+    if (!rg_unpack_list(&o->via.array.ptr[6], 16, &m->boots_count)) {
         return false;
     }
     for (uint16_t i = 0; i < m->boots_count; i++) {
-        if (!unpack_boot(&o->via.array.ptr[5].via.array.ptr[i], &m->boots[i]))
+        if (!unpack_boot(&o->via.array.ptr[6].via.array.ptr[i], &m->boots[i]))
         {
             return false;
         }
@@ -967,7 +982,7 @@
         pack_routes_part(&pk, &m->u.routes_part);
         break;
     case RG_MSG_BOOTS_PART:
-        rg_pack_list(&pk, 6);
+        rg_pack_list(&pk, 7);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_boots_part(&pk, &m->u.boots_part);
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -82,6 +82,10 @@
     uint8_t repeat;
     /* a request's deadline, 0 for none */
     uint32_t timeout_ms;
+    /* time aimed at from opening to answer, 0 for none */
+    uint32_t target_ms;
+    /* 0 is the most important */
+    uint32_t priority;
     /* services */
     uint16_t shares_count;
     struct rg_msg_share shares[8];
@@ -285,8 +289,10 @@
     /* only what changed after this revision; 0: all, and what is not named is
      * gone */
     uint64_t after;
-    /* upstreams in all parts */
+    /* upstreams in this part and those before */
     uint32_t total;
+    /* no part follows */
+    uint8_t last;
     /* upstreams */
     uint16_t boots_count;
     struct rg_msg_boot boots[16];
--- a/test/fake_service.h
+++ b/test/fake_service.h
@@ -140,12 +140,14 @@
         struct rg_route *route = calloc(1, sizeof(*route));
         route->ip = FAKE_SERVICE_IP;
         route->port = FAKE_SERVICE_PORT;
+        route->target_ms = FAKE_AIM_MS;
         route->share_count = 1;
         route->shares[0] = (struct rg_route_share){
             .service = fake_name("shop", 0), .weight = 1};
         s->balancers[b] = rg_balancer_create(&opts, s->now_ms);
         rg_balancer_set_routes(s->balancers[b], rg_routes_create(1, route, 1));
         rg_balancer_fresh(s->balancers[b], s->now_ms);
+        rg_balancer_set_instances(s->balancers[b], (size_t)balancers);
     }
     for (int i = 0; i < upstreams; i++) {
         s->upstreams[i].id = fake_name("u-%x", i + 1);
@@ -321,8 +323,10 @@
 {
     for (uint32_t i = 0; i < ms; i++) {
         s->now_ms++;
-        if (fake_uniform(s) < per_s / 1000) {
-            fake_ask(s);
+        for (double due = per_s / 1000; due > 0; due--) {
+            if (fake_uniform(s) < due) {
+                fake_ask(s);
+            }
         }
         for (int n = 0; n < FAKE_FLOWS_MAX; n++) {
             fake_step_flow(s, &s->flows[n]);
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -7,6 +7,7 @@
 #define UPSTREAMS 14
 /* About 30% of what 14 upstreams with 2 slots can do in 22 ms each. */
 #define PER_S 380
+#define CAPACITY_PER_S 1272
 
 static double
 share(uint32_t part, const struct fake_service *s)
@@ -151,6 +152,43 @@
     fake_service_destroy(s);
 }
 
+/* Pattern: more is asked than the upstreams can do. Without refusals the queue
+ * grows until every answer is late; refused at once is what cannot be done,
+ * and nearly all that is admitted is answered in time. */
+static void
+test_overload(void)
+{
+    struct fake_service *s = fake_service_create(BALANCERS, UPSTREAMS, SEED);
+
+    fake_run(s, 4000, PER_S);
+    fake_reset(s);
+    fake_run(s, 6000, CAPACITY_PER_S * 1.1);
+    /* Of 1.1 asked 1 can be done; unrefused, 0.29 of all were in time. */
+    g_assert_cmpfloat(share(s->in_aim, s), >, 0.65);
+    g_assert_cmpfloat(share(s->refused, s), <, 0.1);
+    g_assert_cmpuint(s->lost, ==, 0);
+    fake_run(s, 3000, PER_S);
+    fake_reset(s);
+    fake_run(s, 3000, PER_S);
+    g_assert_cmpuint(s->refused, ==, 0);
+    fake_service_destroy(s);
+}
+
+/* Pattern: every upstream is slow, but none is full. Nobody is refused, as
+ * that would make no answer quicker. */
+static void
+test_all_slow(void)
+{
+    struct fake_service *s = fake_service_create(BALANCERS, UPSTREAMS, SEED);
+
+    for (int i = 0; i < UPSTREAMS; i++) {
+        s->upstreams[i].condition = FAKE_SLOW;
+    }
+    fake_run(s, 8000, CAPACITY_PER_S / 5 * 0.4);
+    g_assert_cmpuint(s->refused, ==, 0);
+    fake_service_destroy(s);
+}
+
 /* Pattern: every upstream is silent. Openings still go out, to whichever was
  * left alone longest, so that a return is seen. */
 static void
@@ -184,6 +222,8 @@
     g_test_add_func("/load/mute", test_mute);
     g_test_add_func("/load/slow", test_slow);
     g_test_add_func("/load/cold", test_cold);
+    g_test_add_func("/load/overload", test_overload);
+    g_test_add_func("/load/all-slow", test_all_slow);
     g_test_add_func("/load/all-dark", test_all_dark);
     return g_test_run();
 }
--- a/test/test_transfer.c
+++ b/test/test_transfer.c
@@ -243,6 +243,26 @@
     rg_balancer_destroy(to);
 }
 
+/* Cut short anywhere, between messages too: refused. */
+static void
+test_cut_short(void)
+{
+    struct rg_balancer *from = full_balancer(40);
+    RG_TEXT_AUTO bytes = {0};
+
+    rg_transfer_write(from, 200, &(struct rg_transfer_base){0}, 1000, &bytes);
+    for (size_t len = 0; len < bytes.len; len++) {
+        struct rg_balancer *to = make_balancer();
+        uint64_t revision = 0;
+        g_autofree char *copy = g_memdup2(bytes.s, len + 1);
+        g_assert_false(
+            rg_transfer_read(to, (struct rg_str){copy, len}, &revision, 1000));
+        g_assert_cmpuint(rg_pool_known(rg_balancer_pool(to)), ==, 0);
+        rg_balancer_destroy(to);
+    }
+    rg_balancer_destroy(from);
+}
+
 /* Cut short or damaged: refused, and nothing changes, or read as a view. */
 static void
 test_damaged(void)
@@ -287,6 +307,7 @@
     g_test_add_func("/transfer/forgotten-ends", test_forgotten_ends);
     g_test_add_func("/transfer/after-listing", test_after_listing);
     g_test_add_func("/transfer/lapsed-in-whole", test_lapsed_in_whole);
+    g_test_add_func("/transfer/cut-short", test_cut_short);
     g_test_add_func("/transfer/damaged", test_damaged);
     return g_test_run();
 }
