soak: a proxy between instances; configurations large enough for the worker

Cause: the soak never came between instances, and its configurations were too small to be decoded beside the packet path. Each instance now tells others the address of a proxy (a new setting, peer_advertise, of use behind translated addresses too), which loses digests one way, delays or cuts them, and resets or silences connections. No promise is forgiven for it.

--- a/edge/decoder.h
+++ b/edge/decoder.h
@@ -10,9 +10,9 @@
 #include "common/str.h"
 #include "platform/kv.h"
 
-/* Bodies up to this size are decoded at once: a millisecond on a tenth of a
- * core. */
-#define RG_DECODER_AT_ONCE_MOST (16 * 1024)
+/* Bodies up to this size are decoded at once: a millisecond of a core, and a
+ * page of a listing needs no worker. */
+#define RG_DECODER_AT_ONCE_MOST (32 * 1024)
 
 /* A decoded answer. The receiver takes over the routes of the changes. */
 struct rg_decoded {
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -257,7 +257,7 @@
     struct rg_gossip *g = rg_calloc(1, sizeof(*g));
     struct rg_http_server_opts server = {
         .loop = opts->loop,
-        .address = opts->peers.addr,
+        .address = opts->listen,
         .setting = "peer_address",
         .handler = answer_view,
         .ctx = g,
@@ -280,7 +280,7 @@
     g->udp.data = g;
     g->timer.data = g;
     g->client = rg_http_client_create(&client);
-    rg_addr_to_sock(&opts->peers.addr, &sa);
+    rg_addr_to_sock(&opts->listen, &sa);
     int rc = uv_udp_bind(&g->udp, (const struct sockaddr *)&sa, 0);
     if (rc < 0) {
         rg_err_add(err, "peer_address", "an address this host can bind", "%s",
--- a/edge/gossip.h
+++ b/edge/gossip.h
@@ -14,6 +14,7 @@
 struct rg_gossip_opts {
     uv_loop_t *loop;
     struct rg_peers_opts peers;
+    struct rg_addr listen; /* UDP and HTTP; others use the one in `peers` */
     struct rg_balancer *balancer; /* borrowed */
     struct rg_sync *sync;         /* borrowed */
     const struct rg_log *log;     /* borrowed */
--- a/edge/main.c
+++ b/edge/main.c
@@ -347,6 +347,14 @@
     }
 }
 
+/* Where other instances reach this one. */
+static struct rg_addr
+advertised(const struct rg_edge *set)
+{
+    return set->peer_advertise.port != 0 ? set->peer_advertise
+                                         : set->peer_address;
+}
+
 static void
 start_announcer(struct edge *e, uint64_t seed)
 {
@@ -357,7 +365,7 @@
         .loop = &e->loop,
         .store = set->store.address,
         .name = set->name,
-        .addr = set->peer_address,
+        .addr = advertised(set),
         .delay_ms = ANNOUNCE_DELAY_MS,
         .connect_ms = times.connect_ms,
         .call_ms = times.call_ms,
@@ -377,9 +385,10 @@
         .loop = &e->loop,
         .peers = {.name = set->name,
                   .data_centre = set->data_centre,
-                  .addr = set->peer_address,
+                  .addr = advertised(set),
                   .bound_ms = rg_edge_view_bound_ms(set),
                   .seed = seed},
+        .listen = set->peer_address,
         .balancer = e->balancer,
         .sync = e->sync,
         .log = &e->log,
--- a/options/edge.gen.c
+++ b/options/edge.gen.c
@@ -49,6 +49,9 @@
     {.key = "peer_address",
      .type = RG_OPT_ADDR,
      .offset = offsetof(struct rg_edge, peer_address)},
+    {.key = "peer_advertise",
+     .type = RG_OPT_ADDR,
+     .offset = offsetof(struct rg_edge, peer_advertise)},
     {.key = "store",
      .type = RG_OPT_OBJECT,
      .table = &rg_edge_store_options,
@@ -96,6 +99,6 @@
 const struct rg_opt_table rg_edge_options = {
     .name = "edge",
     .rows = edge_rows,
-    .count = 14,
+    .count = 15,
     .size = sizeof(struct rg_edge),
 };
--- a/options/edge.gen.h
+++ b/options/edge.gen.h
@@ -37,6 +37,9 @@
     struct rg_addr metrics_address;
     /* UDP and HTTP: other instances; left out: none are heard */
     struct rg_addr peer_address;
+    /* address told to other instances if they reach this one by another than
+     * peer_address; left out: that one */
+    struct rg_addr peer_advertise;
     /* the store */
     struct rg_edge_store store;
     /* longest life of a flow, ms: an upstream's token is kept this long after
--- a/standin/soak/edges.c
+++ b/standin/soak/edges.c
@@ -11,7 +11,6 @@
 #include "standin/soak/soak.h"
 
 #define HEALTH_PORT 5301
-#define PEER_PORT 5302
 #define RESTART_MS 150
 #define PROBE_MS 400
 
@@ -19,10 +18,12 @@
 write_settings(struct soak *s, struct soak_edge *e)
 {
     char own[32];
+    char proxy[32];
     char store[32];
     FILE *out = fopen(e->settings, "w");
 
     soak_ip(s, 1, e->index + 1, own);
+    soak_ip(s, SOAK_PROXY_KIND, e->index + 1, proxy);
     soak_ip(s, 0, 1, store);
     if (!out) {
         soak_finding(s, "cannot write %s", e->settings);
@@ -31,12 +32,13 @@
     fprintf(out,
             "{\"name\": \"edge-%d\", \"data_centre\": \"z%d\",\n"
             " \"packet_address\": \"%s:%d\", \"health_address\": \"%s:%d\",\n"
-            " \"peer_address\": \"%s:%d\", \"drain_ms\": %d,\n"
+            " \"peer_address\": \"%s:%d\",\n"
+            " \"peer_advertise\": \"%s:%d\", \"drain_ms\": %d,\n"
             " \"apply_ms\": %d, \"grace_s\": %g, \"flow_age_s\": 30,\n"
             " \"store\": {\"address\": \"%s:8169\"}}\n",
             e->index, e->index % 2, own, SOAK_PACKET_PORT, own, HEALTH_PORT,
-            own, PEER_PORT, SOAK_DRAIN_MS, SOAK_APPLY_MS,
-            SOAK_GRACE_MS / 1000.0, store);
+            own, SOAK_PEER_PORT, proxy, SOAK_PEER_PORT, SOAK_DRAIN_MS,
+            SOAK_APPLY_MS, SOAK_GRACE_MS / 1000.0, store);
     fclose(out);
 }
 
@@ -105,6 +107,7 @@
     int fd = open(e->log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
 
     if (!e->probe) {
+        soak_proxy_start(s, e);
         write_settings(s, e);
         make_probe(s, e);
     }
--- a/standin/soak/faults.c
+++ b/standin/soak/faults.c
@@ -26,6 +26,12 @@
         g_string_append(doc, ",{\"Host\":\"198.18.0.1\",\"Prefix\":\"/1000/\","
                              "\"RouteType\":\"safe\",\"Service\":\"s0\"}");
     }
+    for (int i = 0; s->large && i < SOAK_IDLE_ROUTES; i++) {
+        g_string_append_printf(doc,
+                               ",{\"Host\":\"198.18.%d.%d\",\"Prefix\":"
+                               "\"/443/\",\"Service\":\"s1\"}",
+                               1 + i / 250, i % 250);
+    }
     g_string_append(doc, "],\"Services\":[]}");
     soak_store_put(s, "op/config", doc->str);
 }
@@ -64,6 +70,26 @@
     soak_edge_signal(s, e, signums[which]);
 }
 
+/* Instances lose touch with each other, but not with the store: nothing is
+ * forgiven for it. */
+static void
+fault_peers(struct soak *s)
+{
+    struct soak_edge *e = any_edge(s);
+    struct soak_edge *other = any_edge(s);
+
+    if (rg_rand_below(&s->rand, 3) == 0) {
+        soak_note(s, "edge %d no longer hears edge %d", e->index,
+                  other->index);
+        e->deaf_to = other->index + 1;
+        return;
+    }
+    enum soak_peers_fault fault = (enum soak_peers_fault)(
+        1 + rg_rand_below(&s->rand, SOAK_PEERS_FAULTS - 1));
+    soak_note(s, "peers fault %d at edge %d", fault, e->index);
+    soak_proxy_fault(s, e, fault);
+}
+
 static void
 fault_store(struct soak *s)
 {
@@ -113,8 +139,9 @@
         s->probe_route = !s->probe_route;
         s->probe_ms = s->now_ms;
     }
+    s->large = rg_rand_below(&s->rand, 3) == 0;
     soak_config_put(s);
-    soak_note(s, "configuration %lu", s->version);
+    soak_note(s, "configuration %lu%s", s->version, s->large ? ", large" : "");
 }
 
 /* Ends what has lasted long enough. */
@@ -126,6 +153,10 @@
         if (e->stopped && (all || rg_rand_below(&s->rand, 3) == 0)) {
             soak_edge_signal(s, e, SIGCONT);
         }
+        if (all || rg_rand_below(&s->rand, 6) == 0) {
+            soak_proxy_fault(s, e, SOAK_PEERS_WELL);
+            e->deaf_to = 0;
+        }
     }
     for (int i = 0; i < s->host_count; i++) {
         struct soak_host *h = &s->hosts[i];
@@ -143,7 +174,7 @@
 static void
 strike(struct soak *s)
 {
-    switch (rg_rand_below(&s->rand, 6)) {
+    switch (rg_rand_below(&s->rand, 8)) {
     case 0:
     case 1:
         fault_edge(s);
@@ -151,6 +182,10 @@
     case 2:
         fault_store(s);
         break;
+    case 5:
+    case 6:
+        fault_peers(s);
+        break;
     case 3:
     case 4:
         fault_host(s);
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -25,6 +25,12 @@
 #define SOAK_SETTLE_MS 4000
 #define SOAK_DEADLINE_MS 1500
 #define SOAK_PACKET_PORT 5300
+#define SOAK_PEER_PORT 5302
+/* Third byte of the proxies' addresses. */
+#define SOAK_PROXY_KIND 4
+/* Routes without callers in a large configuration: enough that it is decoded
+ * beside the packet path. */
+#define SOAK_IDLE_ROUTES 400
 #define SOAK_SERVICES 2
 
 enum soak_route {
@@ -50,8 +56,20 @@
     uint32_t work_ms;
 };
 
+/* What happens to what other instances send to one. */
+enum soak_peers_fault {
+    SOAK_PEERS_WELL,
+    SOAK_PEERS_CUT,   /* nothing arrives, connections hang; it still sends */
+    SOAK_PEERS_SLOW,  /* digests come late and out of order */
+    SOAK_PEERS_RESET, /* connections are reset once */
+    SOAK_PEERS_FAULTS,
+};
+
 struct soak_edge {
     int index;
+    struct soak_proxy *proxy; /* before its peer address */
+    enum soak_peers_fault peers_fault;
+    int deaf_to; /* instance whose digests do not arrive, +1; 0: none */
     uv_process_t process;
     bool running; /* the process exists */
     bool stopped; /* SIGSTOP */
@@ -93,6 +111,7 @@
     enum soak_store_fault store_fault;
     uint64_t store_disturbed_ms;
     uint64_t version;  /* of the configuration in the store */
+    bool large;        /* it has many routes without callers */
     bool probe_route;  /* it is in that configuration */
     uint64_t probe_ms; /* since when */
     struct soak_callers *callers;
@@ -144,6 +163,11 @@
 void soak_edges_tick(struct soak *s);
 void soak_edges_probe(struct soak *s);
 
+/* proxy.c */
+void soak_proxy_start(struct soak *s, struct soak_edge *e);
+void soak_proxy_fault(struct soak *s, struct soak_edge *e,
+                      enum soak_peers_fault fault);
+
 /* callers.c */
 void soak_callers_start(struct soak *s);
 void soak_callers_ask(struct soak *s, enum soak_route route);
