--- /dev/null
+++ b/balance/admission.c
@@ -0,0 +1,66 @@
+/* What the balancer tells admission, one for each service. */
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "balance/evidence.h"
+#include "balance/priv.h"
+#include "common/mem.h"
+
+void
+rg_bal_reserve_admission(struct rg_balancer *b, uint32_t service)
+{
+    if (service < b->admit_count) {
+        return;
+    }
+    size_t count = service + 1;
+    b->admits = rg_realloc(b->admits, count * sizeof(*b->admits));
+    memset(b->admits + b->admit_count, 0,
+           (count - b->admit_count) * sizeof(*b->admits));
+    b->admit_count = count;
+}
+
+bool
+rg_bal_admits(struct rg_balancer *b, const struct rg_route *route,
+              uint32_t service)
+{
+    /* The way takes as long as an opening, and the request's answer as much.
+     */
+    double wait_ms = route->target_ms == 0
+                         ? INFINITY
+                         : fmax(route->target_ms - 2 * b->opening_ms, 0);
+    return rg_admit_opening(&b->admits[service], route->priority, wait_ms);
+}
+
+/* This instance's work at a service, and its share of the slots there,
+ * supposing that the others send as much work. Upstreams that do not answer
+ * are left out. */
+static struct rg_admit_load
+load_of(const struct rg_balancer *b, uint32_t service)
+{
+    size_t count;
+    struct rg_boot *const *boots = rg_pool_boots(b->pool, service, &count);
+    struct rg_admit_load load = {0};
+
+    for (size_t i = 0; i < count; i++) {
+        if (boots[i]->stalled == 0 && !rg_boot_ejected(boots[i], b->now_ms)) {
+            load.slots += boots[i]->slots;
+            load.open += boots[i]->open_work;
+        }
+    }
+    load.slots /= (double)b->instances;
+    return load;
+}
+
+void
+rg_bal_tick_admission(struct rg_balancer *b)
+{
+    for (uint32_t i = 0; i < b->admit_count; i++) {
+        struct rg_admit *a = &b->admits[i];
+        struct rg_admit_load load = {0};
+        if (rg_admit_is_slow(a)) {
+            load = load_of(b, i);
+        }
+        rg_admit_tick(a, RG_BALANCER_TICK_MS, &load);
+    }
+}
--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -1,8 +1,6 @@
 #include "balance/balancer.h"
 
-#include <arpa/inet.h>
 #include <math.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -21,12 +19,6 @@
  * copy. */
 #define OVERDUE_UNKNOWN_MS 200
 
-void
-rg_bal_count(struct rg_balancer *b, enum rg_tally_counter c)
-{
-    b->tally.counters[c]++;
-}
-
 static struct rg_decision
 dropped(struct rg_balancer *b, enum rg_tally_counter why)
 {
@@ -34,61 +26,6 @@
     return (struct rg_decision){.kind = RG_DECISION_DROP};
 }
 
-/* --- logs ---------------------------------------------------------------- */
-
-const char *
-rg_flow_text(const struct rg_flow_id *f, char out[RG_FLOW_TEXT_MAX])
-{
-    char caller[INET_ADDRSTRLEN];
-    char service[INET_ADDRSTRLEN];
-    uint32_t from = htonl(f->caller_ip);
-    uint32_t to = htonl(f->service_ip);
-
-    inet_ntop(AF_INET, &from, caller, sizeof(caller));
-    inet_ntop(AF_INET, &to, service, sizeof(service));
-    snprintf(out, RG_FLOW_TEXT_MAX, "%s:%u>%s:%u", caller, f->caller_port,
-             service, f->service_port);
-    return out;
-}
-
-static void
-log_opening(const struct rg_balancer *b, const struct rg_segment *s,
-            const struct rg_pick *made)
-{
-    static const char *const rules[] = {
-        [RG_PICK_NONE] = "none",
-        [RG_PICK_BEST] = "best",
-        [RG_PICK_TRIAL] = "trial",
-    };
-    char flow[RG_FLOW_TEXT_MAX];
-
-    rg_log_event(b->opts.log, RG_LOG_INFO, "OPENING",
-                 "flow=\"%s\" copy=\"%u\" upstream=\"%s\" token=\"%08x\" "
-                 "rule=\"%s\" cost=\"%.2f\" work=\"%u\" version=\"%llu\" "
-                 "age_ms=\"%llu\"",
-                 rg_flow_text(&s->flow, flow), s->ack, made->boot->id.s,
-                 made->boot->token, rules[made->rule], made->cost,
-                 made->boot->open_work,
-                 (unsigned long long)rg_balancer_version(b),
-                 (unsigned long long)(b->now_ms - b->fresh_ms));
-}
-
-struct rg_decision
-rg_bal_refuse(struct rg_balancer *b, const struct rg_segment *s,
-              enum rg_tally_counter why, const char *reason)
-{
-    char flow[RG_FLOW_TEXT_MAX];
-
-    rg_bal_count(b, why);
-    rg_log_event(b->opts.log, RG_LOG_INFO, "REFUSED",
-                 "flow=\"%s\" opening=\"%d\" reason=\"%s\" version=\"%llu\" "
-                 "age_ms=\"%llu\"",
-                 rg_flow_text(&s->flow, flow), s->opening, reason,
-                 (unsigned long long)rg_balancer_version(b),
-                 (unsigned long long)(b->now_ms - b->fresh_ms));
-    return (struct rg_decision){.kind = RG_DECISION_REFUSE};
-}
-
 /* --- openings ------------------------------------------------------------ */
 
 static uint32_t
@@ -172,22 +109,12 @@
     return t->state != RG_TRACK_OPENING;
 }
 
-/* Only the first packet of a flow is refused for want of room: a copy of it
- * may be answered already. */
+/* A copy of an opening is not refused for want of room: the first may be
+ * answered already. */
 static bool
-is_admitted(struct rg_balancer *b, const struct rg_segment *s,
-            const struct rg_track *t, const struct rg_route *route,
-            uint32_t service)
+is_copy(const struct rg_segment *s, const struct rg_track *t)
 {
-    if (s->ack != 0 || (t && !is_new_flow(t))) {
-        return true;
-    }
-    /* The way takes as long as an opening, and the request's answer as much.
-     */
-    double wait_ms = route->target_ms == 0
-                         ? INFINITY
-                         : fmax(route->target_ms - 2 * b->opening_ms, 0);
-    return rg_admit_opening(&b->admits[service], route->priority, wait_ms);
+    return s->ack != 0 || (t && !is_new_flow(t));
 }
 
 static struct rg_decision
@@ -208,7 +135,7 @@
     if (!rg_route_pick(route, flow_hash(&s->flow), &service)) {
         return rg_bal_refuse(b, s, RG_TALLY_REFUSED_NO_UPSTREAM, "no-service");
     }
-    if (!is_admitted(b, s, t, route, service)) {
+    if (!is_copy(s, t) && !rg_bal_admits(b, route, service)) {
         return rg_bal_refuse(b, s, RG_TALLY_REFUSED_OVERLOAD, "overload");
     }
     if (t && !is_new_flow(t)) {
@@ -222,7 +149,7 @@
         return rg_bal_refuse(b, s, RG_TALLY_REFUSED_NO_UPSTREAM,
                              "no-upstream");
     }
-    log_opening(b, s, &made);
+    rg_bal_log_opening(b, s, &made);
     if (t) {
         rg_flows_move(b, t, made.boot);
         rg_flows_set_state(t, RG_TRACK_OPENING, b->now_ms);
@@ -311,20 +238,6 @@
 
 /* --- the rest ------------------------------------------------------------ */
 
-/* Makes room for the admission of a service. */
-static void
-reserve_admit(struct rg_balancer *b, uint32_t service)
-{
-    if (service < b->admit_count) {
-        return;
-    }
-    size_t count = service + 1;
-    b->admits = rg_realloc(b->admits, count * sizeof(*b->admits));
-    memset(b->admits + b->admit_count, 0,
-           (count - b->admit_count) * sizeof(*b->admits));
-    b->admit_count = count;
-}
-
 bool
 rg_balancer_set_routes(struct rg_balancer *b, struct rg_routes *routes)
 {
@@ -339,7 +252,7 @@
         for (uint8_t j = 0; j < r->share_count; j++) {
             r->shares[j].service_index =
                 rg_pool_service(b->pool, &r->shares[j].service);
-            reserve_admit(b, r->shares[j].service_index);
+            rg_bal_reserve_admission(b, r->shares[j].service_index);
         }
     }
     rg_log_event(b->opts.log, RG_LOG_NOTICE, "CONFIG",
@@ -410,7 +323,7 @@
 uint64_t
 rg_balancer_version(const struct rg_balancer *b)
 {
-    return b->routes ? rg_routes_version(b->routes) : 0;
+    return rg_bal_version(b);
 }
 
 struct rg_pool *
@@ -437,46 +350,13 @@
     return b->routes && b->fresh_ms != 0;
 }
 
-/* This instance's work at a service, and its share of the slots there,
- * supposing that the others send as much work. Upstreams that do not answer
- * are left out. */
-static struct rg_admit_load
-load_of(const struct rg_balancer *b, uint32_t service)
-{
-    size_t count;
-    struct rg_boot *const *boots = rg_pool_boots(b->pool, service, &count);
-    struct rg_admit_load load = {0};
-
-    for (size_t i = 0; i < count; i++) {
-        if (boots[i]->stalled == 0 && !rg_boot_ejected(boots[i], b->now_ms)) {
-            load.slots += boots[i]->slots;
-            load.open += boots[i]->open_work;
-        }
-    }
-    load.slots /= (double)b->instances;
-    return load;
-}
-
-static void
-tick_admission(struct rg_balancer *b)
-{
-    for (uint32_t i = 0; i < b->admit_count; i++) {
-        struct rg_admit *a = &b->admits[i];
-        struct rg_admit_load load = {0};
-        if (rg_admit_is_slow(a)) {
-            load = load_of(b, i);
-        }
-        rg_admit_tick(a, RG_BALANCER_TICK_MS, &load);
-    }
-}
-
 void
 rg_balancer_tick(struct rg_balancer *b, uint64_t now_ms)
 {
     b->now_ms = now_ms;
     rg_tracks_sweep(b->tracks, rg_flows_expired, b);
     rg_pool_tick(b->pool, now_ms);
-    tick_admission(b);
+    rg_bal_tick_admission(b);
 }
 
 struct rg_tally *
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -4,6 +4,7 @@
 
 #include "balance/admit.h"
 #include "balance/balancer.h"
+#include "balance/pick.h"
 #include "balance/track.h"
 #include "common/rand.h"
 
@@ -24,12 +25,21 @@
     uint64_t now_ms;
 };
 
+/* Version of the routes in force, 0 for none. */
+static inline uint64_t
+rg_bal_version(const struct rg_balancer *b)
+{
+    return b->routes ? rg_routes_version(b->routes) : 0;
+}
+
 /* Room for the text of a flow: both ends. */
 #define RG_FLOW_TEXT_MAX 48
 
 const char *rg_flow_text(const struct rg_flow_id *f,
                          char out[RG_FLOW_TEXT_MAX]);
 
+/* Defined in report.c. */
+
 void rg_bal_count(struct rg_balancer *b, enum rg_tally_counter c);
 
 /* Counts and logs a refusal. */
@@ -38,6 +48,20 @@
                                  enum rg_tally_counter why,
                                  const char *reason);
 
+void rg_bal_log_opening(const struct rg_balancer *b,
+                        const struct rg_segment *s,
+                        const struct rg_pick *made);
+
+/* Admission; defined in admission.c. */
+
+/* Makes room for the admission of a service. */
+void rg_bal_reserve_admission(struct rg_balancer *b, uint32_t service);
+/* False if a new flow to this service is to be refused for want of room. */
+bool rg_bal_admits(struct rg_balancer *b, const struct rg_route *route,
+                   uint32_t service);
+/* RG_BALANCER_TICK_MS have passed. */
+void rg_bal_tick_admission(struct rg_balancer *b);
+
 /* Tracked flows; defined in flows.c. Each holds a reference to its boot and
  * counts as work there while an opening or a request waits. */
 
--- /dev/null
+++ b/balance/report.c
@@ -0,0 +1,63 @@
+/* What the balancer counts and logs. */
+#include <arpa/inet.h>
+#include <stdio.h>
+
+#include "balance/priv.h"
+
+void
+rg_bal_count(struct rg_balancer *b, enum rg_tally_counter c)
+{
+    b->tally.counters[c]++;
+}
+
+const char *
+rg_flow_text(const struct rg_flow_id *f, char out[RG_FLOW_TEXT_MAX])
+{
+    char caller[INET_ADDRSTRLEN];
+    char service[INET_ADDRSTRLEN];
+    uint32_t from = htonl(f->caller_ip);
+    uint32_t to = htonl(f->service_ip);
+
+    inet_ntop(AF_INET, &from, caller, sizeof(caller));
+    inet_ntop(AF_INET, &to, service, sizeof(service));
+    snprintf(out, RG_FLOW_TEXT_MAX, "%s:%u>%s:%u", caller, f->caller_port,
+             service, f->service_port);
+    return out;
+}
+
+void
+rg_bal_log_opening(const struct rg_balancer *b, const struct rg_segment *s,
+                   const struct rg_pick *made)
+{
+    static const char *const rules[] = {
+        [RG_PICK_NONE] = "none",
+        [RG_PICK_BEST] = "best",
+        [RG_PICK_TRIAL] = "trial",
+    };
+    char flow[RG_FLOW_TEXT_MAX];
+
+    rg_log_event(b->opts.log, RG_LOG_INFO, "OPENING",
+                 "flow=\"%s\" copy=\"%u\" upstream=\"%s\" token=\"%08x\" "
+                 "rule=\"%s\" cost=\"%.2f\" work=\"%u\" version=\"%llu\" "
+                 "age_ms=\"%llu\"",
+                 rg_flow_text(&s->flow, flow), s->ack, made->boot->id.s,
+                 made->boot->token, rules[made->rule], made->cost,
+                 made->boot->open_work, (unsigned long long)rg_bal_version(b),
+                 (unsigned long long)(b->now_ms - b->fresh_ms));
+}
+
+struct rg_decision
+rg_bal_refuse(struct rg_balancer *b, const struct rg_segment *s,
+              enum rg_tally_counter why, const char *reason)
+{
+    char flow[RG_FLOW_TEXT_MAX];
+
+    rg_bal_count(b, why);
+    rg_log_event(b->opts.log, RG_LOG_INFO, "REFUSED",
+                 "flow=\"%s\" opening=\"%d\" reason=\"%s\" version=\"%llu\" "
+                 "age_ms=\"%llu\"",
+                 rg_flow_text(&s->flow, flow), s->opening, reason,
+                 (unsigned long long)rg_bal_version(b),
+                 (unsigned long long)(b->now_ms - b->fresh_ms));
+    return (struct rg_decision){.kind = RG_DECISION_REFUSE};
+}
--- a/common/log.c
+++ b/common/log.c
@@ -50,7 +50,7 @@
     }
     line[end] = '\n';
     if (log->queue) {
-        rg_log_queue_add(log->queue, level, line, end + 1);
+        rg_log_queue_add(log->queue, level > RG_LOG_NOTICE, line, end + 1);
         return;
     }
     ssize_t written = write(STDOUT_FILENO, line, end + 1);
@@ -108,3 +108,15 @@
     }
     return -1;
 }
+
+void
+rg_log_flush(const struct rg_log *log, uint64_t now_ms)
+{
+    uint64_t suppressed = rg_log_queue_refill(log->queue, now_ms);
+
+    if (suppressed > 0) {
+        rg_log_event(log, RG_LOG_NOTICE, "SUPPRESSED", "lines=\"%llu\"",
+                     (unsigned long long)suppressed);
+    }
+    rg_log_queue_write(log->queue);
+}
--- a/common/log_queue.c
+++ b/common/log_queue.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "common/log.h"
 #include "common/mem.h"
 
 /* Bytes held while the reader of the log is slow. */
@@ -27,10 +28,9 @@
 };
 
 void
-rg_log_queue_add(struct rg_log_queue *q, enum rg_log_level level,
-                 const char *line, size_t len)
+rg_log_queue_add(struct rg_log_queue *q, bool bounded, const char *line,
+                 size_t len)
 {
-    bool bounded = level > RG_LOG_NOTICE;
     size_t room =
         bounded ? sizeof(q->bytes) - RESERVED_BYTES : sizeof(q->bytes);
 
@@ -71,19 +71,23 @@
     return end > 0 ? end : len;
 }
 
-void
-rg_log_flush(const struct rg_log *log, uint64_t now_ms)
+uint64_t
+rg_log_queue_refill(struct rg_log_queue *q, uint64_t now_ms)
 {
-    struct rg_log_queue *q = log->queue;
-
     give_credit(q, now_ms);
-    if (q->suppressed > q->reported && q->credit > 0) {
-        uint64_t count = q->suppressed - q->reported;
-        q->reported = q->suppressed;
-        rg_log_event(log, RG_LOG_NOTICE, "SUPPRESSED", "lines=\"%llu\"",
-                     (unsigned long long)count);
+    if (q->credit == 0) {
+        return 0;
     }
+    uint64_t count = q->suppressed - q->reported;
+    q->reported = q->suppressed;
+    return count;
+}
+
+void
+rg_log_queue_write(struct rg_log_queue *q)
+{
     size_t done = 0;
+
     while (done < q->len) {
         size_t len = whole_lines(q->bytes + done, q->len - done);
         ssize_t written = write(q->fd, q->bytes + done, len);
--- a/common/log_queue.h
+++ b/common/log_queue.h
@@ -4,10 +4,22 @@
 
 #include <stddef.h>
 
-#include "common/log.h"
+#include <stdbool.h>
+#include <stdint.h>
 
-/* Queues a whole line, or counts it as suppressed. */
-void rg_log_queue_add(struct rg_log_queue *q, enum rg_log_level level,
-                      const char *line, size_t len);
+struct rg_log_queue;
+
+/* Queues a whole line, or counts it as suppressed. Only lines that are
+ * `bounded` use up what rg_log_queue_refill() gives. */
+void rg_log_queue_add(struct rg_log_queue *q, bool bounded, const char *line,
+                      size_t len);
+
+/* Time has passed: gives room for more bounded lines. Returns how many were
+ * suppressed since the last that was told of, 0 while there is no room to tell
+ * of it. */
+uint64_t rg_log_queue_refill(struct rg_log_queue *q, uint64_t now_ms);
+
+/* Writes what is queued, as far as that does not block. */
+void rg_log_queue_write(struct rg_log_queue *q);
 
 #endif
--- a/core/member.c
+++ b/core/member.c
@@ -6,46 +6,6 @@
 #include "common/mem.h"
 #include "config/config.h"
 
-#define UPDATES_MAX                                                           \
-    (sizeof(((struct rg_msg_ping *)0)->updates) / sizeof(struct rg_msg_update))
-#define VIEW_MAX                                                              \
-    (sizeof(((struct rg_msg_view *)0)->updates) / sizeof(struct rg_msg_update))
-/* Room for the largest message sent by UDP. */
-#define MESSAGE_MAX 3000
-
-void
-rg_mb_send_ping(struct rg_members *m, const struct rg_addr *to, uint32_t seq,
-                const struct rg_member *about)
-{
-    struct rg_msg msg = {.kind = RG_MSG_PING};
-    struct rg_msg_ping *p = &msg.u.ping;
-
-    p->seq = seq;
-    p->from = rg_members_own_entry(m);
-    p->generation = m->generation;
-    p->view = m->digest;
-    if (about && about->state != RG_MEMBER_ALIVE) {
-        p->updates[p->updates_count++] = rg_mb_entry_of(about);
-    }
-    p->updates_count += rg_mb_pick_news(m, p->updates + p->updates_count,
-                                        UPDATES_MAX - p->updates_count);
-    rg_members_send(m, to, &msg);
-}
-
-void
-rg_mb_send_ack(struct rg_members *m, const struct rg_addr *to, uint32_t seq)
-{
-    struct rg_msg msg = {.kind = RG_MSG_ACK};
-    struct rg_msg_ack *a = &msg.u.ack;
-
-    a->seq = seq;
-    a->from = rg_members_own_entry(m);
-    a->generation = m->generation;
-    a->view = m->digest;
-    a->updates_count = rg_mb_pick_news(m, a->updates, UPDATES_MAX);
-    rg_members_send(m, to, &msg);
-}
-
 static void
 request_view(struct rg_members *m, uint16_t slot, uint32_t now_ms)
 {
@@ -60,28 +20,6 @@
     rg_members_send(m, &e->addr, &msg);
 }
 
-void
-rg_mb_send_view(struct rg_members *m, const struct rg_addr *to)
-{
-    struct rg_msg msg = {.kind = RG_MSG_VIEW};
-    struct rg_msg_view *v = &msg.u.view;
-
-    v->from = rg_members_own_entry(m);
-    v->joined = m->joined;
-    for (uint16_t i = 0; i < m->slot_count; i++) {
-        if (!m->slots[i].used || m->slots[i].state == RG_MEMBER_DEAD) {
-            continue;
-        }
-        if (v->updates_count == VIEW_MAX) {
-            rg_members_send(m, to, &msg);
-            v->updates_count = 0;
-        }
-        v->updates[v->updates_count++] = rg_mb_entry_of(&m->slots[i]);
-    }
-    v->last = true;
-    rg_members_send(m, to, &msg);
-}
-
 /* A member's list arrived. Only that of one that has joined itself shows who
  * is there: of two that start at once each would else take the other for the
  * whole group. */
@@ -124,19 +62,6 @@
     m->opts.on_generation(m->opts.ctx, &from->addr, generation);
 }
 
-void
-rg_mb_set_reachable(struct rg_members *m, uint16_t slot, bool reachable)
-{
-    struct rg_member *e = &m->slots[slot];
-
-    if (e->unreachable == reachable) {
-        rg_log(&m->log, RG_LOG_WARNING, "PATH", "%s %s", e->name.s,
-               reachable ? "is reached directly again"
-                         : "is alive but reached only through others");
-    }
-    e->unreachable = !reachable;
-}
-
 void
 rg_mb_on_ack(struct rg_members *m, const struct rg_msg_ack *a, uint32_t now_ms)
 {
@@ -397,31 +322,3 @@
     }
     return slot;
 }
-
-void
-rg_members_send(struct rg_members *m, const struct rg_addr *to,
-                const struct rg_msg *msg)
-{
-    uint8_t *room = rg_actions_room(m->opts.actions, MESSAGE_MAX);
-
-    if (!room) {
-        return;
-    }
-    size_t len = rg_msg_pack(msg, room, MESSAGE_MAX);
-    m->opts.actions->arena_len -= MESSAGE_MAX - len;
-    struct rg_action *a = rg_actions_add(m->opts.actions, RG_ACTION_SEND);
-    if (!a || len == 0) {
-        return;
-    }
-    a->dst = *to;
-    rg_gue_write_control(a->head);
-    a->head_len = RG_GUE_CONTROL_LEN;
-    a->body = room;
-    a->body_len = len;
-}
-
-struct rg_msg_update
-rg_members_own_entry(const struct rg_members *m)
-{
-    return rg_mb_entry_of(&m->slots[m->self]);
-}
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -17,8 +17,21 @@
 struct rg_store_task;
 struct rg_admin;
 
+struct rg_daemon;
+
+/* What its parts ask of the main task, which coordinates them. */
+struct rg_daemon_calls {
+    /* Carries out and clears the core's actions. */
+    void (*carry_out)(struct rg_daemon *d);
+    /* Offer a head or a section to the state, and a new configuration in force
+     * to the core. */
+    enum rg_offer (*offer_head)(struct rg_daemon *d, struct rg_str text);
+    enum rg_offer (*offer_section)(struct rg_daemon *d, struct rg_str text);
+};
+
 /* State of the main task; only it may touch this. */
 struct rg_daemon {
+    struct rg_daemon_calls calls;
     uv_loop_t loop;
     uv_timer_t tick;
     uv_signal_t sigterm;
@@ -37,15 +50,4 @@
     bool stopping;
 };
 
-/* Monotonic time. */
-uint64_t rg_daemon_now_ms(void);
-
-/* Carries out and clears the core's actions. */
-void rg_daemon_carry_out(struct rg_daemon *d);
-
-/* Offers a head or a section to the state, and a new configuration in force to
- * the core. */
-enum rg_offer rg_daemon_offer_head(struct rg_daemon *d, struct rg_str text);
-enum rg_offer rg_daemon_offer_section(struct rg_daemon *d, struct rg_str text);
-
 #endif
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -4,8 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/time.h>
-#include <time.h>
 
+#include "common/clock.h"
 #include "common/mem.h"
 #include "daemon/admin.h"
 #include "daemon/daemon.h"
@@ -70,15 +70,6 @@
     .doc = "Layer-4 load balancer of one entry instance.",
 };
 
-uint64_t
-rg_daemon_now_ms(void)
-{
-    struct timespec ts;
-
-    clock_gettime(CLOCK_MONOTONIC, &ts);
-    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
-}
-
 static uint64_t
 wall_ms(void)
 {
@@ -107,8 +98,8 @@
     uv_close((uv_handle_t *)&d->sighup, NULL);
 }
 
-void
-rg_daemon_carry_out(struct rg_daemon *d)
+static void
+carry_out(struct rg_daemon *d)
 {
     struct rg_actions *actions = rg_core_actions(d->core);
     bool left = false;
@@ -140,19 +131,19 @@
 {
     if (offer == RG_OFFER_IN_FORCE) {
         rg_core_configure(d->core, rg_state_config(d->state));
-        rg_daemon_carry_out(d);
+        carry_out(d);
     }
     return offer;
 }
 
-enum rg_offer
-rg_daemon_offer_head(struct rg_daemon *d, struct rg_str text)
+static enum rg_offer
+offer_head(struct rg_daemon *d, struct rg_str text)
 {
     return offered(d, rg_state_offer_head(d->state, text));
 }
 
-enum rg_offer
-rg_daemon_offer_section(struct rg_daemon *d, struct rg_str text)
+static enum rg_offer
+offer_section(struct rg_daemon *d, struct rg_str text)
 {
     return offered(d, rg_state_offer_section(d->state, text));
 }
@@ -162,13 +153,13 @@
 {
     struct rg_daemon *d = timer->data;
 
-    rg_core_tick(d->core, rg_daemon_now_ms());
+    rg_core_tick(d->core, rg_clock_ms());
     if (d->platform) {
         rg_store_task_set_watch(
             d->platform,
             rg_core_watches_store(d->core, d->settings.store.watchers));
     }
-    rg_daemon_carry_out(d);
+    carry_out(d);
 }
 
 static void
@@ -185,8 +176,8 @@
     }
     rg_log(&d->log, RG_LOG_NOTICE, "LEAVING", "planned stop, %u records held",
            rg_flow_count(rg_core_flows(d->core)));
-    rg_core_leave(d->core, rg_daemon_now_ms());
-    rg_daemon_carry_out(d);
+    rg_core_leave(d->core, rg_clock_ms());
+    carry_out(d);
 }
 
 /* The log level and pacing can change while running; all else needs a
@@ -264,6 +255,11 @@
 {
     RG_ERR_AUTO err = {.file = d->settings_path};
 
+    d->calls = (struct rg_daemon_calls){
+        .carry_out = carry_out,
+        .offer_head = offer_head,
+        .offer_section = offer_section,
+    };
     uv_loop_init(&d->loop);
     create_core(d);
     d->packets = rg_packet_io_create(d, &err);
--- a/daemon/packet_io.c
+++ b/daemon/packet_io.c
@@ -1,4 +1,5 @@
 #include "daemon/packet_io.h"
+#include "common/clock.h"
 
 #include <errno.h>
 #include <stdlib.h>
@@ -74,11 +75,11 @@
             rg_core_backlog_read(io->d->core);
             return;
         }
-        uint64_t now_ms = rg_daemon_now_ms();
+        uint64_t now_ms = rg_clock_ms();
         for (int i = 0; i < count; i++) {
             take_datagram(io, i, now_ms);
         }
-        rg_daemon_carry_out(io->d);
+        io->d->calls.carry_out(io->d);
         if (count < BATCH) {
             rg_core_backlog_read(io->d->core);
             return;
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -150,9 +150,8 @@
 take_content(struct session *s, const struct rg_msg_content *c)
 {
     struct rg_daemon *d = s->peer->d;
-    enum rg_offer offer = c->key.len == 0
-                              ? rg_daemon_offer_head(d, c->text)
-                              : rg_daemon_offer_section(d, c->text);
+    enum rg_offer offer = c->key.len == 0 ? d->calls.offer_head(d, c->text)
+                                          : d->calls.offer_section(d, c->text);
     const struct rg_name *missing = rg_state_missing(d->state);
 
     if (offer == RG_OFFER_PENDING && missing && c->text.len > 0) {
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -1,4 +1,5 @@
 #include "daemon/store_task.h"
+#include "common/clock.h"
 
 #include <pthread.h>
 #include <stdlib.h>
@@ -213,10 +214,9 @@
 
     do {
         bool watching = is_watching(p);
-        if (rg_daemon_now_ms() >= list_due_ms) {
+        if (rg_clock_ms() >= list_due_ms) {
             bool listed = list_instances(p);
-            list_due_ms =
-                rg_daemon_now_ms() + list_period(p, listed, watching);
+            list_due_ms = rg_clock_ms() + list_period(p, listed, watching);
         }
         wait_ms = watching ? watch_once(p, &revision, &backoff) : IDLE_WAIT_MS;
     } while (pause_task(p, wait_ms));
@@ -264,10 +264,10 @@
     pthread_mutex_unlock(&p->lock);
     switch (e.kind) {
     case EVENT_HEAD:
-        rg_daemon_offer_head(d, e.text);
+        d->calls.offer_head(d, e.text);
         break;
     case EVENT_SECTION:
-        rg_daemon_offer_section(d, e.text);
+        d->calls.offer_section(d, e.text);
         break;
     case EVENT_INSTANCES:
         take_instances(p, &e);
@@ -306,9 +306,8 @@
     struct rg_store_task *p = rg_calloc(1, sizeof(*p));
     p->d = d;
     p->store = rg_store_http_create(&opts);
-    p->rand.state =
-        rg_daemon_now_ms() ^
-        rg_identity(rg_name_str(&d->settings.name), rg_str_of("platform"));
+    p->rand.state = rg_clock_ms() ^ rg_identity(rg_name_str(&d->settings.name),
+                                                rg_str_of("platform"));
     pthread_mutex_init(&p->lock, NULL);
     pthread_cond_init(&p->changed, NULL);
     uv_async_init(&d->loop, &p->async, on_event);
--- a/edge/announcer.c
+++ b/edge/announcer.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 
 #include "balance/announce.h"
+#include "common/clock.h"
 #include "common/mem.h"
 #include "common/text.h"
-#include "edge/edge.h"
 #include "edge/http_client.h"
 #include "platform/kv.h"
 
@@ -48,7 +48,7 @@
                      answer->error ? answer->error : "");
     }
     rg_announce_result(&a->state, a->calling, outcome, lease,
-                       rg_edge_now_ms());
+                       rg_clock_boot_ms());
     step(a);
 }
 
@@ -62,7 +62,7 @@
 step(struct rg_announcer *a)
 {
     struct rg_kv_call call;
-    uint64_t now = rg_edge_now_ms();
+    uint64_t now = rg_clock_boot_ms();
     struct rg_announce_step next = rg_announce_next(&a->state, now);
     RG_TEXT_AUTO body = {0};
 
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 #include "balance/transfer.h"
+#include "common/clock.h"
 #include "common/mem.h"
-#include "edge/edge.h"
 #include "edge/http_client.h"
 #include "edge/http_server.h"
 #include "proto/messages.gen.h"
@@ -61,7 +61,7 @@
     struct rg_balancer_verdict
         found[sizeof(d->verdicts) / sizeof(d->verdicts[0])];
     size_t count =
-        rg_balancer_verdicts(g->opts.balancer, rg_edge_now_ms(), found,
+        rg_balancer_verdicts(g->opts.balancer, rg_clock_boot_ms(), found,
                              sizeof(found) / sizeof(found[0]));
 
     for (size_t i = 0; i < count; i++) {
@@ -79,7 +79,7 @@
     struct sockaddr_storage sa;
     uint8_t out[DIGEST_MAX];
 
-    if (!rg_peers_next(g->peers, view, rg_edge_now_ms(), &m.u.digest, &to)) {
+    if (!rg_peers_next(g->peers, view, rg_clock_boot_ms(), &m.u.digest, &to)) {
         return;
     }
     add_verdicts(g, &m.u.digest);
@@ -95,7 +95,7 @@
 static void
 hear(struct rg_gossip *g, const struct rg_msg_digest *d)
 {
-    uint64_t now = rg_edge_now_ms();
+    uint64_t now = rg_clock_boot_ms();
 
     counters(g)[RG_TALLY_DIGESTS_HEARD]++;
     rg_peers_heard(g->peers, d, now);
@@ -153,7 +153,7 @@
     }
     struct rg_transfer_base base = {.version = version, .revision = revision};
     rg_transfer_write(g->opts.balancer, rg_sync_revision(g->opts.sync), &base,
-                      rg_edge_now_ms(), body);
+                      rg_clock_boot_ms(), body);
     return 200;
 }
 
@@ -162,7 +162,7 @@
 {
     struct rg_gossip *g = ctx;
     char from[RG_ADDR_TEXT_MAX];
-    uint64_t now = rg_edge_now_ms();
+    uint64_t now = rg_clock_boot_ms();
     uint64_t revision = rg_sync_revision(g->opts.sync);
     bool taken =
         answer->status == 200 &&
@@ -186,7 +186,7 @@
 static void
 fetch_view(struct rg_gossip *g, const struct rg_peers_view *view)
 {
-    uint64_t now = rg_edge_now_ms();
+    uint64_t now = rg_clock_boot_ms();
     char path[64];
 
     if (rg_http_client_busy(g->client) || now - g->asked_ms < VIEW_PAUSE_MS ||
@@ -208,7 +208,7 @@
 {
     struct rg_gossip *g = timer->data;
     struct rg_peers_view view = own_view(g);
-    uint64_t now = rg_edge_now_ms();
+    uint64_t now = rg_clock_boot_ms();
     bool reader = rg_peers_reader(g->peers, now);
 
     for (int i = 0; i < RG_PEERS_FANOUT; i++) {
--- a/edge/main.c
+++ b/edge/main.c
@@ -13,11 +13,11 @@
 #include "balance/balancer.h"
 #include "balance/follow.h"
 #include "balance/token.h"
+#include "common/clock.h"
 #include "common/err.h"
 #include "common/log.h"
 #include "common/mem.h"
 #include "edge/announcer.h"
-#include "edge/edge.h"
 #include "edge/gossip.h"
 #include "edge/http_server.h"
 #include "edge/packet_port.h"
@@ -120,16 +120,6 @@
            "tokens.",
 };
 
-/* Counts the time the host was suspended too, so that it shows as a pause. */
-uint64_t
-rg_edge_now_ms(void)
-{
-    struct timespec ts;
-
-    clock_gettime(CLOCK_BOOTTIME, &ts);
-    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
-}
-
 /* Differs between instances and starts; seeds random choices. */
 static uint64_t
 wall_us(void)
@@ -231,7 +221,7 @@
         close_all(e); /* asked twice */
         return;
     }
-    e->stop_ms = rg_edge_now_ms();
+    e->stop_ms = rg_clock_boot_ms();
     if (e->gossip) {
         rg_gossip_leave(e->gossip);
     }
@@ -262,7 +252,7 @@
 on_tick(uv_timer_t *timer)
 {
     struct edge *e = timer->data;
-    uint64_t now = rg_edge_now_ms();
+    uint64_t now = rg_clock_boot_ms();
 
     on_turn(e, now);
     rg_balancer_tick(e->balancer, now);
@@ -489,7 +479,7 @@
     uv_run(&e->loop, UV_RUN_DEFAULT);
     /* Handles that were closed are freed in one more turn. */
     uv_run(&e->loop, UV_RUN_NOWAIT);
-    rg_log_flush(&e->log, rg_edge_now_ms());
+    rg_log_flush(&e->log, rg_clock_boot_ms());
     rg_balancer_destroy(e->balancer);
     return EXIT_OK;
 }
@@ -503,7 +493,7 @@
 
     argp_parse(&argp, argc, argv, 0, NULL, &args);
     signal(SIGPIPE, SIG_IGN);
-    e.started_ms = rg_edge_now_ms();
+    e.started_ms = rg_clock_boot_ms();
     e.last_turn_ms = e.started_ms;
     e.settings_path = args.settings;
     err.file = args.settings;
--- a/edge/packet_port.c
+++ b/edge/packet_port.c
@@ -7,9 +7,9 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "common/clock.h"
 #include "common/mem.h"
 #include "common/udp.h"
-#include "edge/edge.h"
 #include "platform/packet.h"
 
 #define BATCH 16
@@ -154,13 +154,13 @@
 
     (void)status;
     (void)events;
-    p->opts.on_turn(p->opts.ctx, rg_edge_now_ms());
+    p->opts.on_turn(p->opts.ctx, rg_clock_boot_ms());
     for (int turn = 0; turn < BATCHES_PER_TURN; turn++) {
         int count = receive(p);
         if (count <= 0) {
             return;
         }
-        p->last_ms = rg_edge_now_ms();
+        p->last_ms = rg_clock_boot_ms();
         for (int i = 0; i < count; i++) {
             take(p, p->data[i], p->in[i].msg_len, p->last_ms);
         }
--- a/edge/status.c
+++ b/edge/status.c
@@ -1,7 +1,7 @@
 #include "edge/status.h"
 
 #include "balance/peers.h"
-#include "edge/edge.h"
+#include "common/clock.h"
 
 void
 rg_status_metrics(struct rg_balancer *b, const struct rg_gossip *gossip,
@@ -25,6 +25,7 @@
         "rattangap_log_suppressed %llu\n",
         (unsigned long long)rg_balancer_version(b), rg_pool_listed(pool),
         rg_pool_known(pool) - rg_pool_listed(pool), rg_balancer_tracked(b),
-        gossip ? rg_peers_count(rg_gossip_peers(gossip), rg_edge_now_ms()) : 0,
+        gossip ? rg_peers_count(rg_gossip_peers(gossip), rg_clock_boot_ms())
+               : 0,
         (unsigned long long)rg_log_suppressed(log->queue));
 }
--- a/edge/sync.c
+++ b/edge/sync.c
@@ -3,9 +3,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "common/clock.h"
 #include "common/mem.h"
 #include "edge/decoder.h"
-#include "edge/edge.h"
 #include "edge/http_client.h"
 #include "platform/kv.h"
 
@@ -51,7 +51,7 @@
 apply(struct rg_sync *s, const struct rg_kv_change *c)
 {
     struct rg_pool *pool = rg_balancer_pool(s->opts.balancer);
-    uint64_t now = rg_edge_now_ms();
+    uint64_t now = rg_clock_boot_ms();
 
     switch (c->what) {
     case RG_KV_ROUTES:
@@ -92,7 +92,7 @@
                  reachable ? "STORE_BACK" : "STORE_LOST",
                  "why=\"%s\" version=\"%llu\" view_age_ms=\"%llu\"", why,
                  (unsigned long long)rg_balancer_version(s->opts.balancer),
-                 (unsigned long long)(fresh ? rg_edge_now_ms() - fresh : 0));
+                 (unsigned long long)(fresh ? rg_clock_boot_ms() - fresh : 0));
 }
 
 static void
@@ -100,7 +100,7 @@
 {
     counters(s)[RG_TALLY_STORE_FAILURES]++;
     note_reachable(s, false, why);
-    rg_follow_failed(s->follow, rg_edge_now_ms());
+    rg_follow_failed(s->follow, rg_clock_boot_ms());
 }
 
 static void
@@ -108,7 +108,7 @@
 {
     struct rg_pool *pool = rg_balancer_pool(s->opts.balancer);
     const struct rg_kv_answer *answer = &decoded->answer;
-    uint64_t now = rg_edge_now_ms();
+    uint64_t now = rg_clock_boot_ms();
     bool listing = s->calling == RG_FOLLOW_LIST;
 
     if (!decoded->ok) {
@@ -160,7 +160,7 @@
         counters(s)[RG_TALLY_STORE_RELISTED]++;
         rg_log_event(s->opts.log, RG_LOG_NOTICE, "STORE_RELISTED",
                      "why=\"history is gone\"");
-        rg_follow_forgotten(s->follow, rg_edge_now_ms());
+        rg_follow_forgotten(s->follow, rg_clock_boot_ms());
     }
     else if (answer->status == 0) {
         failed(s, answer->error);
@@ -190,7 +190,7 @@
 step(struct rg_sync *s)
 {
     char path[RG_KV_PATH_MAX];
-    uint64_t now = rg_edge_now_ms();
+    uint64_t now = rg_clock_boot_ms();
     struct rg_follow_step next = rg_follow_next(s->follow, now);
 
     if (is_busy(s)) {
@@ -279,7 +279,7 @@
 void
 rg_sync_paused(struct rg_sync *s)
 {
-    rg_follow_paused(s->follow, rg_edge_now_ms());
+    rg_follow_paused(s->follow, rg_clock_boot_ms());
     if (rg_http_client_busy(s->client)) {
         rg_http_client_reset(s->client, "the process was paused");
     }
--- a/standin/callers.c
+++ b/standin/callers.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/mem.h"
 #include "core/packet.h"
 #include "standin/callers_opts.h"
@@ -442,7 +443,7 @@
           size_t len)
 {
     struct rg_packet p;
-    uint64_t now = sd_now_ms();
+    uint64_t now = rg_clock_ms();
 
     (void)ctx;
     (void)from;
@@ -520,7 +521,7 @@
 static void
 on_timer(uv_timer_t *timer)
 {
-    uint64_t now = sd_now_ms();
+    uint64_t now = rg_clock_ms();
     bool busy = false;
 
     (void)timer;
@@ -548,7 +549,7 @@
 {
     (void)handle;
     (void)signum;
-    cl.o.duration_ms = (uint32_t)(sd_now_ms() - cl.start_ms);
+    cl.o.duration_ms = (uint32_t)(rg_clock_ms() - cl.start_ms);
 }
 
 static void
@@ -573,7 +574,7 @@
     }
     struct flow *flows = rg_calloc(cl.o.flow_count, sizeof(*flows));
     cl.flows = flows;
-    cl.start_ms = sd_now_ms();
+    cl.start_ms = rg_clock_ms();
     for (uint32_t i = 0; i < cl.o.flow_count; i++) {
         struct flow *f = &flows[i];
         f->slot = i;
--- a/standin/common.c
+++ b/standin/common.c
@@ -1,4 +1,5 @@
 #include "standin/common.h"
+#include "common/clock.h"
 
 #include <errno.h>
 #include <signal.h>
@@ -6,7 +7,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 #include <unistd.h>
 
 #include "common/mem.h"
@@ -73,15 +73,6 @@
     (void)sent; /* a lost datagram is what the network may do anyway */
 }
 
-uint64_t
-sd_now_ms(void)
-{
-    struct timespec ts;
-
-    clock_gettime(CLOCK_MONOTONIC, &ts);
-    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
-}
-
 void
 sd_die(const char *format, ...)
 {
--- a/standin/common.h
+++ b/standin/common.h
@@ -31,8 +31,6 @@
 void sd_udp_send(struct sd_udp *u, const struct rg_addr *to, const void *data,
                  size_t len);
 
-uint64_t sd_now_ms(void);
-
 /* Prints a message and exits with status 2. */
 void sd_die(const char *format, ...)
     __attribute__((format(printf, 1, 2), noreturn));
--- a/standin/experiment.c
+++ b/standin/experiment.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/mem.h"
 #include "standin/common.h"
 #include "standin/fleet.h"
@@ -426,12 +427,12 @@
     argp_parse(&argp, argc, argv, 0, NULL, &s);
     const struct scenario *sc = find_scenario(s.scenario);
     s.fleet.proxy |= strcmp(s.scenario, "split") == 0;
-    uint64_t started = sd_now_ms();
+    uint64_t started = rg_clock_ms();
     struct sd_fleet *f = sd_fleet_create(&s.fleet);
     sd_fleet_load_start(f, &s.load);
     sc->run(f, &s);
     must(sd_fleet_load_end(f, &o), "the callers did not end");
-    double seconds = (double)(sd_now_ms() - started) / 1000;
+    double seconds = (double)(rg_clock_ms() - started) / 1000;
     print_outcome(&s, &o, seconds);
     if (!s.demo) {
         print_costs(f, &s, seconds);
--- a/standin/fabric.c
+++ b/standin/fabric.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/mem.h"
 #include "core/packet.h"
 #include "standin/common.h"
@@ -178,7 +179,7 @@
 on_timer(uv_timer_t *timer)
 {
     static uint64_t last_poll;
-    uint64_t now = sd_now_ms();
+    uint64_t now = rg_clock_ms();
 
     (void)timer;
     release_held();
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -1,5 +1,6 @@
 /* The life of a fleet, its daemons, the operators' tool and the load. */
 #include "standin/fleet.h"
+#include "common/clock.h"
 
 #include <errno.h>
 #include <signal.h>
@@ -172,10 +173,10 @@
 sd_fleet_load_end(struct sd_fleet *f, struct sd_outcome *out)
 {
     char text[4096];
-    uint64_t until = sd_now_ms() + LOAD_TIMEOUT_MS;
+    uint64_t until = rg_clock_ms() + LOAD_TIMEOUT_MS;
 
     memset(out, 0, sizeof(*out));
-    while (sd_fleet_load_runs(f) && sd_now_ms() < until) {
+    while (sd_fleet_load_runs(f) && rg_clock_ms() < until) {
         sd_sleep_ms(POLL_MS);
     }
     bool ended = !sd_fleet_load_runs(f);
@@ -203,10 +204,10 @@
     sd_args_add(&a, "%s/standin-store", f->bin);
     sd_args_add(&a, "--listen=%s", f->store);
     f->pids[f->pid_count++] = sd_process_start(&a, NULL);
-    uint64_t until = sd_now_ms() + START_TIMEOUT_MS;
+    uint64_t until = rg_clock_ms() + START_TIMEOUT_MS;
     char *text;
     while ((text = sd_fleet_store(f, "/stats")) == NULL) {
-        if (sd_now_ms() > until) {
+        if (rg_clock_ms() > until) {
             sd_die("the store does not start");
         }
         sd_sleep_ms(POLL_MS);
--- a/standin/fleet_ask.c
+++ b/standin/fleet_ask.c
@@ -6,6 +6,7 @@
 #include <sys/time.h>
 #include <unistd.h>
 
+#include "common/clock.h"
 #include "common/mem.h"
 #include "standin/common.h"
 #include "standin/fleet_priv.h"
@@ -56,8 +57,8 @@
 
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
     if (connect(fd, (struct sockaddr *)&sa, len) == 0) {
-        uint64_t until = sd_now_ms() + COMMAND_TOTAL_MS;
-        while (got < 0 && sd_now_ms() < until) {
+        uint64_t until = rg_clock_ms() + COMMAND_TOTAL_MS;
+        while (got < 0 && rg_clock_ms() < until) {
             if (send(fd, text, strlen(text), 0) >= 0) {
                 got = recv(fd, answer, sizeof(answer) - 1, 0);
             }
@@ -78,10 +79,10 @@
 sd_fleet_wait_for(struct sd_fleet *f, uint32_t i, sd_check_cb check,
                   const void *arg, uint32_t timeout_ms)
 {
-    uint64_t until = sd_now_ms() + timeout_ms;
+    uint64_t until = rg_clock_ms() + timeout_ms;
 
     while (!check(f, i, arg)) {
-        if (sd_now_ms() >= until) {
+        if (rg_clock_ms() >= until) {
             return false;
         }
         sd_sleep_ms(POLL_MS);
--- a/standin/proxy.c
+++ b/standin/proxy.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/mem.h"
 #include "standin/common.h"
 
@@ -111,7 +112,7 @@
         return;
     }
     struct delayed *d = &px.delayed[px.delayed_count++];
-    d->due_ms = sd_now_ms() + px.delay_ms;
+    d->due_ms = rg_clock_ms() + px.delay_ms;
     d->from = from;
     d->to = *to;
     d->len = len;
@@ -139,7 +140,7 @@
 static void
 on_timer(uv_timer_t *timer)
 {
-    uint64_t now = sd_now_ms();
+    uint64_t now = rg_clock_ms();
     size_t kept = 0;
 
     (void)timer;
--- a/standin/recheck.c
+++ b/standin/recheck.c
@@ -1,4 +1,5 @@
 #include "standin/recheck.h"
+#include "common/clock.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -39,7 +40,7 @@
     }
     r->tally->false_refusals += ran != 0;
     settle(r);
-    sd_recheck_step(r, sd_now_ms());
+    sd_recheck_step(r, rg_clock_ms());
 }
 
 void
--- /dev/null
+++ b/standin/soak/common.c
@@ -0,0 +1,66 @@
+/* What the parts of the soak share: findings, notes, addresses. */
+#include <arpa/inet.h>
+#include <stdarg.h>
+#include <stdio.h>
+
+#include "common/clock.h"
+#include "standin/soak/soak.h"
+
+#define FINDINGS_SHOWN 20
+
+static void
+print_line(const struct soak *s, const char *word, const char *format,
+           va_list ap)
+{
+    printf("%7.2f  %s ", (double)(rg_clock_boot_ms() - s->start_ms) / 1000,
+           word);
+    vprintf(format, ap);
+    printf("\n");
+}
+
+void
+soak_finding(struct soak *s, const char *format, ...)
+{
+    va_list ap;
+
+    if (s->findings++ < FINDINGS_SHOWN) {
+        va_start(ap, format);
+        print_line(s, "BROKEN", format, ap);
+        va_end(ap);
+    }
+}
+
+void
+soak_note(const struct soak *s, const char *format, ...)
+{
+    va_list ap;
+
+    va_start(ap, format);
+    print_line(s, "-", format, ap);
+    va_end(ap);
+}
+
+bool
+soak_calm(const struct soak *s, uint64_t disturbed_ms)
+{
+    return disturbed_ms == 0 || s->now_ms - disturbed_ms > SOAK_SETTLE_MS;
+}
+
+void
+soak_ip(const struct soak *s, int kind, int index, char out[32])
+{
+    snprintf(out, 32, "127.%d.%d.%d", s->net, kind, index);
+}
+
+struct soak_edge *
+soak_edge_at(struct soak *s, const struct sockaddr *from)
+{
+    const struct sockaddr_in *in = (const struct sockaddr_in *)from;
+    uint32_t ip = ntohl(in->sin_addr.s_addr);
+    int index = (int)(ip & 0xff) - 1;
+
+    if ((ip >> 8 & 0xff) != 1 || index < 0 || index >= s->edge_count) {
+        return NULL;
+    }
+    return &s->edges[index];
+}
--- a/standin/soak/main.c
+++ b/standin/soak/main.c
@@ -6,17 +6,15 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
-#include <time.h>
 #include <unistd.h>
 
+#include "common/clock.h"
 #include "common/mem.h"
-#include "edge/edge.h"
 #include "standin/soak/soak.h"
 
 #define TICK_MS 10
 #define WARM_MS 2500
 #define CALM_MS 2500
-#define FINDINGS_SHOWN 20
 
 struct arguments {
     int seed;
@@ -84,78 +82,6 @@
            "and upstreams see.",
 };
 
-uint64_t
-soak_now_ms(void)
-{
-    struct timespec ts;
-
-    clock_gettime(CLOCK_BOOTTIME, &ts);
-    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
-}
-
-/* The HTTP client is shared with the daemon, and asks it for the time. */
-uint64_t
-rg_edge_now_ms(void)
-{
-    return soak_now_ms();
-}
-
-static void
-print_line(const struct soak *s, const char *word, const char *format,
-           va_list ap)
-{
-    printf("%7.2f  %s ", (double)(soak_now_ms() - s->start_ms) / 1000, word);
-    vprintf(format, ap);
-    printf("\n");
-}
-
-void
-soak_finding(struct soak *s, const char *format, ...)
-{
-    va_list ap;
-
-    if (s->findings++ < FINDINGS_SHOWN) {
-        va_start(ap, format);
-        print_line(s, "BROKEN", format, ap);
-        va_end(ap);
-    }
-}
-
-void
-soak_note(const struct soak *s, const char *format, ...)
-{
-    va_list ap;
-
-    va_start(ap, format);
-    print_line(s, "-", format, ap);
-    va_end(ap);
-}
-
-bool
-soak_calm(const struct soak *s, uint64_t disturbed_ms)
-{
-    return disturbed_ms == 0 || s->now_ms - disturbed_ms > SOAK_SETTLE_MS;
-}
-
-void
-soak_ip(const struct soak *s, int kind, int index, char out[32])
-{
-    snprintf(out, 32, "127.%d.%d.%d", s->net, kind, index);
-}
-
-struct soak_edge *
-soak_edge_at(struct soak *s, const struct sockaddr *from)
-{
-    const struct sockaddr_in *in = (const struct sockaddr_in *)from;
-    uint32_t ip = ntohl(in->sin_addr.s_addr);
-    int index = (int)(ip & 0xff) - 1;
-
-    if ((ip >> 8 & 0xff) != 1 || index < 0 || index >= s->edge_count) {
-        return NULL;
-    }
-    return &s->edges[index];
-}
-
 static bool
 all_ready(const struct soak *s)
 {
@@ -192,7 +118,7 @@
 {
     struct soak *s = timer->data;
 
-    s->now_ms = soak_now_ms();
+    s->now_ms = rg_clock_boot_ms();
     if (s->start_ms == 0) {
         if (all_ready(s)) {
             s->start_ms = s->now_ms;
@@ -247,7 +173,7 @@
     s->dir = a->dir;
     s->edge_count = a->edges;
     s->runs = g_hash_table_new(NULL, NULL);
-    s->now_ms = soak_now_ms();
+    s->now_ms = rg_clock_boot_ms();
     s->faults_end_ms = WARM_MS + (uint64_t)a->seconds * 1000;
     s->end_ms = s->faults_end_ms + SOAK_SETTLE_MS + CALM_MS;
     uv_loop_init(&s->loop);
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -124,13 +124,12 @@
     unsigned findings;
 };
 
-/* A promise was broken. */
+/* common.c. A promise was broken. */
 void soak_finding(struct soak *s, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
 /* A line about a fault. */
 void soak_note(const struct soak *s, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
-uint64_t soak_now_ms(void);
 /* True if nothing disturbed it within SOAK_SETTLE_MS. */
 bool soak_calm(const struct soak *s, uint64_t disturbed_ms);
 /* "127.NET.kind.index". */
--- a/standin/store.c
+++ b/standin/store.c
@@ -12,6 +12,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "common/clock.h"
 #include "common/mem.h"
 #include "standin/common.h"
 
@@ -130,7 +131,7 @@
 static void
 drop_expired_leases(void)
 {
-    uint64_t now = sd_now_ms();
+    uint64_t now = rg_clock_ms();
 
     for (int i = 0; i < LEASES_MAX; i++) {
         struct lease *l = &store.leases[i];
@@ -266,7 +267,7 @@
             l->id = ++store.revision;
             l->ttl_ms = number(c, "ttl_ms");
         }
-        l->expires_ms = sd_now_ms() + l->ttl_ms;
+        l->expires_ms = rg_clock_ms() + l->ttl_ms;
         snprintf(text, sizeof(text), "{\"lease\": %llu}",
                  (unsigned long long)l->id);
         return reply(c, MHD_HTTP_OK, text, strlen(text));
--- a/standin/upstreams.c
+++ b/standin/upstreams.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/mem.h"
 #include "core/packet.h"
 #include "standin/common.h"
@@ -89,7 +90,7 @@
 {
     struct sd_conn *c = sd_conns_add(sd.conns, u->index, key);
 
-    c->seen_ms = sd_now_ms();
+    c->seen_ms = rg_clock_ms();
     u->open++;
     u->opened++;
     u->last_open_ms = c->seen_ms;
@@ -196,7 +197,7 @@
 static void
 start_job(struct upstream *u, struct sd_conn *c, const struct sd_request *r)
 {
-    uint64_t now = sd_now_ms();
+    uint64_t now = rg_clock_ms();
     int slot = u->slot_free_ms[0] <= u->slot_free_ms[1] ? 0 : 1;
     uint64_t start = u->slot_free_ms[slot] > now ? u->slot_free_ms[slot] : now;
 
@@ -318,7 +319,7 @@
         return;
     }
     c->established = true;
-    c->seen_ms = sd_now_ms();
+    c->seen_ms = rg_clock_ms();
     if (p->payload_len > 0) {
         on_data(u, p, c);
         return;
@@ -343,7 +344,7 @@
     if (!c) {
         c = add_conn(u, &p->key);
     }
-    c->seen_ms = sd_now_ms();
+    c->seen_ms = rg_clock_ms();
     if (c->answered && c->last.seq == r.seq && c->last.flow == r.flow) {
         send_datagram_answer(u, c);
     }
@@ -422,7 +423,7 @@
 on_timer(uv_timer_t *timer)
 {
     static uint64_t last_sample;
-    uint64_t now = sd_now_ms();
+    uint64_t now = rg_clock_ms();
 
     (void)timer;
     for (size_t i = 0; i < sd.job_count; i++) {
@@ -489,7 +490,7 @@
 {
     if (strcmp(command, "leave") == 0) {
         u->leaving = true;
-        u->left_ms = sd_now_ms();
+        u->left_ms = rg_clock_ms();
     }
     else if (strcmp(command, "silence") == 0) {
         u->silent = value != 0;
