balance: open flows from a sample of the upstreams while the rest is listed

Cause: an instance served nothing before its listing was complete. 288 instances that start at once read 3,000 upstreams each, 1.3 MB over a store's link of 1,000 Mbit/s: 3 s. One page more, from a random place and never stale, is enough to open flows; refusals, tokens not known yet and views for peers wait for the whole view, and the part serves no longer than the tightest bound on the view allows.

Ruled out: serving from stale pages alone (an upstream that has left may be on them for longer than the bound); a fixed place (all instances would open at the same 50 upstreams).

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -117,6 +117,13 @@
     return s->ack != 0 || (t && !is_new_flow(t));
 }
 
+/* The store has confirmed the view lately: what it lacks is not there. */
+static bool
+is_fresh(const struct rg_balancer *b)
+{
+    return b->fresh_ms != 0 && b->now_ms - b->fresh_ms <= b->opts.stale_ms;
+}
+
 static struct rg_decision
 steer_opening(struct rg_balancer *b, const struct rg_segment *s)
 {
@@ -126,7 +133,7 @@
     uint32_t service;
 
     rg_bal_count(b, RG_TALLY_OPENINGS);
-    if (!route && b->now_ms - b->fresh_ms > b->opts.stale_ms) {
+    if (!route && !is_fresh(b)) {
         return dropped(b, RG_TALLY_DROPPED_STALE_VIEW);
     }
     if (!route) {
@@ -142,7 +149,7 @@
         note_repeated(b, t);
     }
     struct rg_pick made = choose(b, t, service);
-    if (!made.boot && b->now_ms - b->fresh_ms > b->opts.stale_ms) {
+    if (!made.boot && !is_fresh(b)) {
         return dropped(b, RG_TALLY_DROPPED_STALE_VIEW);
     }
     if (!made.boot) {
@@ -344,12 +351,34 @@
     b->fresh_ms = at_ms;
 }
 
+void
+rg_balancer_sampled(struct rg_balancer *b, uint64_t at_ms)
+{
+    if (!b->routes || rg_balancer_is_whole(b)) {
+        return;
+    }
+    b->sampled_ms = at_ms;
+    rg_log_event(b->opts.log, RG_LOG_NOTICE, "SAMPLED",
+                 "version=\"%llu\" upstreams=\"%zu\"",
+                 (unsigned long long)rg_bal_version(b),
+                 rg_pool_listed(b->pool));
+}
+
 bool
-rg_balancer_ready(const struct rg_balancer *b)
+rg_balancer_is_whole(const struct rg_balancer *b)
 {
     return b->routes && b->fresh_ms != 0;
 }
 
+bool
+rg_balancer_ready(const struct rg_balancer *b)
+{
+    bool sampled =
+        b->sampled_ms != 0 && b->now_ms - b->sampled_ms < b->opts.sample_ms;
+
+    return rg_balancer_is_whole(b) || (b->routes && sampled);
+}
+
 void
 rg_balancer_tick(struct rg_balancer *b, uint64_t now_ms)
 {
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -22,6 +22,7 @@
     uint64_t flow_age_ms;     /* longest life of a flow */
     uint64_t stale_ms;        /* a view older than this is not relied upon to
                                  refuse */
+    uint64_t sample_ms;       /* how long a view in part may serve */
     size_t tracked_flows;     /* most flows tracked at once */
     uint64_t seed;            /* of the random choices */
     const struct rg_log *log; /* borrowed */
@@ -69,9 +70,16 @@
 /* The view was complete and confirmed by the store at `at_ms`. */
 void rg_balancer_fresh(struct rg_balancer *b, uint64_t at_ms);
 
-/* True once there are routes and the upstreams have been listed. */
+/* The view was the store's at `at_ms`, but holds only some of the upstreams.
+ * Until it is whole, openings are forwarded and none is refused. */
+void rg_balancer_sampled(struct rg_balancer *b, uint64_t at_ms);
+
+/* True once there are routes and upstreams to forward to. */
 bool rg_balancer_ready(const struct rg_balancer *b);
 
+/* True once the view has been whole. */
+bool rg_balancer_is_whole(const struct rg_balancer *b);
+
 struct rg_decision rg_balancer_packet(struct rg_balancer *b,
                                       const struct rg_segment *segment,
                                       uint64_t now_ms);
--- a/balance/follow.c
+++ b/balance/follow.c
@@ -34,6 +34,7 @@
     bool strict;      /* listings must not be stale */
     bool catching_up; /* the next watch brings what a listing lacks */
     bool complete;
+    bool sampled; /* or tried in vain */
     bool covered;
     bool refresh; /* one call is due, though covered */
     char after[RG_FOLLOW_KEY_MAX + 1];
@@ -83,6 +84,13 @@
     return !f->strict && !rg_follow_first_page(f);
 }
 
+static bool
+wants_sample(const struct rg_follow *f)
+{
+    return f->listing && !f->complete && !f->sampled &&
+           !rg_follow_first_page(f);
+}
+
 struct rg_follow_step
 rg_follow_next(struct rg_follow *f, uint64_t now_ms)
 {
@@ -94,6 +102,13 @@
         return (struct rg_follow_step){.kind = RG_FOLLOW_WAIT,
                                        .at_ms = now_ms + COVERED_WAIT_MS};
     }
+    if (wants_sample(f)) {
+        return (struct rg_follow_step){
+            .kind = RG_FOLLOW_SAMPLE,
+            .place = (uint32_t)rg_rand_next(&f->rand),
+            .timeout_ms = f->opts.call_ms,
+        };
+    }
     if (f->listing) {
         return (struct rg_follow_step){.kind = RG_FOLLOW_LIST,
                                        .after = f->after,
@@ -137,6 +152,13 @@
     return true;
 }
 
+void
+rg_follow_sampled(struct rg_follow *f, uint64_t now_ms)
+{
+    answered(f, now_ms);
+    f->sampled = true;
+}
+
 void
 rg_follow_watched(struct rg_follow *f, uint64_t revision, bool changes,
                   uint64_t now_ms)
@@ -179,6 +201,7 @@
         most = f->opts.retry_most_ms;
     }
     f->failures++;
+    f->sampled = f->sampled || wants_sample(f);
     f->not_before_ms =
         now_ms + most / 4 + rg_rand_below(&f->rand, (uint32_t)(most * 3 / 4));
 }
--- a/balance/follow.h
+++ b/balance/follow.h
@@ -4,10 +4,13 @@
  * page on. Pages after the first may be stale, which costs less and is not
  * counted against the store's rates: a fleet that starts at once does not
  * exhaust them. The watch after such a listing brings what it lacks, and only
- * then is the view complete. Watches follow each other with a pause after each
- * that brings changes, so that one call carries many. A listing starts again
- * when the store has forgotten the history. Calls that fail are repeated with
- * growing, random pauses. No I/O; time is passed in; one owner. */
+ * then is the view complete. Where the first listing has several pages, a
+ * sample of the upstreams is read after the first: enough to open flows with
+ * while a fleet that started at once reads the rest. Watches follow each other
+ * with a pause after each that brings changes, so that one call carries many.
+ * A listing starts again when the store has forgotten the history. Calls that
+ * fail are repeated with growing, random pauses. No I/O; time is passed in;
+ * one owner. */
 #ifndef RG_BALANCE_FOLLOW_H
 #define RG_BALANCE_FOLLOW_H
 
@@ -33,6 +36,7 @@
 enum rg_follow_kind {
     RG_FOLLOW_WAIT, /* nothing to call before at_ms */
     RG_FOLLOW_LIST,
+    RG_FOLLOW_SAMPLE, /* a page of upstreams from a random place */
     RG_FOLLOW_WATCH,
 };
 
@@ -42,6 +46,7 @@
     uint64_t at_ms;      /* of a wait */
     const char *after;   /* of a listing: the key before the page, or "" */
     bool stale;          /* of a listing: it may be seconds old */
+    uint32_t place;      /* of a sample: random */
     uint64_t revision;   /* of a watch: changes after this one */
     uint32_t wait_ms;    /* of a watch */
     uint32_t timeout_ms; /* of the call */
@@ -67,6 +72,9 @@
 bool rg_follow_listed(struct rg_follow *f, const char *last_key, bool more,
                       uint64_t revision, uint64_t now_ms);
 
+/* A sample arrived. */
+void rg_follow_sampled(struct rg_follow *f, uint64_t now_ms);
+
 /* A watch returned. */
 void rg_follow_watched(struct rg_follow *f, uint64_t revision, bool changes,
                        uint64_t now_ms);
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -21,7 +21,8 @@
     double opening_ms; /* usual time from opening to the caller's answer */
     uint64_t choices;  /* made so far */
     uint64_t started_ms;
-    uint64_t fresh_ms; /* the store confirmed the view, 0: never */
+    uint64_t fresh_ms;   /* the store confirmed the view, 0: never */
+    uint64_t sampled_ms; /* the view in part was the store's then, 0: never */
     uint64_t now_ms;
 };
 
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -148,7 +148,7 @@
     if (sscanf(path, VIEW_PATH, &version, &revision) != 2) {
         return 404;
     }
-    if (!rg_balancer_ready(g->opts.balancer)) {
+    if (!rg_balancer_is_whole(g->opts.balancer)) {
         return 503;
     }
     struct rg_transfer_base base = {.version = version, .revision = revision};
--- a/edge/main.c
+++ b/edge/main.c
@@ -445,6 +445,7 @@
         .data_centre = set->data_centre,
         .flow_age_ms = set->flow_age_ms,
         .stale_ms = set->apply_ms,
+        .sample_ms = rg_edge_view_bound_ms(set),
         .tracked_flows = set->tracked_flows,
         .seed = seed,
         .log = &e->log,
--- a/edge/sync.c
+++ b/edge/sync.c
@@ -115,13 +115,18 @@
         failed(s, "unreadable answer");
         return;
     }
+    bool sample = s->calling == RG_FOLLOW_SAMPLE;
     if (listing && rg_follow_first_page(s->follow)) {
         rg_pool_begin_listing(pool);
     }
     for (size_t i = 0; i < decoded->count; i++) {
         apply(s, &decoded->changes[i]);
     }
-    if (!listing) {
+    if (sample) {
+        rg_follow_sampled(s->follow, now);
+        rg_balancer_sampled(s->opts.balancer, now);
+    }
+    else if (!listing) {
         rg_follow_watched(s->follow, answer->revision, answer->changes > 0,
                           now);
     }
--- a/test/test_balancer.c
+++ b/test/test_balancer.c
@@ -10,6 +10,7 @@
 #define GALLERY_PORT 8443
 #define CALLER_IP 0x64400007
 #define STALE_MS 3000
+#define SAMPLE_MS 2000
 #define FLOW_AGE_MS 60000
 #define START_MS 1000
 
@@ -76,6 +77,7 @@
         .data_centre = name("dc1"),
         .flow_age_ms = FLOW_AGE_MS,
         .stale_ms = STALE_MS,
+        .sample_ms = SAMPLE_MS,
         .tracked_flows = 64,
         .seed = 1,
     };
@@ -530,6 +532,47 @@
     rg_balancer_destroy(b);
 }
 
+/* A view in part opens flows and refuses none, whatever it lacks: a route or
+ * an upstream that it does not know may well be there. It serves for as long
+ * as it may be relied upon. */
+static void
+test_sampled(void)
+{
+    struct rg_balancer *b = empty_balancer();
+    struct rg_segment s = segment(2000, SHOP_PORT);
+
+    s.opening = true;
+    rg_balancer_sampled(b, START_MS);
+    g_assert_false(rg_balancer_ready(b));
+    configure_both(b, 1);
+    report(b, "u-1", "shop", false, 1);
+    rg_balancer_sampled(b, START_MS);
+    g_assert_true(rg_balancer_ready(b));
+    g_assert_false(rg_balancer_is_whole(b));
+    g_assert_cmpint(rg_balancer_packet(b, &s, START_MS).kind, ==,
+                    RG_DECISION_FORWARD);
+    s = segment(2001, GALLERY_PORT);
+    s.opening = true;
+    g_assert_cmpint(rg_balancer_packet(b, &s, START_MS).kind, ==,
+                    RG_DECISION_DROP);
+    s = segment(2002, 9999);
+    s.opening = true;
+    g_assert_cmpint(rg_balancer_packet(b, &s, START_MS).kind, ==,
+                    RG_DECISION_DROP);
+    s = segment(2003, SHOP_PORT);
+    s.token = 12345;
+    g_assert_cmpint(rg_balancer_packet(b, &s, START_MS).kind, ==,
+                    RG_DECISION_DROP);
+    s = segment(2004, SHOP_PORT);
+    s.opening = true;
+    g_assert_cmpint(rg_balancer_packet(b, &s, START_MS + SAMPLE_MS + 1).kind,
+                    ==, RG_DECISION_DROP);
+    g_assert_false(rg_balancer_ready(b));
+    rg_balancer_fresh(b, START_MS + SAMPLE_MS);
+    g_assert_true(rg_balancer_ready(b));
+    rg_balancer_destroy(b);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -552,5 +595,6 @@
     g_test_add_func("/balancer/all-silent", test_all_silent);
     g_test_add_func("/balancer/slow-upstream", test_slow_upstream);
     g_test_add_func("/balancer/after-pause", test_after_pause);
+    g_test_add_func("/balancer/sampled", test_sampled);
     return g_test_run();
 }
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -26,6 +26,42 @@
     return f;
 }
 
+/* After the first of several pages a sample of the upstreams is read, from a
+ * place that differs between instances and never stale, and then the rest. */
+static void
+expect_sample(struct rg_follow *f, uint64_t now_ms)
+{
+    struct rg_follow_step step = rg_follow_next(f, now_ms);
+
+    g_assert_cmpint(step.kind, ==, RG_FOLLOW_SAMPLE);
+    g_assert_false(step.stale);
+    rg_follow_sampled(f, now_ms);
+}
+
+static void
+test_sample(void)
+{
+    struct rg_follow *f = make_follow();
+
+    rg_follow_listed(f, "k50", true, 10, 1000);
+    uint32_t place = rg_follow_next(f, 1000).place;
+    g_assert_cmpuint(rg_follow_next(f, 1000).place, !=, place);
+    expect_sample(f, 1000);
+    g_assert_false(rg_follow_complete(f));
+    g_assert_cmpuint(rg_follow_revision(f), ==, 0);
+    struct rg_follow_step step = rg_follow_next(f, 1000);
+    g_assert_cmpint(step.kind, ==, RG_FOLLOW_LIST);
+    g_assert_cmpstr(step.after, ==, "k50");
+    rg_follow_destroy(f);
+    /* One that fails is not asked for again: the listing matters more. */
+    f = make_follow();
+    rg_follow_listed(f, "k50", true, 10, 1000);
+    rg_follow_failed(f, 1010);
+    step = rg_follow_next(f, rg_follow_next(f, 1010).at_ms);
+    g_assert_cmpint(step.kind, ==, RG_FOLLOW_LIST);
+    rg_follow_destroy(f);
+}
+
 /* Pages are read one after the other; changes count from the first on, since
  * a page says nothing of what changed on those before it. */
 static void
@@ -37,6 +73,7 @@
     g_assert_cmpint(step.kind, ==, RG_FOLLOW_LIST);
     g_assert_cmpstr(step.after, ==, "");
     g_assert_false(rg_follow_listed(f, "k50", true, 10, 1010));
+    expect_sample(f, 1010);
     step = rg_follow_next(f, 1010);
     g_assert_cmpstr(step.after, ==, "k50");
     g_assert_false(rg_follow_complete(f));
@@ -57,6 +94,7 @@
 
     g_assert_false(rg_follow_next(f, 1000).stale);
     g_assert_false(rg_follow_listed(f, "b", true, 10, 1000));
+    expect_sample(f, 1000);
     g_assert_true(rg_follow_next(f, 1000).stale);
     g_assert_true(rg_follow_listed(f, "c", false, 7, 1000));
     g_assert_false(rg_follow_complete(f));
@@ -97,6 +135,7 @@
     struct rg_follow *f = make_follow();
 
     rg_follow_listed(f, "k50", true, 10, 1000);
+    expect_sample(f, 1005);
     rg_follow_failed(f, 1010);
     struct rg_follow_step step = rg_follow_next(f, 1010);
     g_assert_cmpint(step.kind, ==, RG_FOLLOW_WAIT);
@@ -251,6 +290,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/follow/sample", test_sample);
     g_test_add_func("/follow/pages", test_pages);
     g_test_add_func("/follow/stale-pages", test_stale_pages);
     g_test_add_func("/follow/one-page", test_one_page);
--- a/test/test_kv.c
+++ b/test/test_kv.c
@@ -76,6 +76,12 @@
     step.after = "servers/i 1&x";
     rg_kv_path(path, &step);
     g_assert_cmpstr(path, ==, "/v1/kv-range?Prefix=&after=servers/i%201%26x");
+    step = (struct rg_follow_step){.kind = RG_FOLLOW_SAMPLE, .place = 0xab12};
+    rg_kv_path(path, &step);
+    g_assert_cmpstr(path, ==,
+                    "/v1/kv-range?Prefix=servers/&after=servers/i-0000ab12");
+    step = (struct rg_follow_step){.kind = RG_FOLLOW_LIST,
+                                   .after = "servers/i 1&x"};
     step.stale = true;
     rg_kv_path(path, &step);
     g_assert_cmpstr(path, ==,
