balance: copies go to upstreams that have just answered; never refuse in an outage

A copy now prefers upstreams that showed life within the last second, and so do first packets while a fifth of the recent openings is lost.

If most are silent no slot counts as taken now. Ruled out: shorter ejections when nobody answers, a lower cost of ejected upstreams (neither was the cause).

--- a/balance/admission.c
+++ b/balance/admission.c
@@ -34,21 +34,26 @@
 
 /* This instance's work at a service, and its share of the slots there,
  * supposing that the others send as much work. Upstreams that do not answer
- * are left out. */
+ * are left out; if they are most, their return is waited for with every
+ * opening, and no slot counts as taken. */
 static struct rg_admit_load
 load_of(const struct rg_balancer *b, uint32_t service)
 {
     size_t count;
     struct rg_boot *const *boots = rg_pool_boots(b->pool, service, &count);
     struct rg_admit_load load = {0};
+    size_t silent = 0;
 
     for (size_t i = 0; i < count; i++) {
-        if (boots[i]->stalled == 0 && !rg_boot_ejected(boots[i], b->now_ms)) {
-            load.slots += boots[i]->slots;
-            load.open += boots[i]->open_work;
+        if (boots[i]->stalled != 0 || rg_boot_ejected(boots[i], b->now_ms)) {
+            silent++;
+            continue;
         }
+        load.slots += boots[i]->slots;
+        load.open += boots[i]->open_work;
     }
-    load.slots /= (double)b->instances;
+    load.slots =
+        silent * 2 > count ? INFINITY : load.slots / (double)b->instances;
     return load;
 }
 
--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -53,6 +53,7 @@
     bool before = rg_boot_ejected(t->boot, b->now_ms);
 
     rg_bal_count(b, RG_TALLY_OPENINGS_REPEATED);
+    rg_bal_note_opening(b, true);
     rg_boot_unanswered(t->boot, b->now_ms);
     if (!before && rg_boot_ejected(t->boot, b->now_ms)) {
         rg_bal_count(b, RG_TALLY_EJECTIONS);
@@ -83,6 +84,7 @@
         .now_ms = b->now_ms,
         .number = ++b->choices,
         .overdue_ms = overdue_ms(b),
+        .lost_share = b->lost_share,
         .rand = &b->rand,
     };
     struct rg_pick made = rg_pick_upstream(b->pool, &opts);
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -172,6 +172,7 @@
             ? (double)ms
             : b->opening_ms + OPENING_GAIN * ((double)ms - b->opening_ms);
     rg_boot_alive(t->boot, b->now_ms);
+    rg_bal_note_opening(b, false);
     t->last_ack = s->ack;
     rg_flows_set_state(t, RG_TRACK_IDLE, b->now_ms);
 }
--- a/balance/pick.c
+++ b/balance/pick.c
@@ -13,6 +13,13 @@
 /* An opening was repeated since it last answered. */
 #define COST_UNANSWERED 3.0
 
+/* The upstream has shown no life for UNSEEN_MS or longer; less for a share of
+ * that. */
+#define COST_UNSEEN 1.5
+#define UNSEEN_MS 1000.0
+/* Share of lost openings from which on all are as careful as copies. */
+#define LOST_MUCH 0.2
+
 /* A repeated opening counts against an upstream for this long. */
 #define UNANSWERED_LIFE_MS 1000
 
@@ -87,6 +94,17 @@
     return age > opts->overdue_ms || b->ejections > 0;
 }
 
+/* What it costs that an upstream has shown no life lately: much for a copy, as
+ * a second loss makes the answer late; for others the more, the more openings
+ * are lost at present. */
+static double
+unseen_weight(const struct rg_pick_opts *opts)
+{
+    bool is_copy = opts->avoid_count > 0 && opts->avoid[0] != NULL;
+
+    return COST_UNSEEN * (is_copy ? 1 : fmin(opts->lost_share / LOST_MUCH, 1));
+}
+
 static double
 cost_of(const struct rg_boot *b, double mean_ms,
         const struct rg_pick_opts *opts)
@@ -113,7 +131,8 @@
     if (rg_boot_ejected(b, opts->now_ms)) {
         cost += COST_EJECTED;
     }
-    return cost;
+    double unseen = (double)(opts->now_ms - b->last_alive_ms);
+    return cost + unseen_weight(opts) * fmin(unseen / UNSEEN_MS, 1);
 }
 
 /* Suspects a data centre when several of its upstreams keep an opening
--- a/balance/pick.h
+++ b/balance/pick.h
@@ -27,6 +27,7 @@
     uint64_t number;      /* of this choice, rising */
     uint32_t overdue_ms;  /* an opening without an answer for this long is
                              evidence against its upstream */
+    double lost_share;    /* of recent openings */
     struct rg_rand *rand; /* borrowed; breaks ties */
 };
 
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -18,6 +18,7 @@
     struct rg_admit *admits; /* one for each service, by its index */
     size_t admit_count;
     size_t instances;  /* that share the upstreams, this one included */
+    double lost_share; /* of recent openings, by those that were repeated */
     double opening_ms; /* usual time from opening to the caller's answer */
     uint64_t choices;  /* made so far */
     uint64_t started_ms;
@@ -49,6 +50,8 @@
                                  enum rg_tally_counter why,
                                  const char *reason);
 
+/* An opening was answered, or lost. */
+void rg_bal_note_opening(struct rg_balancer *b, bool lost);
 void rg_bal_log_opening(const struct rg_balancer *b,
                         const struct rg_segment *s,
                         const struct rg_pick *made);
--- a/balance/report.c
+++ b/balance/report.c
@@ -4,6 +4,9 @@
 
 #include "balance/priv.h"
 
+/* Share of an opening's outcome in the share of those lost. */
+#define LOST_GAIN 0.05
+
 void
 rg_bal_count(struct rg_balancer *b, enum rg_tally_counter c)
 {
@@ -25,6 +28,12 @@
     return out;
 }
 
+void
+rg_bal_note_opening(struct rg_balancer *b, bool lost)
+{
+    b->lost_share += LOST_GAIN * ((lost ? 1 : 0) - b->lost_share);
+}
+
 void
 rg_bal_log_opening(const struct rg_balancer *b, const struct rg_segment *s,
                    const struct rg_pick *made)
--- a/standin/soak/store.c
+++ b/standin/soak/store.c
@@ -11,7 +11,7 @@
 #include "standin/soak/soak.h"
 
 #define STORE_PORT 8169
-#define PAGE 20
+#define PAGE 6 /* listings of several pages */
 #define SLOW_MS 300
 /* Second bytes of loopback addresses to try when others are taken. */
 #define NET_STEP 1
--- a/test/fake_service.h
+++ b/test/fake_service.h
@@ -77,6 +77,7 @@
     uint32_t errors;
     uint32_t refused;
     uint32_t lost;
+    uint32_t second_copies; /* the first copy of an opening failed too */
 };
 
 static inline double
@@ -188,6 +189,8 @@
 {
     static const uint32_t waits_ms[] = {200, 400, 800};
     struct rg_segment syn = {.opening = true, .ack = f->copies};
+
+    s->second_copies += f->copies == 2;
     struct rg_decision decision = fake_send(s, f, syn);
 
     if (decision.kind == RG_DECISION_REFUSE) {
@@ -343,6 +346,7 @@
 fake_reset(struct fake_service *s)
 {
     s->asked = s->in_aim = s->late = s->errors = s->refused = s->lost = 0;
+    s->second_copies = 0;
     for (int i = 0; i < s->upstream_count; i++) {
         s->upstreams[i].served = 0;
     }
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -59,6 +59,28 @@
     fake_service_destroy(s);
 }
 
+/* Pattern: a third of many upstreams goes down and up by turns, and each
+ * balancer sees few of the openings. A caller whose opening was lost must not
+ * lose its copy too: that goes to an upstream that has just answered. */
+static void
+test_flapping(void)
+{
+    struct fake_service *s = fake_service_create(8, 60, SEED);
+
+    fake_run(s, 4000, PER_S);
+    fake_reset(s);
+    for (int turn = 0; turn < 8; turn++) {
+        for (int i = 0; i < 20; i++) {
+            s->upstreams[turn % 2 ? i + 20 : i].condition = FAKE_DARK;
+            s->upstreams[turn % 2 ? i : i + 20].condition = FAKE_WELL;
+        }
+        fake_run(s, 1000, PER_S);
+    }
+    g_assert_cmpuint(s->lost, ==, 0);
+    g_assert_cmpfloat(share(s->second_copies, s), <, 0.01);
+    fake_service_destroy(s);
+}
+
 /* Pattern: upstreams return. A silent one that answers again gets its share
  * of work back within seconds. */
 static void
@@ -217,6 +239,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/load/even", test_even);
     g_test_add_func("/load/dark", test_dark);
+    g_test_add_func("/load/flapping", test_flapping);
     g_test_add_func("/load/dark-returns", test_dark_returns);
     g_test_add_func("/load/quick-errors", test_quick_errors);
     g_test_add_func("/load/mute", test_mute);
