edge: count bytes of control; log what admission decides by

Control was not told apart from packets in any figure: digests, views and answers of the store are counted, and STOPPED tells them. The soak takes 240 instances.

--- a/balance/admission.c
+++ b/balance/admission.c
@@ -66,6 +66,10 @@
         if (rg_admit_is_slow(a)) {
             load = load_of(b, i);
         }
+        bool before = a->full;
         rg_admit_tick(a, RG_BALANCER_TICK_MS, &load);
+        if (a->full != before) {
+            rg_bal_log_admission(b, i, &load);
+        }
     }
 }
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -56,6 +56,10 @@
                         const struct rg_segment *s,
                         const struct rg_pick *made);
 
+/* A service has become full, or is no longer. */
+void rg_bal_log_admission(const struct rg_balancer *b, uint32_t service,
+                          const struct rg_admit_load *load);
+
 /* Admission; defined in admission.c. */
 
 /* Makes room for the admission of a service. */
--- a/balance/report.c
+++ b/balance/report.c
@@ -70,3 +70,18 @@
                  (unsigned long long)(b->now_ms - b->fresh_ms));
     return (struct rg_decision){.kind = RG_DECISION_REFUSE};
 }
+
+void
+rg_bal_log_admission(const struct rg_balancer *b, uint32_t service,
+                     const struct rg_admit_load *load)
+{
+    const struct rg_admit *a = &b->admits[service];
+
+    rg_log_event(b->opts.log, RG_LOG_INFO, a->full ? "FULL" : "NOT_FULL",
+                 "service=\"%s\" busy=\"%.1f\" slots=\"%.1f\" "
+                 "open=\"%.0f\" answers_per_s=\"%.0f\" slow=\"%.2f\" "
+                 "instances=\"%zu\"",
+                 rg_pool_service_name(b->pool, service)->s, a->busy,
+                 load->slots, a->open, a->rate * 1000, a->slow_share,
+                 b->instances);
+}
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -87,6 +87,7 @@
     uv_buf_t buf = uv_buf_init((char *)out, (unsigned)len);
     rg_addr_to_sock(&to, &sa);
     counters(g)[RG_TALLY_DIGESTS_SENT]++;
+    counters(g)[RG_TALLY_CONTROL_SENT_BYTES] += len;
     if (uv_udp_try_send(&g->udp, &buf, 1, (const struct sockaddr *)&sa) < 0) {
         counters(g)[RG_TALLY_SEND_FAILED]++;
     }
@@ -127,6 +128,7 @@
     if (len <= 0 || !from) {
         return;
     }
+    counters(g)[RG_TALLY_CONTROL_HEARD_BYTES] += (size_t)len;
     if (!rg_msg_unpack(&g->in, (const uint8_t *)buf->base, (size_t)len) ||
         g->in.kind != RG_MSG_DIGEST)
     {
@@ -152,8 +154,10 @@
         return 503;
     }
     struct rg_transfer_base base = {.version = version, .revision = revision};
+    size_t before = body->len;
     rg_transfer_write(g->opts.balancer, rg_sync_revision(g->opts.sync), &base,
                       rg_clock_boot_ms(), body);
+    counters(g)[RG_TALLY_CONTROL_SENT_BYTES] += body->len - before;
     return 200;
 }
 
@@ -164,6 +168,7 @@
     char from[RG_ADDR_TEXT_MAX];
     uint64_t now = rg_clock_boot_ms();
     uint64_t revision = rg_sync_revision(g->opts.sync);
+    counters(g)[RG_TALLY_CONTROL_HEARD_BYTES] += answer->body.len;
     bool taken =
         answer->status == 200 &&
         rg_transfer_read(g->opts.balancer, answer->body, &revision, now);
--- a/edge/main.c
+++ b/edge/main.c
@@ -179,8 +179,15 @@
         return;
     }
     e->closing = true;
-    rg_log_event(&e->log, RG_LOG_NOTICE, "STOPPED", "flows=\"%zu\"",
-                 rg_balancer_tracked(e->balancer));
+    const uint64_t *counters = rg_balancer_tally(e->balancer)->counters;
+    rg_log_event(&e->log, RG_LOG_NOTICE, "STOPPED",
+                 "flows=\"%zu\" ran_ms=\"%llu\" control_sent_bytes=\"%llu\" "
+                 "control_heard_bytes=\"%llu\" store_calls=\"%llu\"",
+                 rg_balancer_tracked(e->balancer),
+                 (unsigned long long)(rg_clock_boot_ms() - e->started_ms),
+                 (unsigned long long)counters[RG_TALLY_CONTROL_SENT_BYTES],
+                 (unsigned long long)counters[RG_TALLY_CONTROL_HEARD_BYTES],
+                 (unsigned long long)counters[RG_TALLY_STORE_CALLS]);
     rg_announcer_destroy(e->announcer);
     rg_gossip_destroy(e->gossip);
     rg_sync_destroy(e->sync);
--- a/edge/sync.c
+++ b/edge/sync.c
@@ -157,6 +157,7 @@
 {
     struct rg_sync *s = ctx;
 
+    counters(s)[RG_TALLY_CONTROL_HEARD_BYTES] += answer->body.len;
     if (answer->status == 200) {
         rg_decoder_start(s->decoder, answer->body);
         return;
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -13,7 +13,7 @@
 
 #include "common/rand.h"
 
-#define SOAK_EDGES_MAX 64
+#define SOAK_EDGES_MAX 240
 #define SOAK_HOSTS_MAX 256
 #define SOAK_CALLERS 8
 /* Bounds of the promises, as the users' platform states them. */
