soak: the store turns single instances away, also while they start; platform: name routes left out

Cause: that an instance gets its view from others while the store refuses it was built but never met. Each instance has a store address to itself in the soak, and must be ready 3 s after a start whether the store answers it or not, if others reach it.

A route that cannot be read was left out of a configuration without a word; UNREADABLE names the first and their number.

--- a/edge/sync.c
+++ b/edge/sync.c
@@ -37,7 +37,7 @@
 static void
 note_unreadable(struct rg_sync *s, const struct rg_kv_change *c)
 {
-    bool routes = c->what == RG_KV_BAD_ROUTES;
+    bool routes = c->what == RG_KV_BAD_ROUTES || c->what == RG_KV_ROUTES;
 
     counters(s)[routes ? RG_TALLY_CONFIGS_UNREADABLE
                        : RG_TALLY_ENTRIES_UNREADABLE]++;
@@ -55,6 +55,9 @@
 
     switch (c->what) {
     case RG_KV_ROUTES:
+        if (c->why[0] != '\0') {
+            note_unreadable(s, c);
+        }
         rg_balancer_set_routes(s->opts.balancer, c->routes);
         break;
     case RG_KV_UPSTREAM:
--- a/standin/soak/edges.c
+++ b/standin/soak/edges.c
@@ -24,7 +24,7 @@
 
     soak_ip(s, 1, e->index + 1, own);
     soak_ip(s, SOAK_PROXY_KIND, e->index + 1, proxy);
-    soak_ip(s, 0, 1, store);
+    soak_ip(s, 0, SOAK_STORE_FIRST + e->index, store);
     if (!out) {
         soak_finding(s, "cannot write %s", e->settings);
         return;
@@ -117,6 +117,8 @@
     }
     e->process.data = e;
     e->ordered = false;
+    e->overdue = false;
+    e->started_ms = s->now_ms;
     e->restart_ms = 0;
     int rc = uv_spawn(&s->loop, &e->process, &opts);
     close(fd);
@@ -149,11 +151,44 @@
     }
 }
 
+/* Without the store and without all peers an instance cannot know much. */
+static bool
+is_alone(const struct soak_edge *e)
+{
+    return e->store_fault && (e->peers_fault || e->deaf_to);
+}
+
+/* An instance that the store turns away takes its view from the others. */
+static void
+check_ready(struct soak *s, struct soak_edge *e)
+{
+    bool others = false;
+
+    for (int i = 0; i < s->edge_count; i++) {
+        const struct soak_edge *other = &s->edges[i];
+        others |= other != e && other->ready && !other->stopped &&
+                  soak_calm(s, other->disturbed_ms);
+    }
+    if (!e->running || e->ordered || e->ready || e->overdue || !others ||
+        !soak_calm(s, s->store_disturbed_ms) ||
+        s->now_ms - MAX(e->started_ms, e->disturbed_ms) < SOAK_READY_MS)
+    {
+        return;
+    }
+    e->overdue = true;
+    soak_finding(s, "edge %d is not ready %lu ms after its start", e->index,
+                 s->now_ms - e->started_ms);
+}
+
 void
 soak_edges_tick(struct soak *s)
 {
     for (int i = 0; i < s->edge_count; i++) {
         struct soak_edge *e = &s->edges[i];
+        if (is_alone(e)) {
+            e->disturbed_ms = s->now_ms;
+        }
+        check_ready(s, e);
         if (e->stopped || !e->running) {
             e->disturbed_ms = s->now_ms;
         }
--- a/standin/soak/faults.c
+++ b/standin/soak/faults.c
@@ -90,10 +90,29 @@
     soak_proxy_fault(s, e, fault);
 }
 
+/* The store turns one instance away and serves the others, also while it
+ * starts. */
+static void
+turn_away(struct soak *s)
+{
+    struct soak_edge *e = any_edge(s);
+
+    e->store_fault = (enum soak_store_fault)(
+        1 + rg_rand_below(&s->rand, SOAK_STORE_FAULTS - 1));
+    soak_note(s, "store fault %d for edge %d alone", e->store_fault, e->index);
+    if (rg_rand_below(&s->rand, 2)) {
+        soak_edge_signal(s, e, SIGKILL);
+    }
+}
+
 static void
 fault_store(struct soak *s)
 {
-    switch (rg_rand_below(&s->rand, 4)) {
+    switch (rg_rand_below(&s->rand, 6)) {
+    case 4:
+    case 5:
+        turn_away(s);
+        break;
     case 0:
         soak_note(s, "store forgets its history");
         soak_store_forget(s);
@@ -157,6 +176,10 @@
             soak_proxy_fault(s, e, SOAK_PEERS_WELL);
             e->deaf_to = 0;
         }
+        /* Long enough for an instance that starts meanwhile to get ready. */
+        if (all || rg_rand_below(&s->rand, 20) == 0) {
+            e->store_fault = SOAK_STORE_WELL;
+        }
     }
     for (int i = 0; i < s->host_count; i++) {
         struct soak_host *h = &s->hosts[i];
--- a/standin/soak/main.c
+++ b/standin/soak/main.c
@@ -151,10 +151,23 @@
     soak_edges_probe(timer->data);
 }
 
-/* Ends what this program started, and nothing else. */
+static bool
+any_runs(const struct soak *s)
+{
+    for (int i = 0; i < s->edge_count; i++) {
+        if (s->edges[i].running) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Ends what this program started, and nothing else. Waits for it, as the next
+ * run may use the same addresses. */
 static void
 end_processes(struct soak *s)
 {
+    uv_timer_stop(&s->tick);
     for (int i = 0; i < s->edge_count; i++) {
         struct soak_edge *e = &s->edges[i];
         if (e->running) {
@@ -162,6 +175,9 @@
             uv_process_kill(&e->process, SIGKILL);
         }
     }
+    while (any_runs(s)) {
+        uv_run(&s->loop, UV_RUN_ONCE);
+    }
 }
 
 static void
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -20,6 +20,11 @@
 #define SOAK_DRAIN_MS 3000
 #define SOAK_APPLY_MS 3000
 #define SOAK_GRACE_MS 3000
+/* An instance that others reach is ready this long after its start, whether
+ * the store answers it or not. */
+#define SOAK_READY_MS 3000
+/* Last byte of the store's address for the first instance. */
+#define SOAK_STORE_FIRST 2
 /* After a fault ends nothing is held against what it touched for this
  * long. */
 #define SOAK_SETTLE_MS 4000
@@ -65,8 +70,20 @@
     SOAK_PEERS_FAULTS,
 };
 
+enum soak_store_fault {
+    SOAK_STORE_WELL,
+    SOAK_STORE_SILENT, /* takes calls, answers none */
+    SOAK_STORE_BUSY,   /* 503 */
+    SOAK_STORE_RESET,  /* closes connections */
+    SOAK_STORE_SLOW,   /* 300 ms an answer */
+    SOAK_STORE_FAULTS,
+};
+
 struct soak_edge {
     int index;
+    enum soak_store_fault store_fault; /* for this instance alone */
+    uint64_t started_ms;
+    bool overdue;             /* it has been found not to get ready */
     struct soak_proxy *proxy; /* before its peer address */
     enum soak_peers_fault peers_fault;
     int deaf_to; /* instance whose digests do not arrive, +1; 0: none */
@@ -83,15 +100,6 @@
     struct rg_http_client *probe;
 };
 
-enum soak_store_fault {
-    SOAK_STORE_WELL,
-    SOAK_STORE_SILENT, /* takes calls, answers none */
-    SOAK_STORE_BUSY,   /* 503 */
-    SOAK_STORE_RESET,  /* closes connections */
-    SOAK_STORE_SLOW,   /* 300 ms an answer */
-    SOAK_STORE_FAULTS,
-};
-
 struct soak {
     uv_loop_t loop;
     uv_timer_t tick;
--- a/standin/soak/store.c
+++ b/standin/soak/store.c
@@ -1,5 +1,6 @@
 /* The platform's store as its page describes it: items, ranges in pages,
  * watches, leases. One list of events is history and content at once. */
+#include <arpa/inet.h>
 #include <http_parser.h>
 #include <json-c/json.h>
 #include <stdio.h>
@@ -26,6 +27,7 @@
 struct conn {
     uv_tcp_t tcp;
     struct soak *soak;
+    const struct soak_edge *edge; /* whose connection it is */
     http_parser parser;
     GString *url;
     GString *body;
@@ -286,10 +288,21 @@
     }
 }
 
+/* Each instance has an address of the store to itself, so that one can be
+ * turned away while others are served. */
+static enum soak_store_fault
+fault_of(const struct conn *c)
+{
+    if (c->soak->store_fault || !c->edge) {
+        return c->soak->store_fault;
+    }
+    return c->edge->store_fault;
+}
+
 static void
 take_call(struct conn *c)
 {
-    switch (c->soak->store_fault) {
+    switch (fault_of(c)) {
     case SOAK_STORE_SILENT:
         c->mute = true;
         break;
@@ -375,6 +388,18 @@
     http_parser_execute(&c->parser, &settings, c->buf, (size_t)len);
 }
 
+static struct soak_edge *
+edge_of(const struct conn *c)
+{
+    struct sockaddr_in sa = {0};
+    int len = sizeof(sa);
+
+    uv_tcp_getsockname(&c->tcp, (struct sockaddr *)&sa, &len);
+    int index = (int)(ntohl(sa.sin_addr.s_addr) & 0xff) - SOAK_STORE_FIRST;
+    return index >= 0 && index < c->soak->edge_count ? &c->soak->edges[index]
+                                                     : NULL;
+}
+
 static void
 on_connection(uv_stream_t *listener, int status)
 {
@@ -391,6 +416,7 @@
     http_parser_init(&c->parser, HTTP_REQUEST);
     c->parser.data = c;
     uv_accept(listener, (uv_stream_t *)&c->tcp);
+    c->edge = edge_of(c);
     uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
 }
 
@@ -406,20 +432,20 @@
             c->slow = false;
             serve(c);
         }
-        else if (c->watching && s->store_fault == SOAK_STORE_WELL) {
+        else if (c->watching && fault_of(c) == SOAK_STORE_WELL) {
             answer_watch(c);
         }
     }
 }
 
 static bool
-listen_here(struct soak *s)
+listen_at(struct soak *s, int last_byte)
 {
     uv_tcp_t *listener = g_new0(uv_tcp_t, 1);
     struct sockaddr_in sa;
     char ip[32];
 
-    soak_ip(s, 0, 1, ip);
+    soak_ip(s, 0, last_byte, ip);
     uv_ip4_addr(ip, STORE_PORT, &sa);
     uv_tcp_init(&s->loop, listener);
     listener->data = s;
@@ -441,7 +467,7 @@
     t->items = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_item);
     t->history = g_ptr_array_new_with_free_func(free_item);
     t->conns = g_ptr_array_new();
-    while (!listen_here(s)) {
+    while (!listen_at(s, 1)) {
         /* Another run uses these addresses: take the next ones. */
         s->net += NET_STEP;
         if (s->net > NET_LAST) {
@@ -449,4 +475,9 @@
             return;
         }
     }
+    for (int i = 0; i < s->edge_count; i++) {
+        if (!listen_at(s, SOAK_STORE_FIRST + i)) {
+            soak_finding(s, "the store cannot listen for edge %d", i);
+        }
+    }
 }
--- a/test/test_kv.c
+++ b/test/test_kv.c
@@ -226,6 +226,8 @@
     g_assert_cmpint(seen.last.what, ==, RG_KV_ROUTES);
     g_assert_cmpuint(seen.version, ==, 7);
     g_assert_cmpuint(seen.routes, ==, 2);
+    g_assert_cmpstr(seen.last.why, ==,
+                    "3 routes left out, the first is Routes[2]");
     g_assert_cmphex(seen.route.ip, ==, 0xc6120001);
     g_assert_cmpuint(seen.route.port, ==, 8443);
     g_assert_cmpuint(seen.route.repeat, ==, RG_REPEAT_SAFE);
