soak: end the instances when told to end; balance: no service from an empty sample

A sample without upstreams does not make an instance ready; ages in logs count from the sample until the view is whole.

--- a/balance/admission.c
+++ b/balance/admission.c
@@ -24,8 +24,7 @@
 rg_bal_admits(struct rg_balancer *b, const struct rg_route *route,
               uint32_t service)
 {
-    /* The way takes as long as an opening, and the request's answer as much.
-     */
+    /* An opening takes one way there and back, its request another. */
     double wait_ms = route->target_ms == 0
                          ? INFINITY
                          : fmax(route->target_ms - 2 * b->opening_ms, 0);
--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -356,7 +356,8 @@
 void
 rg_balancer_sampled(struct rg_balancer *b, uint64_t at_ms)
 {
-    if (!b->routes || rg_balancer_is_whole(b)) {
+    if (!b->routes || rg_balancer_is_whole(b) || rg_pool_listed(b->pool) == 0)
+    {
         return;
     }
     b->sampled_ms = at_ms;
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -34,6 +34,15 @@
     return b->routes ? rg_routes_version(b->routes) : 0;
 }
 
+/* Time since the view, whole or in part, was known to be the store's. */
+static inline uint64_t
+rg_bal_view_age_ms(const struct rg_balancer *b)
+{
+    uint64_t at_ms = b->fresh_ms ? b->fresh_ms : b->sampled_ms;
+
+    return b->now_ms - at_ms;
+}
+
 /* Room for the text of a flow: both ends. */
 #define RG_FLOW_TEXT_MAX 48
 
--- a/balance/report.c
+++ b/balance/report.c
@@ -52,7 +52,7 @@
                  rg_flow_text(&s->flow, flow), s->ack, made->boot->id.s,
                  made->boot->token, rules[made->rule], made->cost,
                  made->boot->open_work, (unsigned long long)rg_bal_version(b),
-                 (unsigned long long)(b->now_ms - b->fresh_ms));
+                 (unsigned long long)rg_bal_view_age_ms(b));
 }
 
 struct rg_decision
@@ -67,7 +67,7 @@
                  "age_ms=\"%llu\"",
                  rg_flow_text(&s->flow, flow), s->opening, reason,
                  (unsigned long long)rg_bal_version(b),
-                 (unsigned long long)(b->now_ms - b->fresh_ms));
+                 (unsigned long long)rg_bal_view_age_ms(b));
     return (struct rg_decision){.kind = RG_DECISION_REFUSE};
 }
 
--- a/standin/soak/main.c
+++ b/standin/soak/main.c
@@ -145,6 +145,26 @@
     soak_store_tick(s);
 }
 
+/* Whoever ends this program ends what it started, too. */
+static void
+on_stop_signal(uv_signal_t *handle, int signum)
+{
+    soak_finding(handle->loop->data, "ended by signal %d", signum);
+    uv_stop(handle->loop);
+}
+
+static void
+catch_stop_signals(struct soak *s)
+{
+    static uv_signal_t signals[2];
+    static const int signums[] = {SIGTERM, SIGINT};
+
+    for (int i = 0; i < 2; i++) {
+        uv_signal_init(&s->loop, &signals[i]);
+        uv_signal_start(&signals[i], on_stop_signal, signums[i]);
+    }
+}
+
 static void
 on_probe(uv_timer_t *timer)
 {
@@ -236,6 +256,7 @@
     uv_timer_init(&s.loop, &probe);
     probe.data = &s;
     uv_timer_start(&probe, on_probe, 100, 500);
+    catch_stop_signals(&s);
     uv_run(&s.loop, UV_RUN_DEFAULT);
     end_processes(&s);
     if (s.calm_asked == 0) {
