--- a/edge/sync.c
+++ b/edge/sync.c
@@ -23,6 +23,7 @@
     uv_timer_t timer;
     enum rg_follow_kind calling; /* the call in progress */
     bool reachable;              /* the last call was answered */
+    uint64_t answered_ms;        /* the answer that is being decoded arrived */
     uint64_t fresh_ms; /* the view stood at the store's then, 0: never */
 };
 
@@ -111,7 +112,8 @@
 {
     struct rg_pool *pool = rg_balancer_pool(s->opts.balancer);
     const struct rg_kv_answer *answer = &decoded->answer;
-    uint64_t now = rg_clock_boot_ms();
+    /* Decoding, or a pause in its course, does not make the answer newer. */
+    uint64_t now = s->answered_ms;
     bool listing = s->calling == RG_FOLLOW_LIST;
 
     if (!decoded->ok) {
@@ -161,6 +163,7 @@
     struct rg_sync *s = ctx;
 
     counters(s)[RG_TALLY_CONTROL_HEARD_BYTES] += answer->body.len;
+    s->answered_ms = rg_clock_boot_ms();
     if (answer->status == 200) {
         rg_decoder_start(s->decoder, answer->body);
         return;
@@ -169,7 +172,7 @@
         counters(s)[RG_TALLY_STORE_RELISTED]++;
         rg_log_event(s->opts.log, RG_LOG_NOTICE, "STORE_RELISTED",
                      "why=\"history is gone\"");
-        rg_follow_forgotten(s->follow, rg_clock_boot_ms());
+        rg_follow_forgotten(s->follow, s->answered_ms);
     }
     else if (answer->status == 0) {
         failed(s, answer->error);
--- a/standin/soak/proxy.c
+++ b/standin/soak/proxy.c
@@ -13,7 +13,7 @@
 
 /* A connection that is passed on, both ways. */
 struct link {
-    uv_tcp_t ends[2]; /* from the caller, to the instance */
+    uv_tcp_t ends[2]; /* of who connected, and to the instance */
     int open;         /* handles not closed yet */
     bool silent;      /* nothing passes any more, and neither end is told */
     struct soak_proxy *proxy;
--- a/test/test_kv.c
+++ b/test/test_kv.c
@@ -324,6 +324,25 @@
     }
 }
 
+/* Rows without a key, or with one that is no text, are of no use and do no
+ * harm. */
+static void
+test_bad_keys(void)
+{
+    static const char *const rows[] = {
+        "{}", "{\"Key\":null}", "{\"Key\":7}", "null", "7", "[]"};
+    struct seen seen;
+    struct rg_kv_answer answer;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        g_autofree char *body =
+            g_strdup_printf("{\"events\":[%s],\"StoreRevision\":6}", rows[i]);
+        g_assert_true(decode(body, &seen, &answer));
+        g_assert_cmpint(seen.counts[RG_KV_OTHER], ==, 1);
+        g_assert_cmpstr(answer.last_key, ==, "");
+    }
+}
+
 /* Several configurations in one answer: only the newest is read, or the newest
  * before it if that cannot be. */
 static void
@@ -373,6 +392,7 @@
     g_test_add_func("/kv/bad-answers", test_bad_answers);
     g_test_add_func("/kv/mixed-rows", test_mixed_rows);
     g_test_add_func("/kv/damaged", test_damaged);
+    g_test_add_func("/kv/bad-keys", test_bad_keys);
     g_test_add_func("/kv/newest-config", test_newest_config);
     return g_test_run();
 }
