--- a/balance/admission.c
+++ b/balance/admission.c
@@ -8,16 +8,16 @@
 #include "common/mem.h"
 
 void
-rg_bal_reserve_admission(struct rg_balancer *b, uint32_t service)
+rg_bal_reserve_service(struct rg_balancer *b, uint32_t service)
 {
-    if (service < b->admit_count) {
+    if (service < b->service_count) {
         return;
     }
     size_t count = service + 1;
-    b->admits = rg_realloc(b->admits, count * sizeof(*b->admits));
-    memset(b->admits + b->admit_count, 0,
-           (count - b->admit_count) * sizeof(*b->admits));
-    b->admit_count = count;
+    b->services = rg_realloc(b->services, count * sizeof(*b->services));
+    memset(b->services + b->service_count, 0,
+           (count - b->service_count) * sizeof(*b->services));
+    b->service_count = count;
 }
 
 bool
@@ -28,7 +28,8 @@
     double wait_ms = route->target_ms == 0
                          ? INFINITY
                          : fmax(route->target_ms - 2 * b->opening_ms, 0);
-    return rg_admit_opening(&b->admits[service], route->priority, wait_ms);
+    return rg_admit_opening(&b->services[service].admit, route->priority,
+                            wait_ms);
 }
 
 /* This instance's work at a service, and its share of the slots there,
@@ -44,7 +45,9 @@
     size_t silent = 0;
 
     for (size_t i = 0; i < count; i++) {
-        if (boots[i]->stalled != 0 || rg_boot_ejected(boots[i], b->now_ms)) {
+        if (boots[i]->stalled != 0 || rg_boot_condemned(boots[i]) ||
+            rg_boot_ejected(boots[i], b->now_ms))
+        {
             silent++;
             continue;
         }
@@ -59,8 +62,8 @@
 void
 rg_bal_tick_admission(struct rg_balancer *b)
 {
-    for (uint32_t i = 0; i < b->admit_count; i++) {
-        struct rg_admit *a = &b->admits[i];
+    for (uint32_t i = 0; i < b->service_count; i++) {
+        struct rg_admit *a = &b->services[i].admit;
         struct rg_admit_load load = {0};
         if (rg_admit_is_slow(a)) {
             load = load_of(b, i);
--- a/balance/admit.c
+++ b/balance/admit.c
@@ -31,10 +31,16 @@
     a->open -= a->open > 0 ? 1 : 0;
 }
 
+bool
+rg_admit_is_crowded(const struct rg_admit *a)
+{
+    return a->slow_share > SLOW_ALLOWED;
+}
+
 bool
 rg_admit_is_slow(const struct rg_admit *a)
 {
-    return a->slow > 0 || a->slow_share > SLOW_ALLOWED;
+    return a->slow > 0 || rg_admit_is_crowded(a);
 }
 
 void
--- a/balance/admit.h
+++ b/balance/admit.h
@@ -48,6 +48,9 @@
 void rg_admit_tick(struct rg_admit *a, uint32_t ms,
                    const struct rg_admit_load *load);
 
+/* True if more of the answers are slow than chance explains. */
+bool rg_admit_is_crowded(const struct rg_admit *a);
+
 /* False if the next rg_admit_tick() has no use for the load. */
 bool rg_admit_is_slow(const struct rg_admit *a);
 
--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -75,16 +75,22 @@
 }
 
 static struct rg_pick
-choose(struct rg_balancer *b, const struct rg_track *t, uint32_t service)
+choose(struct rg_balancer *b, const struct rg_track *t,
+       const struct rg_route *route, uint32_t service)
 {
     struct rg_pick_opts opts = {
         .service = service,
         .avoid = t ? t->tried : NULL,
         .avoid_count = t ? RG_TRACK_TRIES_MAX : 0,
         .now_ms = b->now_ms,
-        .number = ++b->choices,
+        .number = ++b->services[service].choices,
         .overdue_ms = overdue_ms(b),
         .lost_share = b->lost_share,
+        .usual_failing = rg_bal_usual_failing(b, service),
+        .probe = {.self = rg_pooled_self(b->pooled),
+                  .instances = b->neighbours,
+                  .repeatable = route->repeat == RG_REPEAT_SAFE,
+                  .now_ms = b->now_ms},
         .rand = &b->rand,
     };
     struct rg_pick made = rg_pick_upstream(b->pool, &opts);
@@ -150,7 +156,7 @@
     if (t && !is_new_flow(t)) {
         note_repeated(b, t);
     }
-    struct rg_pick made = choose(b, t, service);
+    struct rg_pick made = choose(b, t, route, service);
     if (!made.boot && !is_fresh(b)) {
         return dropped(b, RG_TALLY_DROPPED_STALE_VIEW);
     }
@@ -164,7 +170,10 @@
         rg_flows_set_state(t, RG_TRACK_OPENING, b->now_ms);
     }
     else {
-        rg_flows_start(b, &s->flow, made.boot);
+        t = rg_flows_start(b, &s->flow, made.boot);
+    }
+    if (t) {
+        t->probe = made.rule == RG_PICK_PROBE;
     }
     rg_boot_asked(made.boot, b->now_ms);
     return forward(b, made.boot);
@@ -225,7 +234,8 @@
     if (t) {
         rg_flows_note(b, t, s, route);
     }
-    if (t && rg_flows_lost(b, t)) {
+    if (t && rg_request_lost(b, t)) {
+        rg_request_unanswered(b, t, "reset");
         rg_flows_set_state(t, RG_TRACK_CLOSED, b->now_ms);
         return rg_bal_refuse(b, s, RG_TALLY_REFUSED_DEAD_UPSTREAM,
                              "dead-upstream");
@@ -261,7 +271,7 @@
         for (uint8_t j = 0; j < r->share_count; j++) {
             r->shares[j].service_index =
                 rg_pool_service(b->pool, &r->shares[j].service);
-            rg_bal_reserve_admission(b, r->shares[j].service_index);
+            rg_bal_reserve_service(b, r->shares[j].service_index);
         }
     }
     rg_log_event(b->opts.log, RG_LOG_NOTICE, "CONFIG",
@@ -342,9 +352,11 @@
 }
 
 void
-rg_balancer_set_instances(struct rg_balancer *b, size_t count)
+rg_balancer_set_instances(struct rg_balancer *b, size_t count,
+                          size_t neighbours)
 {
     b->instances = count;
+    b->neighbours = neighbours;
 }
 
 void
@@ -387,8 +399,27 @@
 {
     b->now_ms = now_ms;
     rg_tracks_sweep(b->tracks, rg_flows_expired, b);
+    b->ticked_ms = now_ms;
     rg_pool_tick(b->pool, now_ms);
     rg_bal_tick_admission(b);
+    rg_bal_tick_pooled(b);
+}
+
+/* Whoever waited through a pause of this process may have been answered in it.
+ */
+static bool
+excuse(void *ctx, struct rg_track *t)
+{
+    (void)ctx;
+    t->overdue = true;
+    return false;
+}
+
+void
+rg_balancer_paused(struct rg_balancer *b, uint64_t now_ms)
+{
+    b->now_ms = now_ms;
+    rg_tracks_sweep(b->tracks, excuse, b);
 }
 
 struct rg_tally *
@@ -416,8 +447,11 @@
     b->opts = *opts;
     b->pool = rg_pool_create(&pool);
     b->tracks = rg_tracks_create(opts->tracked_flows);
+    b->pooled = rg_pooled_create((uint32_t)rg_mix64(opts->seed));
     b->rand.state = opts->seed;
     b->instances = 1;
+    b->neighbours = 1;
+    b->ticked_ms = now_ms;
     b->started_ms = now_ms;
     b->now_ms = now_ms;
     return b;
@@ -430,7 +464,8 @@
         rg_routes_destroy(b->routes);
         rg_tracks_destroy(b->tracks);
         rg_pool_destroy(b->pool);
-        free(b->admits);
+        free(b->services);
+        rg_pooled_destroy(b->pooled);
         free(b);
     }
 }
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "balance/pool.h"
+#include "balance/pooled.h"
 #include "balance/routes.h"
 #include "balance/segment.h"
 #include "balance/tally.h"
@@ -63,9 +64,10 @@
 /* The upstreams; changed by whoever follows the store. */
 struct rg_pool *rg_balancer_pool(struct rg_balancer *b);
 
-/* Instances that share the upstreams, this one included, as far as is known;
- * 1 to begin with. */
-void rg_balancer_set_instances(struct rg_balancer *b, size_t count);
+/* Instances that share the upstreams, this one included, as far as is known,
+ * and how many of them are in its data centre; 1 to begin with. */
+void rg_balancer_set_instances(struct rg_balancer *b, size_t count,
+                               size_t neighbours);
 
 /* The view was complete and confirmed by the store at `at_ms`. */
 void rg_balancer_fresh(struct rg_balancer *b, uint64_t at_ms);
@@ -84,6 +86,10 @@
                                       const struct rg_segment *segment,
                                       uint64_t now_ms);
 
+/* The process did not run for a while: what its flows waited meanwhile says
+ * nothing of their upstreams. */
+void rg_balancer_paused(struct rg_balancer *b, uint64_t now_ms);
+
 /* Time passes; call it every RG_BALANCER_TICK_MS or so. */
 #define RG_BALANCER_TICK_MS 100
 void rg_balancer_tick(struct rg_balancer *b, uint64_t now_ms);
@@ -103,6 +109,19 @@
                       const struct rg_balancer_verdict *verdict,
                       uint64_t now_ms);
 
+/* Outcomes of requests to be told next to the instances of this data centre;
+ * returns their number. */
+size_t rg_balancer_outcomes(struct rg_balancer *b, struct rg_pooled_row *out,
+                            size_t max);
+
+/* True if a failure seen here has not been told yet. */
+bool rg_balancer_has_news(const struct rg_balancer *b);
+
+/* An instance of this data centre has told of outcomes. */
+void rg_balancer_hear_outcomes(struct rg_balancer *b,
+                               const struct rg_pooled_row *row,
+                               uint64_t now_ms);
+
 struct rg_tally *rg_balancer_tally(struct rg_balancer *b);
 size_t rg_balancer_tracked(const struct rg_balancer *b);
 
--- a/balance/evidence.c
+++ b/balance/evidence.c
@@ -24,6 +24,9 @@
 #define FAILING_GAIN 0.2
 /* Failures are forgotten by half in this time. */
 #define FAILING_HALF_MS 4000.0
+/* A smaller share is forgotten: where upstreams stand idle the least
+ * difference decides. */
+#define FAILING_LEAST 0.03
 
 bool
 rg_boot_ejected(const struct rg_boot *b, uint64_t now_ms)
@@ -138,6 +141,12 @@
     rg_boot_alive(b, now_ms);
 }
 
+void
+rg_boot_forgive(struct rg_boot *b)
+{
+    b->failing = 0;
+}
+
 double
 rg_boot_failing(const struct rg_boot *b, uint64_t now_ms)
 {
@@ -145,7 +154,8 @@
         return 0;
     }
     double age = (double)(now_ms - b->failing_ms);
-    return b->failing * exp2(-age / FAILING_HALF_MS);
+    double left = b->failing * exp2(-age / FAILING_HALF_MS);
+    return left < FAILING_LEAST ? 0 : left;
 }
 
 void
--- a/balance/evidence.h
+++ b/balance/evidence.h
@@ -23,6 +23,8 @@
 void rg_boot_answered(struct rg_boot *b, double ms, uint64_t now_ms);
 /* A request there failed, by what its caller saw, or not. */
 void rg_boot_outcome(struct rg_boot *b, bool failed, uint64_t now_ms);
+/* Its failures no longer count. */
+void rg_boot_forgive(struct rg_boot *b);
 /* Share of recent requests that failed. */
 double rg_boot_failing(const struct rg_boot *b, uint64_t now_ms);
 bool rg_boot_ejected(const struct rg_boot *b, uint64_t now_ms);
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -12,12 +12,10 @@
  * the same). */
 #define IDLE_LIFE_MS 5000
 #define CLOSED_LIFE_MS 1000
-/* A request is overdue after this many times its route's usual time to an
- * answer, and no sooner than the least. */
-#define REQUEST_LATE_TIMES 8
-#define REQUEST_LATE_LEAST_MS 250
 /* Share of a new opening in the usual time of one. */
 #define OPENING_GAIN 0.05
+/* Share of a new gap between signs of life in the usual one. */
+#define GAP_GAIN 0.05
 
 static bool
 counts_as_work(const struct rg_track *t)
@@ -60,53 +58,6 @@
     }
 }
 
-/* A request that may be repeated, at an upstream that will not answer: its
- * caller is told to try again, which it could else do only after its deadline.
- * A request that may run once only is left alone: nobody knows whether it
- * has. */
-bool
-rg_flows_lost(const struct rg_balancer *b, const struct rg_track *t)
-{
-    const struct rg_route *route =
-        rg_routes_find(b->routes, t->flow.service_ip, t->flow.service_port);
-
-    return t->state == RG_TRACK_REQUEST && t->repeats > 0 && route &&
-           route->repeat == RG_REPEAT_SAFE && rg_boot_dead(t->boot, b->now_ms);
-}
-
-/* Resets a lost flow without waiting for its next packet. */
-static void
-give_up(struct rg_balancer *b, struct rg_track *t)
-{
-    struct rg_segment last = {.flow = t->flow, .ack = t->last_ack};
-
-    if (!b->opts.refuse || !rg_flows_lost(b, t)) {
-        return;
-    }
-    rg_bal_refuse(b, &last, RG_TALLY_REFUSED_DEAD_UPSTREAM, "dead-upstream");
-    rg_flows_set_state(t, RG_TRACK_CLOSED, b->now_ms);
-    b->opts.refuse(b->opts.ctx, &last);
-}
-
-/* A request that waits far longer than its route's usual counts as failed,
- * once. */
-static void
-note_overdue(struct rg_balancer *b, struct rg_track *t)
-{
-    if (t->state != RG_TRACK_REQUEST || t->overdue) {
-        return;
-    }
-    const struct rg_route *route =
-        rg_routes_find(b->routes, t->flow.service_ip, t->flow.service_port);
-    double usual = route ? route->usual_ms : 0;
-    double limit = fmax(REQUEST_LATE_TIMES * usual, REQUEST_LATE_LEAST_MS);
-    if (usual > 0 && (double)(b->now_ms - t->since_ms) > limit) {
-        t->overdue = true;
-        rg_bal_count(b, RG_TALLY_REQUESTS_OVERDUE);
-        rg_boot_outcome(t->boot, true, b->now_ms);
-    }
-}
-
 bool
 rg_flows_expired(void *ctx, struct rg_track *t)
 {
@@ -118,11 +69,13 @@
     };
     struct rg_balancer *b = ctx;
 
-    note_overdue(b, t);
-    give_up(b, t);
+    rg_request_tick(b, t);
     if (b->now_ms - t->last_ms < life_ms[t->state]) {
         return false;
     }
+    if (counts_as_work(t)) {
+        rg_request_unanswered(b, t, "forgotten");
+    }
     let_go(t);
     for (int i = 0; i < RG_TRACK_TRIES_MAX; i++) {
         if (t->tried[i]) {
@@ -132,7 +85,7 @@
     return true;
 }
 
-void
+struct rg_track *
 rg_flows_start(struct rg_balancer *b, const struct rg_flow_id *flow,
                struct rg_boot *boot)
 {
@@ -140,12 +93,14 @@
 
     if (!t) {
         rg_bal_count(b, RG_TALLY_UNTRACKED);
-        return;
+        return NULL;
     }
     t->since_ms = b->now_ms;
     t->last_ms = b->now_ms;
     t->state = RG_TRACK_OPENING;
+    t->answer_ms = RG_TRACK_UNANSWERED;
     hold(t, boot);
+    return t;
 }
 
 void
@@ -159,6 +114,18 @@
     t->last_ms = b->now_ms;
 }
 
+/* An upstream has shown life. */
+static void
+note_life(struct rg_balancer *b)
+{
+    double gap = (double)(b->now_ms - b->life_ms);
+
+    if (b->life_ms != 0) {
+        b->gap_ms += GAP_GAIN * (gap - b->gap_ms);
+    }
+    b->life_ms = b->now_ms;
+}
+
 /* The first packet after an opening: the upstream has answered it. */
 static void
 note_opened(struct rg_balancer *b, struct rg_track *t,
@@ -171,8 +138,10 @@
         b->opening_ms == 0
             ? (double)ms
             : b->opening_ms + OPENING_GAIN * ((double)ms - b->opening_ms);
+    note_life(b);
     rg_boot_alive(t->boot, b->now_ms);
     rg_bal_note_opening(b, false);
+    t->answer_ms = RG_TRACK_UNANSWERED; /* ports may be used again */
     t->last_ack = s->ack;
     rg_flows_set_state(t, RG_TRACK_IDLE, b->now_ms);
 }
@@ -189,8 +158,8 @@
         .target_ms = route->target_ms,
     };
 
-    if (t->boot->service < b->admit_count) {
-        rg_admit_answered(&b->admits[t->boot->service], &answer);
+    if (t->boot->service < b->service_count) {
+        rg_admit_answered(&b->services[t->boot->service].admit, &answer);
     }
 }
 
@@ -202,6 +171,7 @@
         return;
     }
     t->last_ack = s->ack;
+    note_life(b);
     if (t->state != RG_TRACK_REQUEST) {
         rg_boot_alive(t->boot, b->now_ms);
         return;
@@ -216,7 +186,7 @@
 
 static void
 note_data(struct rg_balancer *b, struct rg_track *t,
-          const struct rg_segment *s)
+          const struct rg_segment *s, struct rg_route *route)
 {
     if (s->len == 0) {
         return;
@@ -230,6 +200,7 @@
     t->last_seq = s->seq;
     t->repeats = 0;
     if (t->state == RG_TRACK_IDLE) {
+        rg_request_answered(b, t, route); /* the one before */
         t->request_ack = t->last_ack;
         t->answer_ms = RG_TRACK_UNANSWERED;
         t->overdue = false;
@@ -239,27 +210,14 @@
 
 /* The caller has closed its side: what it got is complete. */
 static void
-note_closed(struct rg_balancer *b, struct rg_track *t,
-            const struct rg_segment *s, struct rg_route *route)
+note_closed(struct rg_balancer *b, struct rg_track *t, struct rg_route *route)
 {
-    char flow[RG_FLOW_TEXT_MAX];
-    uint32_t bytes = t->last_ack - t->request_ack;
-    bool failed = false;
-
-    if (t->state == RG_TRACK_CLOSED || t->answer_ms == RG_TRACK_UNANSWERED) {
-        return;
+    if (t->state == RG_TRACK_REQUEST) {
+        rg_request_unanswered(b, t, "closed by the caller");
     }
-    double ms = fmax((double)t->answer_ms - b->opening_ms, 0);
-    failed = rg_route_answered(route, ms, bytes);
-    rg_boot_outcome(t->boot, failed, b->now_ms);
-    if (failed) {
-        rg_bal_count(b, RG_TALLY_ANSWERS_ERROR_LIKE);
+    else if (t->state != RG_TRACK_CLOSED) {
+        rg_request_answered(b, t, route);
     }
-    rg_log_event(b->opts.log, failed ? RG_LOG_INFO : RG_LOG_DEBUG, "CLOSED",
-                 "flow=\"%s\" upstream=\"%s\" answer_ms=\"%u\" bytes=\"%u\" "
-                 "usual_ms=\"%.1f\" usual_bytes=\"%.0f\" error_like=\"%d\"",
-                 rg_flow_text(&s->flow, flow), t->boot->id.s, t->answer_ms,
-                 bytes, route->usual_ms, route->usual_bytes, failed);
 }
 
 void
@@ -271,11 +229,9 @@
         note_opened(b, t, s);
     }
     note_progress(b, t, s, route);
-    note_data(b, t, s);
-    if (s->fin) {
-        note_closed(b, t, s, route);
-    }
+    note_data(b, t, s, route);
     if (s->fin || s->reset) {
+        note_closed(b, t, route);
         rg_flows_set_state(t, RG_TRACK_CLOSED, b->now_ms);
     }
 }
--- a/balance/peers.c
+++ b/balance/peers.c
@@ -96,6 +96,25 @@
     return NULL;
 }
 
+/* A place for a peer of the own data centre: that of one elsewhere, if many of
+ * those are known. */
+static struct peer *
+make_local_place(struct rg_peers *p)
+{
+    size_t start = rg_rand_below(&p->rand, (uint32_t)p->count);
+    struct peer *found = NULL;
+    size_t remote = 0;
+
+    for (size_t i = 0; i < p->count; i++) {
+        struct peer *peer = &p->peers[(start + i) % p->count];
+        if (!peer->local) {
+            remote++;
+            found = peer;
+        }
+    }
+    return remote > RG_PEERS_REMOTE_KEPT ? found : NULL;
+}
+
 static struct peer *
 meet(struct rg_peers *p, const struct rg_addr *addr, uint64_t now_ms)
 {
@@ -142,7 +161,14 @@
                uint64_t now_ms)
 {
     struct peer *peer = meet(p, &d->addr, now_ms);
+    bool local = rg_name_eq(&d->data_centre, &p->opts.data_centre);
 
+    if (!peer && local && !rg_addr_eq(&d->addr, &p->opts.addr)) {
+        peer = make_local_place(p);
+        if (peer) {
+            *peer = (struct peer){.addr = d->addr};
+        }
+    }
     for (uint16_t i = 0; i < d->contacts_count; i++) {
         meet(p, &d->contacts[i].addr, now_ms);
     }
@@ -158,17 +184,19 @@
     peer->revision = d->revision;
     peer->fresh_ms = time_of(d->revision, d->age_ms, now_ms);
     peer->leaving = d->leaving;
-    peer->local = rg_name_eq(&d->data_centre, &p->opts.data_centre);
+    peer->local = local;
 }
 
 /* A random peer: strangers now and then, as they may be back, and mostly those
  * of the own data centre, as traffic between them is dear. */
 static const struct peer *
-pick(struct rg_peers *p, uint64_t now_ms)
+pick(struct rg_peers *p, enum rg_peers_reach reach, uint64_t now_ms)
 {
     size_t start = rg_rand_below(&p->rand, (uint32_t)p->count);
-    bool stranger = rg_rand_below(&p->rand, STRANGER_ONE_IN) == 0;
-    bool local = rg_rand_below(&p->rand, REMOTE_ONE_IN) != 0;
+    bool neighbour = reach == RG_PEERS_NEIGHBOUR;
+    bool stranger =
+        !neighbour && rg_rand_below(&p->rand, STRANGER_ONE_IN) == 0;
+    bool local = neighbour || rg_rand_below(&p->rand, REMOTE_ONE_IN) != 0;
     const struct peer *second = NULL;
 
     for (size_t i = 0; i < p->count; i++) {
@@ -200,7 +228,8 @@
 
 bool
 rg_peers_next(struct rg_peers *p, const struct rg_peers_view *view,
-              uint64_t now_ms, struct rg_msg_digest *out, struct rg_addr *to)
+              enum rg_peers_reach reach, uint64_t now_ms,
+              struct rg_msg_digest *out, struct rg_peers_target *to)
 {
     if (p->count == 0) {
         return false;
@@ -221,7 +250,8 @@
     if (rg_rand_below(&p->rand, CONTACTS_ONE_IN) == 0) {
         add_contacts(p, now_ms, out);
     }
-    *to = pick(p, now_ms)->addr;
+    const struct peer *peer = pick(p, reach, now_ms);
+    *to = (struct rg_peers_target){.addr = peer->addr, .local = peer->local};
     return true;
 }
 
@@ -312,6 +342,17 @@
     return heard;
 }
 
+size_t
+rg_peers_neighbours(const struct rg_peers *p, uint64_t now_ms)
+{
+    size_t heard = 0;
+
+    for (size_t i = 0; i < p->count; i++) {
+        heard += p->peers[i].local && is_heard(&p->peers[i], now_ms);
+    }
+    return heard;
+}
+
 struct rg_peers *
 rg_peers_create(const struct rg_peers_opts *opts)
 {
--- a/balance/peers.h
+++ b/balance/peers.h
@@ -17,8 +17,10 @@
 #include "common/str.h"
 #include "proto/messages.gen.h"
 
-/* Peers known at once: a random part of a large fleet. */
+/* Peers known at once: of a large fleet a random part, and as many of the own
+ * data centre as possible beside RG_PEERS_REMOTE_KEPT others. */
 #define RG_PEERS_MAX 48
+#define RG_PEERS_REMOTE_KEPT 12
 
 struct rg_peers_opts {
     struct rg_name name;
@@ -48,14 +50,27 @@
 void rg_peers_heard(struct rg_peers *p, const struct rg_msg_digest *digest,
                     uint64_t now_ms);
 
-/* The next digest, without verdicts, and whom to send it to; false if nobody
- * is known. Call it RG_PEERS_FANOUT times every RG_PEERS_PERIOD_MS. */
+/* Whom a digest is for. */
+enum rg_peers_reach {
+    RG_PEERS_ANYONE,
+    RG_PEERS_NEIGHBOUR, /* in the own data centre, if one is known */
+};
+
+struct rg_peers_target {
+    struct rg_addr addr;
+    bool local; /* known to be in the own data centre */
+};
+
+/* The next digest, without verdicts and outcomes, and whom to send it to;
+ * false if nobody is known. Call it RG_PEERS_FANOUT times every
+ * RG_PEERS_PERIOD_MS.
+ */
 #define RG_PEERS_PERIOD_MS 200
 /* Digests sent each period. */
 #define RG_PEERS_FANOUT 2
 bool rg_peers_next(struct rg_peers *p, const struct rg_peers_view *view,
-                   uint64_t now_ms, struct rg_msg_digest *out,
-                   struct rg_addr *to);
+                   enum rg_peers_reach reach, uint64_t now_ms,
+                   struct rg_msg_digest *out, struct rg_peers_target *to);
 
 /* True if this instance should ask the store often: it ranks first among the
  * instances it hears, or has not heard for too long that the store answered
@@ -77,7 +92,8 @@
 uint64_t rg_peers_confirmed_ms(const struct rg_peers *p,
                                const struct rg_peers_view *view);
 
-/* Peers heard lately. */
+/* Peers heard lately, and those of them in the own data centre. */
 size_t rg_peers_count(const struct rg_peers *p, uint64_t now_ms);
+size_t rg_peers_neighbours(const struct rg_peers *p, uint64_t now_ms);
 
 #endif
--- a/balance/pick.c
+++ b/balance/pick.c
@@ -31,17 +31,24 @@
 /* Without answers a slow upstream's latency is forgotten by half in this
  * time, so that it is tried again. */
 #define LATENCY_HALF_MS 2500.0
-/* Cost of an upstream all of whose requests fail. */
+/* Cost of an upstream all of whose requests fail, as seen here or by others.
+ */
 #define COST_FAILING 10.0
 
+/* A share of failures may be this many times that of its service by chance. */
+#define FAILING_BY_CHANCE 3
+
 /* Bounds of an upstream's latency, relative to its service. */
 /* Less than this is chance, not slowness; a quick upstream is not preferred
  * either, since errors are quick. */
 #define SLOW_FROM 1.5
 #define SLOW_MOST 12.0
 
-/* Upstreams looked at for one choice; of more, a random run is. */
+/* Upstreams looked at for one choice, and of these in the own data centre. */
 #define LOOK_AT_MOST 64
+#define LOOK_AT_LOCAL 48
+/* From one to the next of a list: a prime beyond any list's length. */
+#define LOOK_STEP 1000003
 
 /* Mean latency of a service's upstreams, 0 if none has answered. */
 static double
@@ -94,15 +101,39 @@
     return age > opts->overdue_ms || b->ejections > 0;
 }
 
+/* Ejected, or condemned: gets no flows but probes. */
+static bool
+is_out(const struct rg_boot *b, uint64_t now_ms)
+{
+    return rg_boot_ejected(b, now_ms) || rg_boot_condemned(b);
+}
+
+static bool
+is_copy(const struct rg_pick_opts *opts)
+{
+    return opts->avoid_count > 0 && opts->avoid[0] != NULL;
+}
+
 /* What it costs that an upstream has shown no life lately: much for a copy, as
  * a second loss makes the answer late; for others the more, the more openings
  * are lost at present. */
 static double
 unseen_weight(const struct rg_pick_opts *opts)
 {
-    bool is_copy = opts->avoid_count > 0 && opts->avoid[0] != NULL;
+    return COST_UNSEEN *
+           (is_copy(opts) ? 1 : fmin(opts->lost_share / LOST_MUCH, 1));
+}
 
-    return COST_UNSEEN * (is_copy ? 1 : fmin(opts->lost_share / LOST_MUCH, 1));
+/* Share of requests there that fail, by what this instance and others see, as
+ * far as it is more than chance: where many fail everywhere, one failure says
+ * little. */
+static double
+failing(const struct rg_boot *b, const struct rg_pick_opts *opts)
+{
+    double pooled = rg_boot_failing_share(b, opts->now_ms);
+    double chance = FAILING_BY_CHANCE * opts->usual_failing;
+
+    return fmax(rg_boot_failing(b, opts->now_ms), fmax(pooled - chance, 0));
 }
 
 static double
@@ -118,7 +149,7 @@
     if (!b->local) {
         cost += COST_REMOTE;
     }
-    cost += COST_FAILING * rg_boot_failing(b, opts->now_ms);
+    cost += COST_FAILING * failing(b, opts);
     if (keeps_waiting(b, opts)) {
         cost += COST_OVERDUE;
     }
@@ -128,7 +159,7 @@
     if (b->place->suspect) {
         cost += COST_SUSPECT;
     }
-    if (rg_boot_ejected(b, opts->now_ms)) {
+    if (is_out(b, opts->now_ms)) {
         cost += COST_EJECTED;
     }
     double unseen = (double)(opts->now_ms - b->last_alive_ms);
@@ -186,6 +217,15 @@
            now_ms - b->place->trial_ms >= SUSPECT_TRIAL_MS;
 }
 
+/* A condemned upstream is probed when its pause is over, but not by a caller
+ * that has lost an opening already. */
+static bool
+probe_is_due(const struct rg_boot *b, const struct rg_pick_opts *opts)
+{
+    return rg_boot_condemned(b) && !rg_boot_ejected(b, opts->now_ms) &&
+           !is_copy(opts) && rg_boot_may_probe(b, &opts->probe);
+}
+
 /* Of equal costs the one chosen longest ago is taken, so that idle upstreams
  * take turns. */
 static bool
@@ -205,45 +245,86 @@
     size_t ejected = 0;
 
     for (size_t i = 0; i < count; i++) {
-        ejected += rg_boot_ejected(boots[i], now_ms);
+        ejected += is_out(boots[i], now_ms);
     }
     return ejected * 2 > count;
 }
 
-/* Fills `out` with upstreams of the service that take flows, from a random one
- * on; returns their number. */
-static size_t
-candidates(const struct rg_pool *pool, const struct rg_pick_opts *opts,
-           struct rg_boot *out[LOOK_AT_MOST])
+/* Upstreams gathered for one choice. */
+struct sample {
+    struct rg_boot *boots[LOOK_AT_MOST];
+    size_t count;
+};
+
+/* Adds upstreams that take flows until there are `most`, from a random one on
+ * and in wide steps: neighbours in a list may share a cause of trouble. */
+static void
+add_some(struct sample *out, struct rg_boot *const *boots, size_t count,
+         size_t most, struct rg_rand *rand)
+{
+    size_t i = rg_rand_below(rand, (uint32_t)count);
+
+    for (size_t n = 0; n < count && out->count < most; n++) {
+        i = (i + LOOK_STEP) % count;
+        if (takes_flows(boots[i])) {
+            out->boots[out->count++] = boots[i];
+        }
+    }
+}
+
+/* Those of the own data centre first, but always some of others. */
+static void
+gather(const struct rg_pool *pool, const struct rg_pick_opts *opts,
+       struct sample *out)
 {
     size_t count;
     struct rg_boot *const *boots = rg_pool_boots(pool, opts->service, &count);
-    size_t from = rg_rand_below(opts->rand, (uint32_t)count);
-    size_t found = 0;
+    size_t local = rg_pool_local(pool, opts->service);
+    size_t most = local < count ? LOOK_AT_LOCAL : LOOK_AT_MOST;
 
-    for (size_t n = 0; n < count && found < LOOK_AT_MOST; n++) {
-        struct rg_boot *b = boots[(from + n) % count];
-        if (takes_flows(b)) {
-            out[found++] = b;
+    out->count = 0;
+    add_some(out, boots, local, most, opts->rand);
+    add_some(out, boots + local, count - local, LOOK_AT_MOST, opts->rand);
+}
+
+/* A new upstream, or one that is back, joins the turns at random: all
+ * instances learn of it at once, and must not all send it their next flow. */
+static void
+join_turns(struct sample *sample, const struct rg_pick_opts *opts)
+{
+    for (size_t i = 0; i < sample->count; i++) {
+        struct rg_boot *b = sample->boots[i];
+        if (b->chosen == 0) {
+            uint64_t back = rg_rand_below(opts->rand, (uint32_t)sample->count);
+            b->chosen = opts->number > back ? opts->number - back : 1;
         }
     }
-    return found;
 }
 
 struct rg_pick
 rg_pick_upstream(const struct rg_pool *pool, const struct rg_pick_opts *opts)
 {
-    struct rg_boot *boots[LOOK_AT_MOST];
-    size_t count = candidates(pool, opts, boots);
+    struct sample sample;
+    gather(pool, opts, &sample);
+    struct rg_boot *const *boots = sample.boots;
+    size_t count = sample.count;
     double mean_ms = service_latency(boots, count);
+    join_turns(&sample, opts);
     bool use_ejected = most_are_ejected(boots, count, opts->now_ms);
     struct rg_pick best = {.rule = RG_PICK_NONE};
 
     judge_places(boots, count, opts);
     for (size_t n = 0; n < count; n++) {
         struct rg_boot *b = boots[n];
-        if (tried(opts, b) ||
-            (rg_boot_ejected(b, opts->now_ms) && !use_ejected)) {
+        if (tried(opts, b)) {
+            continue;
+        }
+        if (probe_is_due(b, opts)) {
+            b->requests.probed_ms = opts->now_ms;
+            best = (struct rg_pick){b, RG_PICK_PROBE, 0};
+            break;
+        }
+        if (is_out(b, opts->now_ms) && !use_ejected) {
             continue;
         }
         if (place_is_due(b, opts->now_ms)) {
--- a/balance/pick.h
+++ b/balance/pick.h
@@ -10,6 +10,7 @@
 
 #include "balance/evidence.h"
 #include "balance/pool.h"
+#include "balance/standing.h"
 #include "common/rand.h"
 
 /* Why an upstream was chosen. */
@@ -17,6 +18,7 @@
     RG_PICK_NONE,  /* no upstream can take the flow */
     RG_PICK_BEST,  /* least expected wait */
     RG_PICK_TRIAL, /* shows whether a suspected data centre is back */
+    RG_PICK_PROBE, /* shows whether a condemned upstream is back */
 };
 
 struct rg_pick_opts {
@@ -28,6 +30,8 @@
     uint32_t overdue_ms;  /* an opening without an answer for this long is
                              evidence against its upstream */
     double lost_share;    /* of recent openings */
+    double usual_failing; /* share of the service's requests that fail */
+    struct rg_probe_opts probe;
     struct rg_rand *rand; /* borrowed; breaks ties */
 };
 
--- a/balance/pool.c
+++ b/balance/pool.c
@@ -10,8 +10,9 @@
 
 struct service {
     struct rg_name name;
-    struct rg_boot **boots;
+    struct rg_boot **boots; /* those of the own data centre first */
     size_t count;
+    size_t local; /* of these, in the own data centre */
     size_t room;
 };
 
@@ -164,20 +165,31 @@
         s->room = s->room ? s->room * 2 : 16;
         s->boots = rg_realloc(s->boots, s->room * sizeof(void *));
     }
-    s->boots[s->count++] = b;
+    s->boots[s->count] = b;
+    if (b->local) {
+        s->boots[s->count] = s->boots[s->local];
+        s->boots[s->local++] = b;
+    }
+    s->count++;
 }
 
 static void
 service_drop(struct rg_pool *p, const struct rg_boot *b)
 {
     struct service *s = &p->services[b->service];
+    size_t i = 0;
 
-    for (size_t i = 0; i < s->count; i++) {
-        if (s->boots[i] == b) {
-            s->boots[i] = s->boots[--s->count];
-            return;
-        }
+    while (i < s->count && s->boots[i] != b) {
+        i++;
+    }
+    if (i == s->count) {
+        return;
+    }
+    if (i < s->local) {
+        s->boots[i] = s->boots[--s->local];
+        i = s->local;
     }
+    s->boots[i] = s->boots[--s->count];
 }
 
 static struct rg_place *
@@ -247,11 +259,12 @@
     return b;
 }
 
-/* The boot a report speaks of, listed; NULL if its token is taken. */
+/* The boot a report speaks of, listed. */
 static struct rg_boot *
 boot_of(struct rg_pool *p, const struct rg_boot_report *r, uint64_t now_ms)
 {
     struct rg_boot *b = find_id(p, &r->id);
+    bool local = rg_name_eq(&r->data_centre, &p->opts.data_centre);
     uint32_t token = rg_token_of(rg_name_str(&r->id), r->boot_ms);
 
     if (b && (b->boot_ms != r->boot_ms ||
@@ -260,6 +273,11 @@
         retire(p, b, now_ms);
         b = NULL;
     }
+    if (b && b->local != local) {
+        service_drop(p, b);
+        b->local = local;
+        service_add(p, b);
+    }
     if (b) {
         return b;
     }
@@ -282,6 +300,7 @@
             table_add(p, &p->by_token, b);
         }
     }
+    b->local = local;
     table_add(p, &p->by_id, b);
     service_add(p, b);
     return b;
@@ -301,7 +320,6 @@
     b->wire_id = r->wire_id;
     b->addr = r->addr;
     b->place = place_of(p, &r->data_centre);
-    b->local = rg_name_eq(&r->data_centre, &p->opts.data_centre);
     b->slots = r->slots;
     b->revision = revision;
     b->listing = p->listing;
@@ -384,6 +402,12 @@
     p->count = kept;
 }
 
+size_t
+rg_pool_local(const struct rg_pool *p, uint32_t service)
+{
+    return service < p->service_count ? p->services[service].local : 0;
+}
+
 struct rg_boot *const *
 rg_pool_boots(const struct rg_pool *p, uint32_t service, size_t *count)
 {
--- a/balance/pool.h
+++ b/balance/pool.h
@@ -10,6 +10,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "balance/outcomes.h"
+#include "balance/pooled.h"
 #include "common/addr.h"
 #include "common/log.h"
 #include "common/str.h"
@@ -45,6 +47,20 @@
     uint64_t stalled_ms; /* when the first of them was seen */
 };
 
+/* What became of requests at an upstream, and the verdict on it; see
+ * standing.h. */
+struct rg_standing {
+    struct rg_outcomes own;      /* of this instance's requests */
+    struct rg_pooled_sum others; /* of other instances' */
+    uint32_t serial;             /* rises with each own outcome */
+    uint32_t condemned; /* verdicts against it in a row, 0: good standing */
+    uint32_t record;    /* the same, while it is not forgiven */
+    uint64_t judged_ms; /* last verdict; what came before does not count */
+    uint64_t until_ms;  /* condemned: gets no flows before */
+    uint64_t probed_ms; /* last flow that was to show whether it is back */
+    bool slow;          /* condemned, but answered some of them late */
+};
+
 struct rg_boot {
     struct rg_name id;
     uint64_t wire_id;
@@ -73,13 +89,15 @@
     uint64_t unanswered_ms; /* when the last of them was seen */
     uint32_t ejections;     /* in a row */
     uint64_t ejected_until_ms;
-    uint64_t chosen;           /* number of the last choice that fell on it */
+    uint64_t chosen; /* number of the last choice that fell on it, 0: it has
+                        yet to join the turns */
     uint64_t last_alive_ms;    /* last sign of life */
     uint64_t waiting_since_ms; /* oldest opening without an answer, 0: none */
     double failing;            /* share of late requests that failed, decays */
     uint64_t failing_ms;
     double latency_ms; /* mean time from request to answer, 0: none */
     uint64_t latency_at_ms;
+    struct rg_standing requests;
 };
 
 struct rg_pool_opts {
@@ -124,11 +142,14 @@
 /* NULL if no known boot has this token. */
 struct rg_boot *rg_pool_by_token(const struct rg_pool *p, uint32_t token);
 
-/* Boots of a service with an entry, READY, DRAINING or MISSING. Valid until
- * the next call that changes the pool. */
+/* Boots of a service with an entry, READY, DRAINING or MISSING, those of the
+ * own data centre first. Valid until the next call that changes the pool. */
 struct rg_boot *const *rg_pool_boots(const struct rg_pool *p, uint32_t service,
                                      size_t *count);
 
+/* How many of them are in the own data centre. */
+size_t rg_pool_local(const struct rg_pool *p, uint32_t service);
+
 /* As rg_pool_remove(), for one boot of an upstream; a younger one stands. */
 void rg_pool_end_boot(struct rg_pool *p, const struct rg_name *id,
                       uint64_t boot_ms, uint64_t revision, uint64_t keep_ms,
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -5,9 +5,18 @@
 #include "balance/admit.h"
 #include "balance/balancer.h"
 #include "balance/pick.h"
+#include "balance/pooled.h"
+#include "balance/standing.h"
 #include "balance/track.h"
 #include "common/rand.h"
 
+/* What the balancer keeps for each service. */
+struct rg_bal_service {
+    struct rg_admit admit;
+    struct rg_outcomes outcomes; /* of this instance's requests */
+    uint64_t choices;            /* of its upstreams made so far */
+};
+
 struct rg_balancer {
     struct rg_balancer_opts opts;
     struct rg_pool *pool;
@@ -15,15 +24,19 @@
     struct rg_tracks *tracks;
     struct rg_rand rand;
     struct rg_tally tally;
-    struct rg_admit *admits; /* one for each service, by its index */
-    size_t admit_count;
+    struct rg_pooled *pooled;
+    struct rg_bal_service *services; /* by their index */
+    size_t service_count;
     size_t instances;  /* that share the upstreams, this one included */
+    size_t neighbours; /* of these, in this data centre */
     double lost_share; /* of recent openings, by those that were repeated */
     double opening_ms; /* usual time from opening to the caller's answer */
-    uint64_t choices;  /* made so far */
+    double gap_ms;     /* usual time between two signs of life */
+    uint64_t life_ms;  /* last sign of life of an upstream */
     uint64_t started_ms;
     uint64_t fresh_ms;   /* the store confirmed the view, 0: never */
     uint64_t sampled_ms; /* the view in part was the store's then, 0: never */
+    uint64_t ticked_ms;  /* last tick */
     uint64_t now_ms;
 };
 
@@ -71,20 +84,47 @@
 
 /* Admission; defined in admission.c. */
 
-/* Makes room for the admission of a service. */
-void rg_bal_reserve_admission(struct rg_balancer *b, uint32_t service);
+/* Makes room for a service. */
+void rg_bal_reserve_service(struct rg_balancer *b, uint32_t service);
 /* False if a new flow to this service is to be refused for want of room. */
 bool rg_bal_admits(struct rg_balancer *b, const struct rg_route *route,
                    uint32_t service);
 /* RG_BALANCER_TICK_MS have passed. */
 void rg_bal_tick_admission(struct rg_balancer *b);
 
+/* Outcomes of requests; defined in pooling.c. */
+
+/* A request of this instance had this outcome. */
+void rg_bal_outcome(struct rg_balancer *b, struct rg_boot *boot,
+                    enum rg_outcome outcome);
+/* More answers of a service are slow than chance explains. */
+bool rg_bal_is_crowded(const struct rg_balancer *b, uint32_t service);
+/* Share of this instance's recent requests to a service that failed. */
+double rg_bal_usual_failing(const struct rg_balancer *b, uint32_t service);
+/* RG_BALANCER_TICK_MS have passed. */
+void rg_bal_tick_pooled(struct rg_balancer *b);
+
+/* Requests that wait; defined in requests.c. */
+
+/* True if the flow's request will not be answered and may be repeated. */
+bool rg_request_lost(const struct rg_balancer *b, const struct rg_track *t);
+/* Looks after a request that waits, as time passes. */
+void rg_request_tick(struct rg_balancer *b, struct rg_track *t);
+/* The caller has all of an answer it will get. */
+void rg_request_answered(struct rg_balancer *b, struct rg_track *t,
+                         struct rg_route *route);
+/* Logs that nothing of the flow's request, or opening, was answered here. */
+void rg_request_unanswered(struct rg_balancer *b, const struct rg_track *t,
+                           const char *done);
+
 /* Tracked flows; defined in flows.c. Each holds a reference to its boot and
  * counts as work there while an opening or a request waits. */
 
-/* A flow whose opening goes to `boot`; not tracked if there is no room. */
-void rg_flows_start(struct rg_balancer *b, const struct rg_flow_id *flow,
-                    struct rg_boot *boot);
+/* A flow whose opening goes to `boot`; NULL, and not tracked, if there is no
+ * room. */
+struct rg_track *rg_flows_start(struct rg_balancer *b,
+                                const struct rg_flow_id *flow,
+                                struct rg_boot *boot);
 /* The flow is at `boot` from now on. */
 void rg_flows_move(struct rg_balancer *b, struct rg_track *t,
                    struct rg_boot *boot);
@@ -93,8 +133,6 @@
 /* Learns from a packet of an open flow. */
 void rg_flows_note(struct rg_balancer *b, struct rg_track *t,
                    const struct rg_segment *s, struct rg_route *route);
-/* True if the flow's request will not be answered and may be repeated. */
-bool rg_flows_lost(const struct rg_balancer *b, const struct rg_track *t);
 /* Looks after one flow as time passes; true if it is to be forgotten. `ctx` is
  * the balancer. */
 bool rg_flows_expired(void *ctx, struct rg_track *t);
--- a/balance/report.c
+++ b/balance/report.c
@@ -42,6 +42,7 @@
         [RG_PICK_NONE] = "none",
         [RG_PICK_BEST] = "best",
         [RG_PICK_TRIAL] = "trial",
+        [RG_PICK_PROBE] = "probe",
     };
     char flow[RG_FLOW_TEXT_MAX];
 
@@ -75,7 +76,7 @@
 rg_bal_log_admission(const struct rg_balancer *b, uint32_t service,
                      const struct rg_admit_load *load)
 {
-    const struct rg_admit *a = &b->admits[service];
+    const struct rg_admit *a = &b->services[service].admit;
 
     rg_log_event(b->opts.log, RG_LOG_INFO, a->full ? "FULL" : "NOT_FULL",
                  "service=\"%s\" busy=\"%.1f\" slots=\"%.1f\" "
--- /dev/null
+++ b/balance/standing.h
@@ -0,0 +1,67 @@
+/* Verdicts on upstreams by what became of requests there: an upstream that
+ * opens flows may still answer nothing, or only errors.
+ *
+ * Requests count whose flow had opened, so that a path was there. Verdicts
+ * rest on this instance's requests and on those of others that reach the same
+ * data centre's upstreams. A condemned upstream gets no flows for a while and
+ * is then probed by few instances; one answer to a probe clears it for all. */
+#ifndef RG_BALANCE_STANDING_H
+#define RG_BALANCE_STANDING_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "balance/pool.h"
+
+enum rg_verdict {
+    RG_VERDICT_NONE,      /* as before */
+    RG_VERDICT_CONDEMNED, /* gets no flows for a while */
+    RG_VERDICT_CLEARED,   /* answers again */
+};
+
+/* Failures there are known, or it is condemned: its outcomes are worth
+ * telling. */
+bool rg_boot_suspect(const struct rg_boot *b, uint64_t now_ms);
+
+/* A request of this instance there had this outcome. */
+void rg_boot_request(struct rg_boot *b, enum rg_outcome outcome,
+                     uint64_t now_ms);
+
+/* Share of requests there that failed lately, low as long as few are known. */
+double rg_boot_failing_share(const struct rg_boot *b, uint64_t now_ms);
+
+/* Judges by what is known now. */
+struct rg_judge_opts {
+    double usual; /* share of failures at its service as a whole: an upstream
+                     is condemned only if it does far worse */
+    bool may_condemn; /* enough others are left */
+    bool crowded;     /* most answers of its service are slow: only one that
+                         answers nothing is condemned */
+    uint64_t now_ms;
+};
+enum rg_verdict rg_boot_judge(struct rg_boot *b,
+                              const struct rg_judge_opts *opts);
+
+/* Condemned and not cleared yet. */
+bool rg_boot_condemned(const struct rg_boot *b);
+
+/* Condemned, and its requests that failed were not answered late either: it is
+ * not merely slow. */
+bool rg_boot_answers_nothing(const struct rg_boot *b, uint64_t now_ms);
+
+/* No request there is known to have been answered since `since_ms`, late or
+ * not. */
+bool rg_boot_silent_since(const struct rg_boot *b, uint64_t since_ms,
+                          uint64_t now_ms);
+
+/* Whether a flow may go there to show if a condemned upstream is back. */
+struct rg_probe_opts {
+    uint64_t self;    /* tells instances apart */
+    size_t instances; /* that may probe it, this one included */
+    bool repeatable;  /* the flow's requests may be repeated */
+    uint64_t now_ms;
+};
+bool rg_boot_may_probe(const struct rg_boot *b,
+                       const struct rg_probe_opts *opts);
+
+#endif
--- a/balance/track.h
+++ b/balance/track.h
@@ -38,6 +38,7 @@
     uint8_t state;        /* enum rg_track_state */
     uint8_t repeats;      /* the last data came again this often */
     bool overdue;         /* its request has been counted as failed */
+    bool probe;           /* it shows whether its upstream is back */
 };
 
 struct rg_tracks;
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -18,20 +18,29 @@
 #define VIEW_BODY_MOST (16 * 1024 * 1024)
 #define VIEW_CONNECT_MS 150
 #define VIEW_CALL_MS 1000
+/* An age that stands for never. */
+#define NEVER_MS UINT32_MAX
 /* Pause between views taken from others. */
 #define VIEW_PAUSE_MS 500
 
+/* What the next tick may send. */
+enum pace {
+    PACE_FREE,   /* news, if there is any */
+    PACE_SKIP,   /* nothing: its digest has been sent already */
+    PACE_ANYONE, /* a digest whose receiver is not chosen by news */
+};
+
 struct rg_gossip {
     struct rg_gossip_opts opts;
     struct rg_peers *peers;
     uv_udp_t udp;
-    uv_timer_t timer;
     struct rg_http_server *server;
     struct rg_http_client *client;
     struct rg_addr asked; /* whose view is being fetched */
     uint64_t asked_ms;    /* when the last was asked for */
     bool leaving;
-    int handles;      /* not closed yet */
+    enum pace pace;
+    uint64_t ticks;
     struct rg_msg in; /* too large for the stack of a small task */
     char data[DIGEST_MAX];
 };
@@ -71,21 +80,84 @@
     d->verdicts_count = (uint16_t)count;
 }
 
+/* Time since something, as told to others. */
+static uint32_t
+age_of(uint64_t at_ms, uint64_t now_ms)
+{
+    return at_ms == 0 || at_ms > now_ms ? NEVER_MS
+                                        : (uint32_t)(now_ms - at_ms);
+}
+
+/* When something of this age was; 0 for never. */
+static uint64_t
+time_of(uint32_t age_ms, uint64_t now_ms)
+{
+    return age_ms == NEVER_MS || age_ms > now_ms ? 0 : now_ms - age_ms;
+}
+
 static void
-tell(struct rg_gossip *g, const struct rg_peers_view *view)
+add_outcomes(struct rg_gossip *g, struct rg_msg_digest *d, uint64_t now)
+{
+    struct rg_pooled_row rows[sizeof(d->outcomes) / sizeof(d->outcomes[0])];
+    size_t count = rg_balancer_outcomes(g->opts.balancer, rows,
+                                        sizeof(rows) / sizeof(rows[0]));
+
+    for (size_t i = 0; i < count; i++) {
+        d->outcomes[i] = (struct rg_msg_outcomes){
+            .token = rows[i].token,
+            .source = rows[i].source,
+            .serial = rows[i].serial,
+            .answered = (uint16_t)rows[i].counts[RG_OUTCOME_ANSWERED],
+            .late = (uint16_t)rows[i].counts[RG_OUTCOME_LATE],
+            .failed = (uint16_t)rows[i].counts[RG_OUTCOME_FAILED],
+            .age_ms = age_of(rows[i].last_ms, now),
+            .failed_age_ms = age_of(rows[i].failed_ms, now),
+            .answered_age_ms = age_of(rows[i].answered_ms, now),
+        };
+    }
+    d->outcomes_count = (uint16_t)count;
+}
+
+static void
+hear_outcomes(struct rg_gossip *g, const struct rg_msg_digest *d, uint64_t now)
+{
+    for (uint16_t i = 0; i < d->outcomes_count; i++) {
+        const struct rg_msg_outcomes *o = &d->outcomes[i];
+        struct rg_pooled_row row = {
+            .token = o->token,
+            .source = o->source,
+            .serial = o->serial,
+            .counts = {[RG_OUTCOME_ANSWERED] = o->answered,
+                       [RG_OUTCOME_LATE] = o->late,
+                       [RG_OUTCOME_FAILED] = o->failed},
+            .last_ms = time_of(o->age_ms, now),
+            .failed_ms = time_of(o->failed_age_ms, now),
+            .answered_ms = time_of(o->answered_age_ms, now),
+        };
+        rg_balancer_hear_outcomes(g->opts.balancer, &row, now);
+    }
+}
+
+static void
+tell(struct rg_gossip *g, const struct rg_peers_view *view,
+     enum rg_peers_reach reach)
 {
     struct rg_msg m = {.kind = RG_MSG_DIGEST};
-    struct rg_addr to;
+    struct rg_peers_target to;
     struct sockaddr_storage sa;
     uint8_t out[DIGEST_MAX];
+    uint64_t now = rg_clock_boot_ms();
 
-    if (!rg_peers_next(g->peers, view, rg_clock_boot_ms(), &m.u.digest, &to)) {
+    if (!rg_peers_next(g->peers, view, reach, now, &m.u.digest, &to)) {
         return;
     }
     add_verdicts(g, &m.u.digest);
+    if (to.local) {
+        add_outcomes(g, &m.u.digest, now);
+    }
     size_t len = rg_msg_pack(&m, out, sizeof(out));
     uv_buf_t buf = uv_buf_init((char *)out, (unsigned)len);
-    rg_addr_to_sock(&to, &sa);
+    rg_addr_to_sock(&to.addr, &sa);
     counters(g)[RG_TALLY_DIGESTS_SENT]++;
     counters(g)[RG_TALLY_CONTROL_SENT_BYTES] += len;
     if (uv_udp_try_send(&g->udp, &buf, 1, (const struct sockaddr *)&sa) < 0) {
@@ -107,6 +179,9 @@
         };
         rg_balancer_hear(g->opts.balancer, &verdict, now);
     }
+    if (rg_name_eq(&d->data_centre, &g->opts.peers.data_centre)) {
+        hear_outcomes(g, d, now);
+    }
 }
 
 static void
@@ -206,42 +281,74 @@
     rg_http_client_get(g->client, path, VIEW_CALL_MS);
 }
 
-/* --- the timer ----------------------------------------------------------- */
+/* --- time ---------------------------------------------------------------- */
 
+/* One digest a tick; two at once where news must not wait, then none in the
+ * next, and one for anyone after that. */
 static void
-on_timer(uv_timer_t *timer)
+tell_someone(struct rg_gossip *g, const struct rg_peers_view *view)
+{
+    bool news = !g->leaving && rg_balancer_has_news(g->opts.balancer);
+
+    switch (g->pace) {
+    case PACE_FREE:
+        if (news) {
+            tell(g, view, RG_PEERS_NEIGHBOUR);
+            tell(g, view, RG_PEERS_NEIGHBOUR);
+            g->pace = PACE_SKIP;
+            return;
+        }
+        break;
+    case PACE_SKIP:
+        g->pace = PACE_ANYONE;
+        return;
+    case PACE_ANYONE:
+        g->pace = PACE_FREE;
+        break;
+    }
+    tell(g, view, RG_PEERS_ANYONE);
+}
+
+/* Keeps the view level with what others know. */
+static void
+follow_peers(struct rg_gossip *g, const struct rg_peers_view *view)
 {
-    struct rg_gossip *g = timer->data;
-    struct rg_peers_view view = own_view(g);
     uint64_t now = rg_clock_boot_ms();
     bool reader = rg_peers_reader(g->peers, now);
 
-    for (int i = 0; i < RG_PEERS_FANOUT; i++) {
-        tell(g, &view);
-    }
     rg_sync_set_covered(g->opts.sync, !reader);
     rg_balancer_set_instances(g->opts.balancer,
-                              rg_peers_count(g->peers, now) + 1);
+                              rg_peers_count(g->peers, now) + 1,
+                              rg_peers_neighbours(g->peers, now) + 1);
     if (!reader || rg_sync_failing(g->opts.sync)) {
-        fetch_view(g, &view);
+        fetch_view(g, view);
     }
-    if (view.revision != 0) {
-        rg_sync_confirm(g->opts.sync, rg_peers_confirmed_ms(g->peers, &view));
+    if (view->revision != 0) {
+        rg_sync_confirm(g->opts.sync, rg_peers_confirmed_ms(g->peers, view));
     }
-    if (rg_peers_behind(g->peers, &view, now) && !reader) {
+    if (rg_peers_behind(g->peers, view, now) && !reader) {
         rg_sync_refresh(g->opts.sync);
     }
 }
 
+void
+rg_gossip_tick(struct rg_gossip *g)
+{
+    struct rg_peers_view view = own_view(g);
+
+    tell_someone(g, &view);
+    if (++g->ticks % (RG_PEERS_PERIOD_MS / RG_BALANCER_TICK_MS) == 0) {
+        follow_peers(g, &view);
+    }
+}
+
 static void
 on_closed(uv_handle_t *handle)
 {
     struct rg_gossip *g = handle->data;
 
-    if (--g->handles == 0) {
-        rg_peers_destroy(g->peers);
-        free(g);
-    }
+    rg_peers_destroy(g->peers);
+    free(g);
 }
 
 void
@@ -253,7 +360,6 @@
     rg_http_server_destroy(g->server);
     rg_http_client_destroy(g->client);
     uv_close((uv_handle_t *)&g->udp, on_closed);
-    uv_close((uv_handle_t *)&g->timer, on_closed);
 }
 
 struct rg_gossip *
@@ -279,11 +385,8 @@
 
     g->opts = *opts;
     g->peers = rg_peers_create(&opts->peers);
-    g->handles = 2;
     uv_udp_init(opts->loop, &g->udp);
-    uv_timer_init(opts->loop, &g->timer);
     g->udp.data = g;
-    g->timer.data = g;
     g->client = rg_http_client_create(&client);
     rg_addr_to_sock(&opts->listen, &sa);
     int rc = uv_udp_bind(&g->udp, (const struct sockaddr *)&sa, 0);
@@ -297,8 +400,6 @@
         return NULL;
     }
     uv_udp_recv_start(&g->udp, on_alloc, on_datagram);
-    uv_timer_start(&g->timer, on_timer, RG_PEERS_PERIOD_MS / 2,
-                   RG_PEERS_PERIOD_MS);
     return g;
 }
 
--- a/edge/gossip.h
+++ b/edge/gossip.h
@@ -30,6 +30,9 @@
 /* An instance was announced at this address. */
 void rg_gossip_meet(struct rg_gossip *g, const struct rg_addr *addr);
 
+/* RG_BALANCER_TICK_MS have passed, and rg_balancer_tick() was called. */
+void rg_gossip_tick(struct rg_gossip *g);
+
 /* A stop signal came: others are told. */
 void rg_gossip_leave(struct rg_gossip *g);
 
--- a/edge/main.c
+++ b/edge/main.c
@@ -252,6 +252,7 @@
     rg_log_event(&e->log, RG_LOG_NOTICE, "PAUSED", "ms=\"%llu\"",
                  (unsigned long long)gap);
     rg_packet_port_discard(e->packets);
+    rg_balancer_paused(e->balancer, now);
     rg_sync_paused(e->sync);
 }
 
@@ -263,6 +264,9 @@
 
     on_turn(e, now);
     rg_balancer_tick(e->balancer, now);
+    if (e->gossip) {
+        rg_gossip_tick(e->gossip);
+    }
     bool ready = rg_balancer_ready(e->balancer);
     if (ready && !e->was_ready) {
         e->was_ready = true;
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -168,6 +168,68 @@
     return true;
 }
 
+static void
+pack_outcomes(msgpack_packer *pk, const struct rg_msg_outcomes *m)
+{
+    rg_pack_list(pk, 9);
+    rg_pack_u64(pk, m->token);
+    rg_pack_u64(pk, m->source);
+    rg_pack_u64(pk, m->serial);
+    rg_pack_u64(pk, m->answered);
+    rg_pack_u64(pk, m->late);
+    rg_pack_u64(pk, m->failed);
+    rg_pack_u64(pk, m->age_ms);
+    rg_pack_u64(pk, m->failed_age_ms);
+    rg_pack_u64(pk, m->answered_age_ms);
+}
+
+static bool
+unpack_outcomes(const msgpack_object *o, struct rg_msg_outcomes *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 9)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[0], 4294967295U, &value)) {
+        return false;
+    }
+    m->token = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[1], 4294967295U, &value)) {
+        return false;
+    }
+    m->source = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[2], 4294967295U, &value)) {
+        return false;
+    }
+    m->serial = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[3], 65535U, &value)) {
+        return false;
+    }
+    m->answered = (uint16_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[4], 65535U, &value)) {
+        return false;
+    }
+    m->late = (uint16_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[5], 65535U, &value)) {
+        return false;
+    }
+    m->failed = (uint16_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[6], 4294967295U, &value)) {
+        return false;
+    }
+    m->age_ms = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[7], 4294967295U, &value)) {
+        return false;
+    }
+    m->failed_age_ms = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[8], 4294967295U, &value)) {
+        return false;
+    }
+    m->answered_age_ms = (uint32_t)value;
+    return true;
+}
+
 static void
 pack_share(msgpack_packer *pk, const struct rg_msg_share *m)
 {
@@ -726,6 +788,10 @@
     for (uint16_t i = 0; i < m->verdicts_count; i++) {
         pack_verdict(pk, &m->verdicts[i]);
     }
+    rg_pack_list(pk, m->outcomes_count);
+    for (uint16_t i = 0; i < m->outcomes_count; i++) {
+        pack_outcomes(pk, &m->outcomes[i]);
+    }
 }
 
 static bool
@@ -733,7 +799,7 @@
 {
     uint64_t value;
 
-    if (!rg_unpack_shape(o, 14)) {
+    if (!rg_unpack_shape(o, 15)) {
         return false;
     }
     if (!rg_unpack_name(&o->via.array.ptr[2], &m->from)) {
@@ -795,6 +861,15 @@
             return false;
         }
     }
+    if (!rg_unpack_list(&o->via.array.ptr[14], 12, &m->outcomes_count)) {
+        return false;
+    }
+    for (uint16_t i = 0; i < m->outcomes_count; i++) {
+        if (!unpack_outcomes(&o->via.array.ptr[14].via.array.ptr[i],
+                             &m->outcomes[i])) {
+            return false;
+        }
+    }
     return true;
 }
 
@@ -970,7 +1045,7 @@
         pack_content(&pk, &m->u.content);
         break;
     case RG_MSG_DIGEST:
-        rg_pack_list(&pk, 14);
+        rg_pack_list(&pk, 15);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_digest(&pk, &m->u.digest);
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -64,6 +64,29 @@
     uint32_t age_ms;
 };
 
+/* What one instance has seen of an upstream's answers since it came under
+ * suspicion. */
+struct rg_msg_outcomes {
+    /* routing token of the upstream */
+    uint32_t token;
+    /* the instance and its start */
+    uint32_t source;
+    /* higher replaces lower */
+    uint32_t serial;
+    /* requests answered as usual */
+    uint16_t answered;
+    /* requests answered after they had counted as failed */
+    uint16_t late;
+    /* requests overdue, or answered by an error */
+    uint16_t failed;
+    /* time since the last of these */
+    uint32_t age_ms;
+    /* time since the last failure, 4294967295: none */
+    uint32_t failed_age_ms;
+    /* time since the last answer, 4294967295: none */
+    uint32_t answered_age_ms;
+};
+
 /* One service of a route. */
 struct rg_msg_share {
     /* its name */
@@ -269,6 +292,9 @@
     /* upstreams it has ejected */
     uint16_t verdicts_count;
     struct rg_msg_verdict verdicts[12];
+    /* for its own data centre: counts of its own and of others */
+    uint16_t outcomes_count;
+    struct rg_msg_outcomes outcomes[12];
 };
 
 /* TCP: a part of the routes in force. */
