--- a/balance/admission.c
+++ b/balance/admission.c
@@ -70,6 +70,9 @@
         }
         bool before = a->full;
         rg_admit_tick(a, RG_BALANCER_TICK_MS, &load);
+        if (rg_admit_is_crowded(a)) {
+            b->services[i].crowded_ms = b->now_ms;
+        }
         if (a->full != before) {
             rg_bal_log_admission(b, i, &load);
         }
--- a/balance/peers.c
+++ b/balance/peers.c
@@ -25,8 +25,10 @@
 #define COVERED_PERCENT 55
 /* Under a tighter bound digests would come too late: all ask the store. */
 #define COVERED_LEAST_BOUND_MS 2500
-/* Peers get this long to pass on what is known before the store is asked. */
-#define BEHIND_MS 700
+/* Peers get this share of the bound, percent, to pass on what is known before
+ * the store is asked; no less than a few digests take to get round. */
+#define BEHIND_PERCENT 23
+#define BEHIND_LEAST_MS 500
 
 struct peer {
     struct rg_addr addr;
@@ -295,7 +297,11 @@
         p->mark_ms = now_ms;
         return false;
     }
-    return now_ms - p->mark_ms >= BEHIND_MS;
+    uint64_t limit_ms = (uint64_t)p->opts.bound_ms * BEHIND_PERCENT / 100;
+    if (limit_ms < BEHIND_LEAST_MS) {
+        limit_ms = BEHIND_LEAST_MS;
+    }
+    return now_ms - p->mark_ms >= limit_ms;
 }
 
 bool
--- a/balance/pick.c
+++ b/balance/pick.c
@@ -47,6 +47,8 @@
 /* Upstreams looked at for one choice, and of these in the own data centre. */
 #define LOOK_AT_MOST 64
 #define LOOK_AT_LOCAL 48
+/* Whoever was not chosen for so many turns has been out of them. */
+#define TURNS_MISSED 2
 /* From one to the next of a list: a prime beyond any list's length. */
 #define LOOK_STEP 1000003
 
@@ -254,6 +256,8 @@
 struct sample {
     struct rg_boot *boots[LOOK_AT_MOST];
     size_t count;
+    size_t local; /* of these, in the own data centre: they take turns among
+                     themselves */
 };
 
 /* Adds upstreams that take flows until there are `most`, from a random one on
@@ -284,20 +288,25 @@
 
     out->count = 0;
     add_some(out, boots, local, most, opts->rand);
+    out->local = out->count;
     add_some(out, boots + local, count - local, LOOK_AT_MOST, opts->rand);
 }
 
-/* A new upstream, or one that is back, joins the turns at random: all
- * instances learn of it at once, and must not all send it their next flow. */
+/* A new upstream, or one that was avoided for some turns, joins the turns at
+ * random: all instances find it fit at once, and must not all send it their
+ * next flow. */
 static void
 join_turns(struct sample *sample, const struct rg_pick_opts *opts)
 {
     for (size_t i = 0; i < sample->count; i++) {
         struct rg_boot *b = sample->boots[i];
-        if (b->chosen == 0) {
-            uint64_t back = rg_rand_below(opts->rand, (uint32_t)sample->count);
-            b->chosen = opts->number > back ? opts->number - back : 1;
+        size_t turn = b->local ? sample->local : sample->count;
+        if (b->chosen != 0 && opts->number - b->chosen <= TURNS_MISSED * turn)
+        {
+            continue;
         }
+        uint64_t back = rg_rand_below(opts->rand, (uint32_t)turn);
+        b->chosen = opts->number > back ? opts->number - back : 1;
     }
 }
 
--- a/balance/pool.c
+++ b/balance/pool.c
@@ -35,6 +35,9 @@
     size_t count;
     size_t room;
     uint32_t listing;
+    bool is_listing;     /* between the begin and the end of a listing */
+    bool is_whole;       /* a listing has ended */
+    uint32_t added;      /* boots since the last line that told of them */
     uint64_t anybody_ms; /* last sign of life of any boot */
     uint64_t forgotten;  /* greatest revision of a boot that was freed */
 };
@@ -222,7 +225,12 @@
     if (b->state == state) {
         return;
     }
+    bool is_new = b->state == RG_BOOT_GONE;
     b->state = (uint8_t)state;
+    if (is_new && (p->is_listing || !p->is_whole)) {
+        p->added++; /* one line for all of them, at the end */
+        return;
+    }
     rg_log_event(p->opts.log, RG_LOG_INFO, "UPSTREAM",
                  "upstream=\"%s\" token=\"%08x\" state=\"%s\" "
                  "revision=\"%llu\"",
@@ -357,6 +365,22 @@
 rg_pool_begin_listing(struct rg_pool *p)
 {
     p->listing++;
+    p->is_listing = true;
+}
+
+static void
+log_listing(struct rg_pool *p, uint64_t revision)
+{
+    size_t draining = 0;
+
+    for (size_t i = 0; i < p->count; i++) {
+        draining += p->all[i]->state == RG_BOOT_DRAINING;
+    }
+    rg_log_event(p->opts.log, RG_LOG_INFO, "LISTED",
+                 "upstreams=\"%zu\" new=\"%u\" draining=\"%zu\" "
+                 "services=\"%zu\" revision=\"%llu\"",
+                 rg_pool_listed(p), p->added, draining, p->service_count,
+                 (unsigned long long)revision);
 }
 
 void
@@ -372,6 +396,10 @@
             remove_boot(p, b, keep_ms, now_ms);
         }
     }
+    log_listing(p, revision);
+    p->is_listing = false;
+    p->is_whole = true;
+    p->added = 0;
     /* What ended before and was never seen here is not known. */
     if (revision > p->forgotten) {
         p->forgotten = revision;
--- a/balance/pooled.c
+++ b/balance/pooled.c
@@ -7,7 +7,7 @@
 /* How often a row is told: by its source, and by each instance that passes it
  * on. */
 #define TELL_OWN 4
-#define TELL_HEARD 2
+#define TELL_HEARD 3
 
 struct entry {
     struct rg_pooled_row row;
--- a/balance/pooling.c
+++ b/balance/pooling.c
@@ -37,8 +37,9 @@
                                  : 0));
 }
 
-/* A service keeps most of its upstreams, whatever is said of them: if more do
- * badly, the cause is likely elsewhere, and the rest could not do the work. */
+/* A service keeps most of its upstreams, whatever is said of them: if requests
+ * fail at more, the cause is likely elsewhere, and the rest could not do the
+ * work. */
 static bool
 has_others(const struct rg_balancer *b, uint32_t service)
 {
@@ -47,10 +48,10 @@
     size_t out = 0;
 
     for (size_t i = 0; i < count; i++) {
-        out += rg_boot_condemned(boots[i]) ||
+        out += rg_boot_suspect(boots[i], b->now_ms) ||
                rg_boot_ejected(boots[i], b->now_ms);
     }
-    return (out + 1) * 2 <= count;
+    return out * 2 <= count;
 }
 
 bool
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -15,6 +15,7 @@
     struct rg_admit admit;
     struct rg_outcomes outcomes; /* of this instance's requests */
     uint64_t choices;            /* of its upstreams made so far */
+    uint64_t crowded_ms;         /* it was crowded last, 0: never */
 };
 
 struct rg_balancer {
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -21,6 +21,10 @@
 #define LOST_DEADLINE_SHARE 0.4
 #define LOST_DEADLINE_SHARE_MOST 0.5
 #define LOST_ALONE_TIMES 32
+/* Answers that a route's usual time must rest on. */
+#define LOST_ANSWERS_LEAST 5
+/* Queues may last this long after a service was crowded. */
+#define CROWDED_LIFE_MS 3000
 /* Signs of life may be this many times as far apart as usual. */
 #define GAP_TIMES 4
 /* A tick is late after this many periods. */
@@ -39,23 +43,34 @@
                     : fmax(OVERDUE_TIMES * route->usual_ms, OVERDUE_LEAST_MS);
 }
 
-/* What was condemned before and still does not answer needs no further
- * proof. */
+/* What was condemned before needs no time to learn whether it is slow. */
 static double
 lost_after_ms(const struct rg_route *route, const struct rg_track *t)
 {
-    if (t->probe) {
-        return overdue_after_ms(route, t);
-    }
     double limit = fmax(LOST_TIMES * route->usual_ms, LOST_LEAST_MS);
 
-    if (route->timeout_ms != 0) {
+    if (route->timeout_ms != 0 && !t->probe) {
         limit = fmax(limit, LOST_DEADLINE_SHARE * route->timeout_ms);
         limit = fmin(limit, LOST_DEADLINE_SHARE_MOST * route->timeout_ms);
     }
     return fmax(limit, overdue_after_ms(route, t));
 }
 
+/* Requests of this route are known well enough, and its upstreams have no
+ * queues that would make one wait long: only then is waiting a proof. */
+static bool
+waiting_tells(const struct rg_balancer *b, const struct rg_track *t,
+              const struct rg_route *route)
+{
+    uint32_t service = t->boot->service;
+
+    if (service >= b->service_count || route->answers < LOST_ANSWERS_LEAST) {
+        return false;
+    }
+    uint64_t crowded_ms = b->services[service].crowded_ms;
+    return crowded_ms == 0 || b->now_ms - crowded_ms > CROWDED_LIFE_MS;
+}
+
 /* A first failure makes others stay away, so that no second one may come to
  * prove it: a request that waits this long is proof enough. */
 static double
@@ -101,7 +116,8 @@
     if (t->repeats > 0 && rg_boot_dead(t->boot, b->now_ms)) {
         return true;
     }
-    if (!t->overdue || !others_answer(b, t, route)) {
+    if (!t->overdue || !others_answer(b, t, route) ||
+        !waiting_tells(b, t, route)) {
         return false;
     }
     double waited_ms = (double)(b->now_ms - t->since_ms);
@@ -111,7 +127,6 @@
         return true;
     }
     return rg_boot_silent_since(t->boot, t->since_ms, b->now_ms) &&
-           !rg_bal_is_crowded(b, t->boot->service) &&
            waited_ms >= lost_alone_after_ms(route);
 }
 
--- a/balance/routes.c
+++ b/balance/routes.c
@@ -145,6 +145,7 @@
         if (old) {
             route->usual_ms = old->usual_ms;
             route->usual_bytes = old->usual_bytes;
+            route->answers = old->answers;
         }
     }
     r->removed = rg_calloc(before->count + before->removed_count + 1,
@@ -181,6 +182,7 @@
 
     move_median(&route->usual_ms, fmax(ms, MEDIAN_LEAST));
     move_median(&route->usual_bytes, fmax(bytes, MEDIAN_LEAST));
+    route->answers++;
     return error_like;
 }
 
--- a/balance/routes.h
+++ b/balance/routes.h
@@ -38,6 +38,7 @@
     /* Medians of what callers got here, 0 before the first. */
     double usual_ms;    /* from request to answer, without the way there */
     double usual_bytes; /* of an answer */
+    uint32_t answers;   /* that these rest on */
 };
 
 struct rg_routes;
--- a/test/test_fleet_evidence.c
+++ b/test/test_fleet_evidence.c
@@ -11,6 +11,8 @@
 #define PER_S 1300
 #define DEADLINE_MS 1500
 #define STEP_MS 100
+/* Until the smallest share of the load has shown what is usual. */
+#define WARM_MS 12000
 /* For all control, and for digests without outcomes. */
 #define CONTROL_BYTES_PER_S 5000
 #define DIGEST_BYTES_PER_S 1600
@@ -34,7 +36,7 @@
     };
     struct fake_service *s = fake_service_with(&opts);
 
-    fake_run(s, 6000, PER_S);
+    fake_run(s, WARM_MS, PER_S);
     fake_reset(s);
     return s;
 }
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -190,6 +190,8 @@
     g_assert_cmpfloat(share(s->in_aim, s), >, 0.65);
     g_assert_cmpfloat(share(s->refused, s), <, 0.1);
     g_assert_cmpuint(s->lost, ==, 0);
+    /* A queue is no reason to break a request off. */
+    g_assert_cmpuint(s->resets, ==, 0);
     fake_run(s, 3000, PER_S);
     fake_reset(s);
     fake_run(s, 3000, PER_S);
@@ -209,6 +211,7 @@
     }
     fake_run(s, 8000, CAPACITY_PER_S / 5 * 0.4);
     g_assert_cmpuint(s->refused, ==, 0);
+    g_assert_cmpuint(s->resets, ==, 0);
     fake_service_destroy(s);
 }
 
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -1,69 +1,22 @@
 /* Log lines: whole, bounded in number, and never waiting for a reader. */
-#include <fcntl.h>
-#include <glib.h>
-#include <string.h>
-#include <unistd.h>
-
-#include "common/log.h"
+#include "test/captured_log.h"
 
 #define LINES_PER_S 10
 
-struct fixture {
-    int ends[2];
-    struct rg_log log;
-};
-
-static struct fixture
-make(void)
-{
-    struct fixture f;
-
-    g_assert_cmpint(pipe(f.ends), ==, 0);
-    fcntl(f.ends[0], F_SETFL, O_NONBLOCK);
-    f.log = (struct rg_log){
-        .app = "app",
-        .host = "host",
-        .level = RG_LOG_INFO,
-        .queue = rg_log_queue_create(f.ends[1], LINES_PER_S),
-    };
-    return f;
-}
-
-static char *
-read_all(const struct fixture *f)
-{
-    GString *text = g_string_new(NULL);
-    char part[4096];
-    ssize_t len;
-
-    while ((len = read(f->ends[0], part, sizeof(part))) > 0) {
-        g_string_append_len(text, part, len);
-    }
-    return g_string_free(text, FALSE);
-}
-
-static void
-done(struct fixture *f)
-{
-    rg_log_queue_destroy(f->log.queue);
-    close(f->ends[0]);
-    close(f->ends[1]);
-}
-
 static void
 test_event(void)
 {
-    struct fixture f = make();
+    struct captured_log f = captured_log_make(LINES_PER_S);
 
     rg_log_event(&f.log, RG_LOG_INFO, "OPENING", "flow=\"%s\"", "a>b");
     rg_log_event(&f.log, RG_LOG_DEBUG, "HIDDEN", "x=\"1\"");
     rg_log_flush(&f.log, 1);
-    g_autofree char *text = read_all(&f);
+    g_autofree char *text = captured_log_read(&f);
     g_assert_nonnull(strstr(text, " host app "));
     g_assert_true(
         g_str_has_suffix(text, "OPENING [rg m=\"-\" flow=\"a>b\"]\n"));
     g_assert_null(strstr(text, "HIDDEN"));
-    done(&f);
+    captured_log_done(&f);
 }
 
 /* Past the bound lines are counted; what tells of the process's life and of
@@ -71,7 +24,7 @@
 static void
 test_bound(void)
 {
-    struct fixture f = make();
+    struct captured_log f = captured_log_make(LINES_PER_S);
 
     for (int i = 0; i < 50; i++) {
         rg_log_event(&f.log, RG_LOG_INFO, "MANY", "i=\"%d\"", i);
@@ -79,33 +32,33 @@
     rg_log_event(&f.log, RG_LOG_NOTICE, "READY", "i=\"1\"");
     g_assert_cmpuint(rg_log_suppressed(f.log.queue), ==, 40);
     rg_log_flush(&f.log, 1000);
-    g_autofree char *text = read_all(&f);
+    g_autofree char *text = captured_log_read(&f);
     g_assert_nonnull(strstr(text, "i=\"9\""));
     g_assert_null(strstr(text, "i=\"10\""));
     g_assert_nonnull(strstr(text, "READY"));
     g_assert_nonnull(strstr(text, "SUPPRESSED [rg m=\"-\" lines=\"40\"]"));
-    done(&f);
+    captured_log_done(&f);
 }
 
 /* Nobody reads: flushing returns, and memory stays bounded. */
 static void
 test_no_reader(void)
 {
-    struct fixture f = make();
+    struct captured_log f = captured_log_make(LINES_PER_S);
 
     for (int i = 0; i < 20000; i++) {
         rg_log_event(&f.log, RG_LOG_ERR, "LOUD", "i=\"%d\"", i);
         rg_log_flush(&f.log, (uint64_t)i);
     }
     g_assert_cmpuint(rg_log_suppressed(f.log.queue), >, 0);
-    done(&f);
+    captured_log_done(&f);
 }
 
 /* Lines are written whole, in pieces that a pipe does not split. */
 static void
 test_pieces(void)
 {
-    struct fixture f = make();
+    struct captured_log f = captured_log_make(LINES_PER_S);
     char part[65536];
 
     for (int i = 0; i < 200; i++) {
@@ -116,22 +69,22 @@
         ssize_t len = read(f.ends[0], part, 4096);
         g_assert_cmpint(len, >, 0);
     }
-    g_autofree char *rest = read_all(&f);
+    g_autofree char *rest = captured_log_read(&f);
     g_assert_nonnull(strstr(rest, "i=\"199\"]\n"));
-    done(&f);
+    captured_log_done(&f);
 }
 
 /* A hostile value cannot forge a line of its own. */
 static void
 test_control_characters(void)
 {
-    struct fixture f = make();
+    struct captured_log f = captured_log_make(LINES_PER_S);
 
     rg_log_event(&f.log, RG_LOG_INFO, "ODD", "key=\"%s\"", "a\nb\x01");
     rg_log_flush(&f.log, 1);
-    g_autofree char *text = read_all(&f);
+    g_autofree char *text = captured_log_read(&f);
     g_assert_nonnull(strstr(text, "key=\"a b \""));
-    done(&f);
+    captured_log_done(&f);
 }
 
 int
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -4,6 +4,7 @@
 
 #include "balance/pool.h"
 #include "balance/token.h"
+#include "test/captured_log.h"
 
 #define RETAIN_MS 60000
 #define KEEP_MS 2000
@@ -205,6 +206,37 @@
     rg_pool_destroy(p);
 }
 
+/* A listing of many upstreams is one line; what changes later is one each. */
+static void
+test_listing_lines(void)
+{
+    struct captured_log c = captured_log_make(1000);
+    struct rg_pool_opts opts = {.retain_ms = RETAIN_MS, .log = &c.log};
+    struct rg_pool *p = rg_pool_create(&opts);
+    struct rg_boot_report r = report_of("u-0", 5);
+    char id[16];
+
+    rg_pool_report(p, &r, 1, 50); /* a sample, before the listing */
+    rg_pool_begin_listing(p);
+    for (int i = 0; i < 300; i++) {
+        snprintf(id, sizeof(id), "u-%d", i);
+        r = report_of(id, 5);
+        rg_pool_report(p, &r, 2, 100);
+    }
+    rg_pool_end_listing(p, 7, 0, 100);
+    rg_log_flush(&c.log, 1000);
+    g_autofree char *text = captured_log_read(&c);
+    g_assert_null(strstr(text, " UPSTREAM ["));
+    g_assert_nonnull(strstr(text, "upstreams=\"300\" new=\"300\""));
+    r = report_of("u-new", 5);
+    rg_pool_report(p, &r, 8, 200);
+    r.draining = true;
+    rg_pool_report(p, &r, 9, 200);
+    g_assert_cmpuint(captured_log_count(&c, "UPSTREAM"), ==, 2);
+    rg_pool_destroy(p);
+    captured_log_done(&c);
+}
+
 /* Many upstreams come and go; every token known is found, no other. */
 static void
 test_many(void)
@@ -286,6 +318,7 @@
     g_test_add_func("/pool/draining-lapse", test_draining_lapse);
     g_test_add_func("/pool/older-revision", test_older_revision);
     g_test_add_func("/pool/listing", test_listing);
+    g_test_add_func("/pool/listing-lines", test_listing_lines);
     g_test_add_func("/pool/many", test_many);
     g_test_add_func("/pool/collision", test_collision);
     return g_test_run();
