--- a/balance/follow.c
+++ b/balance/follow.c
@@ -20,6 +20,9 @@
 /* How often a covered instance looks whether it still is. */
 #define COVERED_WAIT_MS 1000
 
+/* A watch that waits less may come back empty at any time. */
+#define EARLY_WAIT_LEAST_MS 200
+
 /* A watch that asks only for what is there already. */
 #define CATCH_UP_WAIT_MS 1
 
@@ -125,6 +128,36 @@
     };
 }
 
+static bool
+is_answer_to_watch(const struct rg_follow_step *asked,
+                   const struct rg_follow_answer *got)
+{
+    if (got->revision < asked->revision) {
+        return false;
+    }
+    if (got->oldest_change != 0) {
+        return got->oldest_change > asked->revision;
+    }
+    return asked->wait_ms < EARLY_WAIT_LEAST_MS ||
+           got->revision > asked->revision ||
+           got->took_ms * 2 >= asked->wait_ms;
+}
+
+bool
+rg_follow_is_answer(const struct rg_follow_step *asked,
+                    const struct rg_follow_answer *got)
+{
+    switch (asked->kind) {
+    case RG_FOLLOW_WATCH:
+        return is_answer_to_watch(asked, got);
+    case RG_FOLLOW_LIST:
+        return got->last_key[0] == '\0' ||
+               strcmp(got->last_key, asked->after) > 0;
+    default:
+        return true;
+    }
+}
+
 bool
 rg_follow_first_page(const struct rg_follow *f)
 {
--- a/balance/follow.h
+++ b/balance/follow.h
@@ -52,6 +52,20 @@
     uint32_t timeout_ms; /* of the call */
 };
 
+/* What came back, as far as it shows which call it answers. */
+struct rg_follow_answer {
+    uint64_t revision;      /* of the store */
+    uint64_t oldest_change; /* revision of the oldest change, 0: none */
+    const char *last_key;   /* of a listing, "" for none */
+    uint64_t took_ms;       /* from the call */
+};
+
+/* False if this cannot be the answer to the call asked for, but must be one to
+ * a call before it that came twice: a page that does not go on, changes known
+ * already, or nothing new long before the watch was over. */
+bool rg_follow_is_answer(const struct rg_follow_step *asked,
+                         const struct rg_follow_answer *got);
+
 struct rg_follow;
 
 /* Times for a view that must never lag behind the store by `bound_ms`, even
--- a/edge/http_client.c
+++ b/edge/http_client.c
@@ -156,10 +156,12 @@
         return;
     }
     c->receiving = true;
-    http_parser_execute(&conn->parser, &parser_settings, conn->read, len);
+    size_t taken =
+        http_parser_execute(&conn->parser, &parser_settings, conn->read, len);
     enum http_errno error = HTTP_PARSER_ERRNO(&conn->parser);
     if (error == HPE_PAUSED) {
-        c->keep = http_should_keep_alive(&conn->parser);
+        /* What follows an answer would pass for the next call's. */
+        c->keep = http_should_keep_alive(&conn->parser) && taken == len;
         finish(c, conn->parser.status_code, NULL);
         return;
     }
--- a/edge/sync.c
+++ b/edge/sync.c
@@ -21,10 +21,12 @@
     struct rg_http_client *client;
     struct rg_decoder *decoder;
     uv_timer_t timer;
-    enum rg_follow_kind calling; /* the call in progress */
-    bool reachable;              /* the last call was answered */
-    uint64_t answered_ms;        /* the answer that is being decoded arrived */
-    uint64_t fresh_ms; /* the view stood at the store's then, 0: never */
+    struct rg_follow_step asked;             /* the call in progress */
+    char asked_after[RG_FOLLOW_KEY_MAX + 1]; /* its key, if it lists */
+    uint64_t asked_ms;
+    bool reachable;       /* the last call was answered */
+    uint64_t answered_ms; /* the answer that is being decoded arrived */
+    uint64_t fresh_ms;    /* the view stood at the store's then, 0: never */
 };
 
 static void step(struct rg_sync *s);
@@ -107,6 +109,26 @@
     rg_follow_failed(s->follow, rg_clock_boot_ms());
 }
 
+/* A server may send an answer twice; the copy must not pass for the answer to
+ * the next call on its connection. */
+static bool
+is_answer(const struct rg_sync *s, const struct rg_decoded *decoded)
+{
+    struct rg_follow_answer got = {
+        .revision = decoded->answer.revision,
+        .last_key = decoded->answer.last_key,
+        .took_ms = s->answered_ms - s->asked_ms,
+    };
+
+    for (size_t i = 0; i < decoded->count; i++) {
+        uint64_t revision = decoded->changes[i].revision;
+        if (got.oldest_change == 0 || revision < got.oldest_change) {
+            got.oldest_change = revision;
+        }
+    }
+    return rg_follow_is_answer(&s->asked, &got);
+}
+
 static void
 take_answer(struct rg_sync *s, const struct rg_decoded *decoded)
 {
@@ -114,13 +136,18 @@
     const struct rg_kv_answer *answer = &decoded->answer;
     /* Decoding, or a pause in its course, does not make the answer newer. */
     uint64_t now = s->answered_ms;
-    bool listing = s->calling == RG_FOLLOW_LIST;
+    bool listing = s->asked.kind == RG_FOLLOW_LIST;
 
     if (!decoded->ok) {
         failed(s, "unreadable answer");
         return;
     }
-    bool sample = s->calling == RG_FOLLOW_SAMPLE;
+    if (!is_answer(s, decoded)) {
+        rg_http_client_cancel(s->client);
+        failed(s, "an answer to another call");
+        return;
+    }
+    bool sample = s->asked.kind == RG_FOLLOW_SAMPLE;
     if (listing && rg_follow_first_page(s->follow)) {
         rg_pool_begin_listing(pool);
     }
@@ -213,7 +240,11 @@
         return;
     }
     counters(s)[RG_TALLY_STORE_CALLS]++;
-    s->calling = next.kind;
+    s->asked = next;
+    s->asked_ms = now;
+    snprintf(s->asked_after, sizeof(s->asked_after), "%s",
+             next.after ? next.after : "");
+    s->asked.after = s->asked_after;
     rg_kv_path(path, &next);
     rg_http_client_get(s->client, path, next.timeout_ms);
 }
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -286,10 +286,45 @@
     rg_follow_destroy(f);
 }
 
+/* Pattern: a server sends an answer twice, on a connection that is in use
+ * again. The copy must not pass for the answer to the next call. */
+static void
+test_answer_sent_twice(void)
+{
+    struct rg_follow_step watch = {
+        .kind = RG_FOLLOW_WATCH, .revision = 10, .wait_ms = 750};
+    struct rg_follow_answer got = {.revision = 10, .last_key = ""};
+
+    got.took_ms = 1; /* a copy of "nothing new" */
+    g_assert_false(rg_follow_is_answer(&watch, &got));
+    got.took_ms = 750;
+    g_assert_true(rg_follow_is_answer(&watch, &got));
+    got.took_ms = 1; /* a copy of the changes up to 10 */
+    got.oldest_change = 9;
+    g_assert_false(rg_follow_is_answer(&watch, &got));
+    got.oldest_change = 11;
+    got.revision = 11;
+    g_assert_true(rg_follow_is_answer(&watch, &got));
+    got = (struct rg_follow_answer){.revision = 9, .last_key = ""};
+    g_assert_false(rg_follow_is_answer(&watch, &got));
+    watch.wait_ms = 1;
+    got.revision = 10;
+    g_assert_true(rg_follow_is_answer(&watch, &got));
+
+    struct rg_follow_step page = {.kind = RG_FOLLOW_LIST, .after = "k50"};
+    got.last_key = "k50";
+    g_assert_false(rg_follow_is_answer(&page, &got));
+    got.last_key = "k99";
+    g_assert_true(rg_follow_is_answer(&page, &got));
+    got.last_key = ""; /* the page behind the last key */
+    g_assert_true(rg_follow_is_answer(&page, &got));
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/follow/answer-sent-twice", test_answer_sent_twice);
     g_test_add_func("/follow/sample", test_sample);
     g_test_add_func("/follow/pages", test_pages);
     g_test_add_func("/follow/stale-pages", test_stale_pages);
