--- a/balance/admission.c
+++ b/balance/admission.c
@@ -32,10 +32,10 @@
                             wait_ms);
 }
 
-/* This instance's work at a service, and its share of the slots there,
- * supposing that the others send as much work. Upstreams that do not answer
- * are left out; if they are most, their return is waited for with every
- * opening, and no slot counts as taken. */
+/* This instance's work at a service, and its share of the slots there, which
+ * is that of the new flows it gets. Upstreams that do not answer are left out;
+ * if they are most, their return is waited for with every opening, and no slot
+ * counts as taken. */
 static struct rg_admit_load
 load_of(const struct rg_balancer *b, uint32_t service)
 {
@@ -54,8 +54,7 @@
         load.slots += boots[i]->slots;
         load.open += boots[i]->open_work;
     }
-    load.slots =
-        silent * 2 > count ? INFINITY : load.slots / (double)b->instances;
+    load.slots = silent * 2 > count ? INFINITY : load.slots * b->fleet.share;
     return load;
 }
 
--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -18,6 +18,8 @@
 /* Before the usual time is known: as long as a caller waits for its first
  * copy. */
 #define OVERDUE_UNKNOWN_MS 200
+/* Share of a tick in the mean of new flows a second. */
+#define OPENINGS_GAIN 0.05
 
 static struct rg_decision
 dropped(struct rg_balancer *b, enum rg_tally_counter why)
@@ -88,7 +90,7 @@
         .lost_share = b->lost_share,
         .usual_failing = rg_bal_usual_failing(b, service),
         .probe = {.self = rg_pooled_self(b->pooled),
-                  .instances = b->neighbours,
+                  .instances = b->fleet.neighbours,
                   .repeatable = route->repeat == RG_REPEAT_SAFE,
                   .now_ms = b->now_ms},
         .rand = &b->rand,
@@ -352,11 +354,29 @@
 }
 
 void
-rg_balancer_set_instances(struct rg_balancer *b, size_t count,
-                          size_t neighbours)
+rg_balancer_set_fleet(struct rg_balancer *b, const struct rg_fleet *fleet)
 {
-    b->instances = count;
-    b->neighbours = neighbours;
+    b->fleet = *fleet;
+}
+
+uint32_t
+rg_balancer_openings_per_s(const struct rg_balancer *b)
+{
+    return (uint32_t)(b->openings_per_s + 0.5);
+}
+
+/* The running mean of new flows a second. */
+static void
+note_openings(struct rg_balancer *b, uint64_t ms)
+{
+    uint64_t openings = b->tally.counters[RG_TALLY_OPENINGS];
+
+    if (ms == 0) {
+        return;
+    }
+    double rate = (double)(openings - b->openings_before) * 1000 / (double)ms;
+    b->openings_per_s += OPENINGS_GAIN * (rate - b->openings_per_s);
+    b->openings_before = openings;
 }
 
 void
@@ -399,6 +419,7 @@
 {
     b->now_ms = now_ms;
     rg_tracks_sweep(b->tracks, rg_flows_expired, b);
+    note_openings(b, now_ms - b->ticked_ms);
     b->ticked_ms = now_ms;
     rg_pool_tick(b->pool, now_ms);
     rg_bal_tick_admission(b);
@@ -449,8 +470,7 @@
     b->tracks = rg_tracks_create(opts->tracked_flows);
     b->pooled = rg_pooled_create((uint32_t)rg_mix64(opts->seed));
     b->rand.state = opts->seed;
-    b->instances = 1;
-    b->neighbours = 1;
+    b->fleet = (struct rg_fleet){.instances = 1, .neighbours = 1, .share = 1};
     b->ticked_ms = now_ms;
     b->started_ms = now_ms;
     b->now_ms = now_ms;
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -64,10 +64,18 @@
 /* The upstreams; changed by whoever follows the store. */
 struct rg_pool *rg_balancer_pool(struct rg_balancer *b);
 
-/* Instances that share the upstreams, this one included, as far as is known,
- * and how many of them are in its data centre; 1 to begin with. */
-void rg_balancer_set_instances(struct rg_balancer *b, size_t count,
-                               size_t neighbours);
+/* What is known of the instances that share the upstreams; one alone to begin
+ * with. */
+struct rg_fleet {
+    size_t instances;  /* this one included */
+    size_t neighbours; /* of them in this data centre, this one included */
+    double share;      /* of their new flows that come to this one */
+};
+void rg_balancer_set_fleet(struct rg_balancer *b,
+                           const struct rg_fleet *fleet);
+
+/* New flows a second that come to this instance. */
+uint32_t rg_balancer_openings_per_s(const struct rg_balancer *b);
 
 /* The view was complete and confirmed by the store at `at_ms`. */
 void rg_balancer_fresh(struct rg_balancer *b, uint64_t at_ms);
--- a/balance/peers.c
+++ b/balance/peers.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "balance/census.h"
 #include "common/mem.h"
 #include "common/rand.h"
 
@@ -16,6 +17,9 @@
 #define STRANGER_ONE_IN 4
 /* Of the others, one in so many is in another data centre. */
 #define REMOTE_ONE_IN 4
+/* Of the digests of those that a full table has no place for, one in so many
+ * makes one. */
+#define REPLACE_ONE_IN 16
 /* One digest in so many names contacts: who exists changes slowly. */
 #define CONTACTS_ONE_IN 4
 /* The view is covered while the store has answered someone within this share
@@ -38,7 +42,7 @@
     uint64_t version;
     uint64_t revision;
     uint64_t fresh_ms; /* when the store last answered it */
-    bool reader;
+    uint32_t openings_per_s;
     bool leaving;
     bool local; /* in the own data centre */
 };
@@ -50,6 +54,7 @@
     struct rg_peers_view latest; /* the most heard of anywhere */
     struct rg_peers_view mark;   /* what was known at mark_ms */
     uint64_t mark_ms;
+    struct rg_census census;
     struct peer peers[RG_PEERS_MAX];
     size_t count;
 };
@@ -66,6 +71,12 @@
     return hash;
 }
 
+static uint32_t
+census_hash(const struct rg_name *name)
+{
+    return (uint32_t)(rank_of(name) >> 32);
+}
+
 static bool
 is_heard(const struct peer *peer, uint64_t now_ms)
 {
@@ -98,23 +109,32 @@
     return NULL;
 }
 
-/* A place for a peer of the own data centre: that of one elsewhere, if many of
- * those are known. */
+/* A place in a full table for a peer that has spoken. One of the own data
+ * centre takes that of one elsewhere, if many of those are known. Else it is
+ * chance: whoever speaks must be heard of in the end, and none is pushed out
+ * by a few words. */
 static struct peer *
-make_local_place(struct rg_peers *p)
+replace_one(struct rg_peers *p, bool local)
 {
     size_t start = rg_rand_below(&p->rand, (uint32_t)p->count);
-    struct peer *found = NULL;
-    size_t remote = 0;
+    bool lucky = rg_rand_below(&p->rand, REPLACE_ONE_IN) == 0;
+    struct peer *remote = NULL;
+    size_t remotes = 0;
 
     for (size_t i = 0; i < p->count; i++) {
         struct peer *peer = &p->peers[(start + i) % p->count];
         if (!peer->local) {
-            remote++;
-            found = peer;
+            remotes++;
+            remote = peer;
         }
     }
-    return remote > RG_PEERS_REMOTE_KEPT ? found : NULL;
+    if (local && remotes > RG_PEERS_REMOTE_KEPT) {
+        return remote;
+    }
+    if (!lucky) {
+        return NULL;
+    }
+    return local ? &p->peers[start] : remote;
 }
 
 static struct peer *
@@ -165,8 +185,8 @@
     struct peer *peer = meet(p, &d->addr, now_ms);
     bool local = rg_name_eq(&d->data_centre, &p->opts.data_centre);
 
-    if (!peer && local && !rg_addr_eq(&d->addr, &p->opts.addr)) {
-        peer = make_local_place(p);
+    if (!peer && d->addr.port != 0 && !rg_addr_eq(&d->addr, &p->opts.addr)) {
+        peer = replace_one(p, local);
         if (peer) {
             *peer = (struct peer){.addr = d->addr};
         }
@@ -174,6 +194,12 @@
     for (uint16_t i = 0; i < d->contacts_count; i++) {
         meet(p, &d->contacts[i].addr, now_ms);
     }
+    rg_census_add(&p->census, census_hash(&d->from), now_ms, now_ms);
+    for (uint16_t i = 0; i < d->members_count; i++) {
+        const struct rg_msg_member *m = &d->members[i];
+        uint64_t active_ms = m->age_ms > now_ms ? 0 : now_ms - m->age_ms;
+        rg_census_add(&p->census, m->hash, active_ms, now_ms);
+    }
     raise_latest(p, d->latest_version, d->latest_revision,
                  time_of(d->latest_revision, d->latest_age_ms, now_ms));
     if (!peer) {
@@ -185,6 +211,7 @@
     peer->version = d->version;
     peer->revision = d->revision;
     peer->fresh_ms = time_of(d->revision, d->age_ms, now_ms);
+    peer->openings_per_s = d->openings_per_s;
     peer->leaving = d->leaving;
     peer->local = local;
 }
@@ -228,6 +255,21 @@
     }
 }
 
+/* A run of those that the size of the fleet is estimated by. */
+static void
+add_members(struct rg_peers *p, uint64_t now_ms, struct rg_msg_digest *out)
+{
+    const struct rg_census *c = &p->census;
+    size_t most = sizeof(out->members) / sizeof(out->members[0]);
+    size_t start = rg_rand_below(&p->rand, (uint32_t)c->count);
+
+    for (size_t i = 0; i < c->count && i < most; i++) {
+        const struct rg_census_entry *e = &c->entries[(start + i) % c->count];
+        out->members[out->members_count++] = (struct rg_msg_member){
+            .hash = e->hash, .age_ms = (uint32_t)(now_ms - e->active_ms)};
+    }
+}
+
 bool
 rg_peers_next(struct rg_peers *p, const struct rg_peers_view *view,
               enum rg_peers_reach reach, uint64_t now_ms,
@@ -248,10 +290,12 @@
     out->latest_revision = p->latest.fresh_ms ? p->latest.revision : 0;
     out->latest_age_ms =
         p->latest.fresh_ms ? (uint32_t)(now_ms - p->latest.fresh_ms) : 0;
+    out->openings_per_s = view->openings_per_s;
     out->leaving = view->leaving;
     if (rg_rand_below(&p->rand, CONTACTS_ONE_IN) == 0) {
         add_contacts(p, now_ms, out);
     }
+    add_members(p, now_ms, out);
     const struct peer *peer = pick(p, reach, now_ms);
     *to = (struct rg_peers_target){.addr = peer->addr, .local = peer->local};
     return true;
@@ -359,6 +403,32 @@
     return heard;
 }
 
+size_t
+rg_peers_fleet(struct rg_peers *p, uint64_t now_ms)
+{
+    rg_census_add(&p->census, census_hash(&p->opts.name), now_ms, now_ms);
+    rg_census_expire(&p->census, now_ms);
+    return rg_census_size(&p->census);
+}
+
+double
+rg_peers_share(struct rg_peers *p, uint32_t openings_per_s, uint64_t now_ms)
+{
+    double sum = openings_per_s;
+    size_t heard = 1;
+
+    for (size_t i = 0; i < p->count; i++) {
+        const struct peer *peer = &p->peers[i];
+        if (is_heard(peer, now_ms) && !peer->leaving) {
+            sum += peer->openings_per_s;
+            heard++;
+        }
+    }
+    double fleet = (double)rg_peers_fleet(p, now_ms);
+    double others = sum / (double)heard;
+    return others > 0 ? openings_per_s / (others * fleet) : 1 / fleet;
+}
+
 struct rg_peers *
 rg_peers_create(const struct rg_peers_opts *opts)
 {
--- a/balance/peers.h
+++ b/balance/peers.h
@@ -34,7 +34,8 @@
 struct rg_peers_view {
     uint64_t version;
     uint64_t revision;
-    uint64_t fresh_ms; /* it was the store's then, 0: never */
+    uint64_t fresh_ms;       /* it was the store's then, 0: never */
+    uint32_t openings_per_s; /* new flows this instance gets */
     bool leaving;
 };
 
@@ -96,4 +97,13 @@
 size_t rg_peers_count(const struct rg_peers *p, uint64_t now_ms);
 size_t rg_peers_neighbours(const struct rg_peers *p, uint64_t now_ms);
 
+/* Instances of the whole fleet, this one included: an estimate where they are
+ * more than can be known. */
+size_t rg_peers_fleet(struct rg_peers *p, uint64_t now_ms);
+
+/* This instance's share of the fleet's new flows, by what the peers heard
+ * lately get. */
+double rg_peers_share(struct rg_peers *p, uint32_t openings_per_s,
+                      uint64_t now_ms);
+
 #endif
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -28,8 +28,9 @@
     struct rg_pooled *pooled;
     struct rg_bal_service *services; /* by their index */
     size_t service_count;
-    size_t instances;  /* that share the upstreams, this one included */
-    size_t neighbours; /* of these, in this data centre */
+    struct rg_fleet fleet;
+    double openings_per_s;    /* mean */
+    uint64_t openings_before; /* counted by the last tick */
     double lost_share; /* of recent openings, by those that were repeated */
     double opening_ms; /* usual time from opening to the caller's answer */
     double gap_ms;     /* usual time between two signs of life */
--- a/balance/report.c
+++ b/balance/report.c
@@ -81,8 +81,8 @@
     rg_log_event(b->opts.log, RG_LOG_INFO, a->full ? "FULL" : "NOT_FULL",
                  "service=\"%s\" busy=\"%.1f\" slots=\"%.1f\" "
                  "open=\"%.0f\" answers_per_s=\"%.0f\" slow=\"%.2f\" "
-                 "instances=\"%zu\"",
+                 "instances=\"%zu\" share=\"%.4f\"",
                  rg_pool_service_name(b->pool, service)->s, a->busy,
                  load->slots, a->open, a->rate * 1000, a->slow_share,
-                 b->instances);
+                 b->fleet.instances, b->fleet.share);
 }
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -58,6 +58,7 @@
         .version = rg_balancer_version(g->opts.balancer),
         .revision = rg_sync_revision(g->opts.sync),
         .fresh_ms = rg_sync_fresh_ms(g->opts.sync),
+        .openings_per_s = rg_balancer_openings_per_s(g->opts.balancer),
         .leaving = g->leaving,
     };
 }
@@ -317,9 +318,12 @@
     bool reader = rg_peers_reader(g->peers, now);
 
     rg_sync_set_covered(g->opts.sync, !reader);
-    rg_balancer_set_instances(g->opts.balancer,
-                              rg_peers_count(g->peers, now) + 1,
-                              rg_peers_neighbours(g->peers, now) + 1);
+    struct rg_fleet fleet = {
+        .instances = rg_peers_fleet(g->peers, now),
+        .neighbours = rg_peers_neighbours(g->peers, now) + 1,
+        .share = rg_peers_share(g->peers, view->openings_per_s, now),
+    };
+    rg_balancer_set_fleet(g->opts.balancer, &fleet);
     if (!reader || rg_sync_failing(g->opts.sync)) {
         fetch_view(g, view);
     }
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -141,6 +141,33 @@
     return true;
 }
 
+static void
+pack_member(msgpack_packer *pk, const struct rg_msg_member *m)
+{
+    rg_pack_list(pk, 2);
+    rg_pack_u64(pk, m->hash);
+    rg_pack_u64(pk, m->age_ms);
+}
+
+static bool
+unpack_member(const msgpack_object *o, struct rg_msg_member *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 2)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[0], 4294967295U, &value)) {
+        return false;
+    }
+    m->hash = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[1], 4294967295U, &value)) {
+        return false;
+    }
+    m->age_ms = (uint32_t)value;
+    return true;
+}
+
 static void
 pack_verdict(msgpack_packer *pk, const struct rg_msg_verdict *m)
 {
@@ -780,6 +807,11 @@
     rg_pack_u64(pk, m->latest_revision);
     rg_pack_u64(pk, m->latest_age_ms);
     rg_pack_u64(pk, m->leaving);
+    rg_pack_u64(pk, m->openings_per_s);
+    rg_pack_list(pk, m->members_count);
+    for (uint16_t i = 0; i < m->members_count; i++) {
+        pack_member(pk, &m->members[i]);
+    }
     rg_pack_list(pk, m->contacts_count);
     for (uint16_t i = 0; i < m->contacts_count; i++) {
         pack_contact(pk, &m->contacts[i]);
@@ -799,7 +831,7 @@
 {
     uint64_t value;
 
-    if (!rg_unpack_shape(o, 15)) {
+    if (!rg_unpack_shape(o, 17)) {
         return false;
     }
     if (!rg_unpack_name(&o->via.array.ptr[2], &m->from)) {
@@ -843,29 +875,42 @@
         return false;
     }
     m->leaving = (uint8_t)value;
-    if (!rg_unpack_list(&o->via.array.ptr[12], 6, &m->contacts_count)) {
+    if (!rg_unpack_u64(&o->via.array.ptr[12], 4294967295U, &value)) {
+        return false;
+    }
+    m->openings_per_s = (uint32_t)value;
+    if (!rg_unpack_list(&o->via.array.ptr[13], 4, &m->members_count)) {
+        return false;
+    }
+    for (uint16_t i = 0; i < m->members_count; i++) {
+        if (!unpack_member(&o->via.array.ptr[13].via.array.ptr[i],
+                           &m->members[i])) {
+            return false;
+        }
+    }
+    if (!rg_unpack_list(&o->via.array.ptr[14], 6, &m->contacts_count)) {
         return false;
     }
     for (uint16_t i = 0; i < m->contacts_count; i++) {
-        if (!unpack_contact(&o->via.array.ptr[12].via.array.ptr[i],
+        if (!unpack_contact(&o->via.array.ptr[14].via.array.ptr[i],
                             &m->contacts[i])) {
             return false;
         }
     }
-    if (!rg_unpack_list(&o->via.array.ptr[13], 12, &m->verdicts_count)) {
+    if (!rg_unpack_list(&o->via.array.ptr[15], 12, &m->verdicts_count)) {
         return false;
     }
     for (uint16_t i = 0; i < m->verdicts_count; i++) {
-        if (!unpack_verdict(&o->via.array.ptr[13].via.array.ptr[i],
+        if (!unpack_verdict(&o->via.array.ptr[15].via.array.ptr[i],
                             &m->verdicts[i])) {
             return false;
         }
     }
-    if (!rg_unpack_list(&o->via.array.ptr[14], 12, &m->outcomes_count)) {
+    if (!rg_unpack_list(&o->via.array.ptr[16], 12, &m->outcomes_count)) {
         return false;
     }
     for (uint16_t i = 0; i < m->outcomes_count; i++) {
-        if (!unpack_outcomes(&o->via.array.ptr[14].via.array.ptr[i],
+        if (!unpack_outcomes(&o->via.array.ptr[16].via.array.ptr[i],
                              &m->outcomes[i])) {
             return false;
         }
@@ -1045,7 +1090,7 @@
         pack_content(&pk, &m->u.content);
         break;
     case RG_MSG_DIGEST:
-        rg_pack_list(&pk, 15);
+        rg_pack_list(&pk, 17);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_digest(&pk, &m->u.digest);
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -56,6 +56,14 @@
     struct rg_addr addr;
 };
 
+/* One of the instances by whose hashes the size of the fleet is estimated. */
+struct rg_msg_member {
+    /* of its name */
+    uint32_t hash;
+    /* time since it spoke */
+    uint32_t age_ms;
+};
+
 /* An upstream that does not answer its callers. */
 struct rg_msg_verdict {
     /* its routing token */
@@ -286,6 +294,11 @@
     uint32_t latest_age_ms;
     /* 1: it is about to stop */
     uint8_t leaving;
+    /* new flows it gets */
+    uint32_t openings_per_s;
+    /* some of those with the smallest hashes */
+    uint16_t members_count;
+    struct rg_msg_member members[4];
     /* some it has heard lately */
     uint16_t contacts_count;
     struct rg_msg_contact contacts[6];
--- a/test/fake_service.h
+++ b/test/fake_service.h
@@ -70,6 +70,7 @@
     int balancer_count;
     int data_centres;      /* balancers and upstreams in turn */
     uint32_t digests_lost; /* percent */
+    bool uneven;           /* half of the flows come to the first balancer */
     int cut;               /* balancers below this reach no upstream */
     int paused;            /* balancers below this do not run */
     uint32_t rows_told;
@@ -170,8 +171,12 @@
     struct rg_balancer *made = rg_balancer_create(&opts, s->now_ms);
     rg_balancer_set_routes(made, rg_routes_create(1, route, 1));
     rg_balancer_fresh(made, s->now_ms);
-    rg_balancer_set_instances(made, (size_t)o->balancers,
-                              (size_t)(o->balancers / s->data_centres));
+    struct rg_fleet fleet = {
+        .instances = (size_t)o->balancers,
+        .neighbours = (size_t)(o->balancers / s->data_centres),
+        .share = 1.0 / o->balancers,
+    };
+    rg_balancer_set_fleet(made, &fleet);
     return made;
 }
 
@@ -198,6 +203,23 @@
     return s;
 }
 
+/* Half of the flows come to the first balancer, which knows it. */
+static inline void
+fake_make_uneven(struct fake_service *s)
+{
+    double rest = 0.5 / s->balancer_count;
+
+    s->uneven = true;
+    for (int b = 0; b < s->balancer_count; b++) {
+        struct rg_fleet fleet = {
+            .instances = (size_t)s->balancer_count,
+            .neighbours = (size_t)s->balancer_count,
+            .share = b == 0 ? 0.5 + rest : rest,
+        };
+        rg_balancer_set_fleet(s->balancers[b], &fleet);
+    }
+}
+
 static inline struct fake_service *
 fake_service_create(int balancers, int upstreams, uint64_t seed)
 {
@@ -216,17 +238,29 @@
     g_free(s);
 }
 
+/* The balancer that the fabric hands a flow to. */
+static inline int
+fake_balancer_of(const struct fake_service *s, const struct fake_flow *f)
+{
+    int port = f->id.caller_port;
+
+    if (s->uneven && port % 2 == 0) {
+        return 0;
+    }
+    return port / (s->uneven ? 2 : 1) % s->balancer_count;
+}
+
 static inline bool
 fake_is_cut(const struct fake_service *s, const struct fake_flow *f)
 {
-    return f->id.caller_port % s->balancer_count < s->cut;
+    return fake_balancer_of(s, f) < s->cut;
 }
 
 static inline struct rg_decision
 fake_send(struct fake_service *s, struct fake_flow *f,
           struct rg_segment segment)
 {
-    int b = f->id.caller_port % s->balancer_count;
+    int b = fake_balancer_of(s, f);
 
     segment.flow = f->id;
     if (b < s->paused) {
--- a/test/test_fleet_evidence.c
+++ b/test/test_fleet_evidence.c
@@ -15,7 +15,7 @@
 #define WARM_MS 12000
 /* For all control, and for digests without outcomes. */
 #define CONTROL_BYTES_PER_S 5000
-#define DIGEST_BYTES_PER_S 1600
+#define DIGEST_BYTES_PER_S 2000
 
 struct size {
     int instances;
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -215,6 +215,23 @@
     fake_service_destroy(s);
 }
 
+/* Pattern: every upstream is slow, and half of the flows come to one instance.
+ * It has more than an equal part of the slots in use, and refuses hardly
+ * anybody while others are free. */
+static void
+test_slow_and_uneven(void)
+{
+    struct fake_service *s = fake_service_create(BALANCERS, UPSTREAMS, SEED);
+
+    fake_make_uneven(s);
+    for (int i = 0; i < UPSTREAMS; i++) {
+        s->upstreams[i].condition = FAKE_SLOW;
+    }
+    fake_run(s, 8000, CAPACITY_PER_S / 5 * 0.6);
+    g_assert_cmpfloat(share(s->refused, s), <, 0.005);
+    fake_service_destroy(s);
+}
+
 /* Share of requests in time once all upstreams have been silent and are back.
  */
 static double
@@ -266,6 +283,7 @@
     g_test_add_func("/load/cold", test_cold);
     g_test_add_func("/load/overload", test_overload);
     g_test_add_func("/load/all-slow", test_all_slow);
+    g_test_add_func("/load/slow-and-uneven", test_slow_and_uneven);
     g_test_add_func("/load/all-dark", test_all_dark);
     return g_test_run();
 }
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -9,7 +9,7 @@
 
 #define SEED 29
 #define BOUND_MS 3000
-#define FLEET_MAX 64
+#define FLEET_MAX 1600
 
 struct instance {
     struct rg_peers *peers;
@@ -20,6 +20,7 @@
 
 struct fleet {
     struct instance all[FLEET_MAX];
+    struct rg_addr addrs[FLEET_MAX];
     int count;
     uint64_t now_ms;
     uint64_t revision; /* of the store */
@@ -33,7 +34,7 @@
     struct rg_addr a;
     char text[32];
 
-    snprintf(text, sizeof(text), "10.0.0.%d:7000", i + 1);
+    snprintf(text, sizeof(text), "10.0.%d.%d:7000", i / 250, i % 250 + 1);
     g_assert_true(rg_addr_parse(&a, text));
     return a;
 }
@@ -63,6 +64,7 @@
     f->rand.state = SEED;
     for (int i = 0; i < count; i++) {
         f->all[i].peers = make_peers(i);
+        f->addrs[i] = addr_of(i);
         f->all[i].up = true;
         f->all[i].store = true;
         rg_peers_seed(f->all[i].peers, &first);
@@ -83,8 +85,7 @@
 index_of(const struct fleet *f, const struct rg_addr *addr)
 {
     for (int i = 0; i < f->count; i++) {
-        struct rg_addr a = addr_of(i);
-        if (rg_addr_eq(&a, addr)) {
+        if (rg_addr_eq(&f->addrs[i], addr)) {
             return i;
         }
     }
@@ -288,6 +289,42 @@
     destroy_fleet(f);
 }
 
+/* Pattern: admission in a large fleet. Each instance knows 48 others at most,
+ * and yet how many there are, and its part of their traffic. */
+static void
+test_fleet_size(void)
+{
+    static const int sizes[] = {4, 78, 300, 1600};
+
+    for (size_t n = 0; n < G_N_ELEMENTS(sizes); n++) {
+        struct fleet *f = make_fleet(sizes[n]);
+        for (int i = 0; i < f->count; i++) {
+            /* The store names some others, too. */
+            for (int k = 0; k < 3; k++) {
+                uint32_t other = rg_rand_below(&f->rand, (uint32_t)f->count);
+                rg_peers_seed(f->all[i].peers, &f->addrs[other]);
+            }
+            f->all[i].view.openings_per_s = i == 0 ? 300 : 100;
+        }
+        for (int i = 0; i < 200; i++) {
+            step(f);
+        }
+        for (int i = 0; i < f->count; i += f->count / 4) {
+            double size = (double)rg_peers_fleet(f->all[i].peers, f->now_ms);
+            g_assert_cmpfloat(size, >, 0.7 * sizes[n]);
+            g_assert_cmpfloat(size, <, 1.3 * sizes[n]);
+        }
+        /* Nobody is left out, though all tables were full soon. */
+        for (int i = 0; i < f->count; i++) {
+            g_assert_cmpuint(rg_peers_count(f->all[i].peers, f->now_ms), >, 0);
+        }
+        double share = rg_peers_share(f->all[0].peers, 300, f->now_ms);
+        g_assert_cmpfloat(share, >, 0.7 * 300 / (100.0 * (sizes[n] + 2)));
+        g_assert_cmpfloat(share, <, 1.3 * 300 / (100.0 * (sizes[n] + 2)));
+        destroy_fleet(f);
+    }
+}
+
 /* Alone: it reads, and is behind nobody. */
 static void
 test_alone(void)
@@ -380,6 +417,7 @@
                     test_behind_while_news_goes_on);
     g_test_add_func("/peers/reader-dies", test_reader_dies);
     g_test_add_func("/peers/cut", test_cut);
+    g_test_add_func("/peers/fleet-size", test_fleet_size);
     g_test_add_func("/peers/alone", test_alone);
     g_test_add_func("/peers/tight-bound", test_tight_bound);
     g_test_add_func("/peers/ahead", test_ahead);
