--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -57,6 +57,11 @@
     rg_bal_count(b, RG_TALLY_OPENINGS_REPEATED);
     rg_bal_note_opening(b, true);
     rg_boot_unanswered(t->boot, b->now_ms);
+    if (t->probe) {
+        /* Still not back: nobody else needs to try it for a while. */
+        t->probe = false;
+        rg_bal_outcome(b, t->boot, RG_OUTCOME_FAILED);
+    }
     if (!before && rg_boot_ejected(t->boot, b->now_ms)) {
         rg_bal_count(b, RG_TALLY_EJECTIONS);
         rg_log_event(
--- a/test/test_requests.c
+++ b/test/test_requests.c
@@ -329,6 +329,39 @@
     destroy_world(w);
 }
 
+/* Pattern: an upstream fails requests and then falls silent. A probe whose
+ * opening is lost shows that it is not back: the pause begins anew, for all.
+ */
+static void
+test_silent_probe(void)
+{
+    struct world *w = make_world();
+
+    serve(w, 60);
+    struct flow f = ask(w, SAFE_PORT);
+    tell_failures(w, &f, 1, 4, 0);
+    struct rg_boot *boot = boot_of(w, &f);
+    uint64_t until_ms = boot->requests.until_ms;
+    struct flow probe = {.token = 0};
+    for (int i = 0; i < 200 && probe.token != f.token; i++) {
+        pass(w, 50);
+        probe.id = (struct rg_flow_id){.caller_ip = CALLER_IP,
+                                       .service_ip = SERVICE_IP,
+                                       .caller_port = ++w->next_port,
+                                       .service_port = SAFE_PORT};
+        probe.token =
+            pass_on(w, &probe, (struct rg_segment){.opening = true}).token;
+    }
+    g_assert_cmpuint(probe.token, ==, f.token);
+    pass(w, 200);
+    pass_on(w, &probe, (struct rg_segment){.opening = true, .ack = 1});
+    g_assert_true(rg_boot_condemned(boot));
+    g_assert_cmpuint(boot->requests.until_ms, >, until_ms);
+    g_assert_cmpuint(boot->requests.until_ms, >, w->now_ms);
+    g_assert_true(rg_balancer_has_news(w->balancer));
+    destroy_world(w);
+}
+
 /* A flow that serves several requests: each is judged by itself. */
 static void
 test_kept_open(void)
@@ -362,6 +395,7 @@
     g_test_add_func("/requests/nobody-answers", test_nobody_answers);
     g_test_add_func("/requests/paused", test_paused);
     g_test_add_func("/requests/lines", test_lines);
+    g_test_add_func("/requests/silent-probe", test_silent_probe);
     g_test_add_func("/requests/kept-open", test_kept_open);
     return g_test_run();
 }
