balance: log the flow's state with each reset, opening, move and drop

The record of the broken open flow could not tell who reset it, nor which copies of its opening went where. REFUSED now says what this instance knew of the flow, and the numbers of the packet that it answers; OPENING has the initial sequence number, by which copies on several instances are told apart from a new flow on the same ports; MOVED is new, a packet of a known flow that names another upstream; DROPPED is new, at most five lines a tick, so that a flood of them leaves the log's rate to the others. No decision changes.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -21,13 +21,6 @@
 /* Gain of the moving average of openings per second, for each tick. */
 #define OPENINGS_GAIN 0.05
 
-static struct rg_decision
-drop(struct rg_balancer *b, enum rg_metric_counter why)
-{
-    rg_bal_count(b, why);
-    return (struct rg_decision){.kind = RG_DECISION_DROP};
-}
-
 /* --- openings ------------------------------------------------------------ */
 
 static uint32_t
@@ -154,7 +147,7 @@
 
     rg_bal_count(b, RG_METRIC_OPENINGS);
     if (!route && !is_confirmed(b)) {
-        return drop(b, RG_METRIC_DROPPED_STALE_VIEW);
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_STALE_VIEW, "stale-view");
     }
     if (!route) {
         return rg_bal_refuse(b, s, RG_METRIC_REFUSED_NO_ROUTE, "no-route");
@@ -171,13 +164,13 @@
     }
     struct rg_pick picked = pick_upstream(b, t, route, service);
     if (!picked.endpoint && !is_confirmed(b)) {
-        return drop(b, RG_METRIC_DROPPED_STALE_VIEW);
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_STALE_VIEW, "stale-view");
     }
     if (!picked.endpoint) {
         return rg_bal_refuse(b, s, RG_METRIC_REFUSED_NO_UPSTREAM,
                              "no-upstream");
     }
-    rg_bal_log_opening(b, s, &picked);
+    rg_bal_log_opening(b, s, t, &picked);
     if (t) {
         rg_flows_move(b, t, picked.endpoint);
         rg_flows_set_state(t, RG_TRACKED_OPENING, b->now_ms);
@@ -216,7 +209,8 @@
     if (!rg_routes_was_removed(b->routes, s->flow.service_ip,
                                s->flow.service_port))
     {
-        return drop(b, RG_METRIC_DROPPED_UNKNOWN_ROUTE);
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_UNKNOWN_ROUTE,
+                           "unknown-route");
     }
     return rg_bal_refuse(b, s, RG_METRIC_REFUSED_NO_ROUTE, "route-removed");
 }
@@ -234,18 +228,21 @@
             rg_flows_set_state(t, RG_TRACKED_CLOSED, b->now_ms);
             return forward(b, t->endpoint);
         }
-        return drop(b, RG_METRIC_DROPPED_NO_TOKEN);
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_NO_TOKEN, "no-token");
     }
     if (!endpoint) {
-        return drop(b, RG_METRIC_DROPPED_UNKNOWN_TOKEN);
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_UNKNOWN_TOKEN,
+                           "unknown-token");
     }
     if (!route) {
         return handle_missing_route(b, s);
     }
     if (!token_is_allowed(b, route, endpoint, t)) {
-        return drop(b, RG_METRIC_DROPPED_WRONG_SERVICE);
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_WRONG_SERVICE,
+                           "wrong-service");
     }
     if (t && t->endpoint != endpoint) {
+        rg_bal_log_moved(b, s, t, endpoint);
         rg_flows_move(b, t, endpoint);
     }
     if (t) {
@@ -253,9 +250,10 @@
     }
     if (t && rg_request_is_lost(b, t)) {
         rg_request_log_unanswered(b, t, "reset");
+        struct rg_decision refused = rg_bal_refuse(
+            b, s, RG_METRIC_REFUSED_DEAD_UPSTREAM, "dead-upstream");
         rg_flows_set_state(t, RG_TRACKED_CLOSED, b->now_ms);
-        return rg_bal_refuse(b, s, RG_METRIC_REFUSED_DEAD_UPSTREAM,
-                             "dead-upstream");
+        return refused;
     }
     return forward(b, endpoint);
 }
@@ -267,7 +265,7 @@
     b->now_ms = now_ms;
     rg_bal_count(b, RG_METRIC_PACKETS);
     if (!rg_balancer_ready(b)) {
-        return drop(b, RG_METRIC_DROPPED_NOT_READY);
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_NOT_READY, "not-ready");
     }
     return s->opening ? steer_opening(b, s) : steer_open(b, s);
 }
@@ -439,6 +437,7 @@
     rg_tracked_flows_sweep(b->flows, rg_flows_expired, b);
     update_openings_per_s(b, now_ms - b->ticked_ms);
     b->ticked_ms = now_ms;
+    b->dropped_lines = 0;
     rg_pool_tick(b->pool, now_ms);
     rg_bal_tick_admission(b);
     rg_bal_tick_outcomes(b);
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -39,9 +39,10 @@
     double response_gap_ms;
     uint64_t last_response_ms; /* last response of any upstream */
     uint64_t started_ms;
-    uint64_t confirmed_ms; /* store last confirmed the view, 0: never */
-    uint64_t partial_ms;   /* partial view was last current, 0: never */
-    uint64_t ticked_ms;    /* last tick */
+    uint64_t confirmed_ms;  /* store last confirmed the view, 0: never */
+    uint64_t partial_ms;    /* partial view was last current, 0: never */
+    uint64_t ticked_ms;     /* last tick */
+    uint32_t dropped_lines; /* dropped packets logged since then */
     uint64_t now_ms;
 };
 
@@ -77,11 +78,23 @@
                                  enum rg_metric_counter counter,
                                  const char *reason);
 
+/* Counts the drop of a packet; logs it within a limit per tick. */
+struct rg_decision rg_bal_drop(struct rg_balancer *b,
+                               const struct rg_segment *s,
+                               enum rg_metric_counter counter,
+                               const char *reason);
+
 /* Updates the share of lost openings with one that was answered or lost. */
 void rg_bal_update_lost_share(struct rg_balancer *b, bool lost);
+/* `t` is the flow's entry before this opening, NULL if it is not tracked. */
 void rg_bal_log_opening(const struct rg_balancer *b,
                         const struct rg_segment *s,
+                        const struct rg_tracked_flow *t,
                         const struct rg_pick *picked);
+/* Logs that a packet of a tracked flow names another endpoint than before. */
+void rg_bal_log_moved(const struct rg_balancer *b, const struct rg_segment *s,
+                      const struct rg_tracked_flow *t,
+                      const struct rg_endpoint *to);
 
 /* Logs that admission control of a service starts or stops refusing flows. */
 void rg_bal_log_admission(const struct rg_balancer *b, uint32_t service,
--- a/balance/report.c
+++ b/balance/report.c
@@ -6,6 +6,28 @@
 
 /* Gain of the moving average of the share of lost openings. */
 #define LOST_GAIN 0.05
+/* Dropped packets that are logged between two ticks: a flood of them must not
+ * use up the log's rate. */
+#define DROPPED_LINES_PER_TICK 5
+
+static const char *
+state_text(const struct rg_tracked_flow *t)
+{
+    static const char *const states[] = {
+        [RG_TRACKED_OPENING] = "opening",
+        [RG_TRACKED_IDLE] = "idle",
+        [RG_TRACKED_REQUEST] = "request",
+        [RG_TRACKED_CLOSED] = "closed",
+    };
+
+    return t ? states[t->state] : "untracked";
+}
+
+static const char *
+upstream_text(const struct rg_tracked_flow *t)
+{
+    return t ? t->endpoint->id.s : "-";
+}
 
 void
 rg_bal_count(struct rg_balancer *b, enum rg_metric_counter c)
@@ -36,6 +58,7 @@
 
 void
 rg_bal_log_opening(const struct rg_balancer *b, const struct rg_segment *s,
+                   const struct rg_tracked_flow *t,
                    const struct rg_pick *picked)
 {
     static const char *const rules[] = {
@@ -47,10 +70,12 @@
     char flow[RG_FLOW_TEXT_MAX];
 
     rg_log_event(b->opts.log, RG_LOG_INFO, "OPENING",
-                 "flow=\"%s\" copy=\"%u\" upstream=\"%s\" token=\"%08x\" "
+                 "flow=\"%s\" copy=\"%u\" seq=\"%08x\" state=\"%s\" "
+                 "before=\"%s\" upstream=\"%s\" token=\"%08x\" "
                  "rule=\"%s\" cost=\"%.2f\" work=\"%u\" version=\"%llu\" "
                  "age_ms=\"%llu\"",
-                 rg_flow_text(&s->flow, flow), s->ack, picked->endpoint->id.s,
+                 rg_flow_text(&s->flow, flow), s->ack, s->seq, state_text(t),
+                 upstream_text(t), picked->endpoint->id.s,
                  picked->endpoint->token, rules[picked->rule], picked->cost,
                  picked->endpoint->open_work,
                  (unsigned long long)rg_bal_version(b),
@@ -61,18 +86,60 @@
 rg_bal_refuse(struct rg_balancer *b, const struct rg_segment *s,
               enum rg_metric_counter counter, const char *reason)
 {
+    const struct rg_tracked_flow *t =
+        rg_tracked_flows_find(b->flows, &s->flow);
     char flow[RG_FLOW_TEXT_MAX];
 
     rg_bal_count(b, counter);
     rg_log_event(b->opts.log, RG_LOG_INFO, "REFUSED",
-                 "flow=\"%s\" opening=\"%d\" reason=\"%s\" version=\"%llu\" "
-                 "age_ms=\"%llu\"",
+                 "flow=\"%s\" opening=\"%d\" reason=\"%s\" state=\"%s\" "
+                 "upstream=\"%s\" token=\"%08x\" seq=\"%08x\" ack=\"%u\" "
+                 "version=\"%llu\" age_ms=\"%llu\"",
                  rg_flow_text(&s->flow, flow), s->opening, reason,
+                 state_text(t), upstream_text(t), s->token, s->seq, s->ack,
                  (unsigned long long)rg_bal_version(b),
                  (unsigned long long)rg_bal_view_age_ms(b));
     return (struct rg_decision){.kind = RG_DECISION_REFUSE};
 }
 
+struct rg_decision
+rg_bal_drop(struct rg_balancer *b, const struct rg_segment *s,
+            enum rg_metric_counter counter, const char *reason)
+{
+    const struct rg_tracked_flow *t =
+        rg_tracked_flows_find(b->flows, &s->flow);
+    char flow[RG_FLOW_TEXT_MAX];
+
+    rg_bal_count(b, counter);
+    if (b->dropped_lines < DROPPED_LINES_PER_TICK) {
+        b->dropped_lines++;
+        rg_log_event(b->opts.log, RG_LOG_INFO, "DROPPED",
+                     "flow=\"%s\" opening=\"%d\" reason=\"%s\" state=\"%s\" "
+                     "upstream=\"%s\" token=\"%08x\" seq=\"%08x\" "
+                     "version=\"%llu\" age_ms=\"%llu\"",
+                     rg_flow_text(&s->flow, flow), s->opening, reason,
+                     state_text(t), upstream_text(t), s->token, s->seq,
+                     (unsigned long long)rg_bal_version(b),
+                     (unsigned long long)rg_bal_view_age_ms(b));
+    }
+    return (struct rg_decision){.kind = RG_DECISION_DROP};
+}
+
+void
+rg_bal_log_moved(const struct rg_balancer *b, const struct rg_segment *s,
+                 const struct rg_tracked_flow *t, const struct rg_endpoint *to)
+{
+    char flow[RG_FLOW_TEXT_MAX];
+
+    rg_log_event(b->opts.log, RG_LOG_INFO, "MOVED",
+                 "flow=\"%s\" state=\"%s\" from=\"%s\" to=\"%s\" "
+                 "token=\"%08x\" seq=\"%08x\" ack=\"%u\" len=\"%u\" "
+                 "since_ms=\"%llu\"",
+                 rg_flow_text(&s->flow, flow), state_text(t),
+                 t->endpoint->id.s, to->id.s, s->token, s->seq, s->ack, s->len,
+                 (unsigned long long)(b->now_ms - t->since_ms));
+}
+
 void
 rg_bal_log_admission(const struct rg_balancer *b, uint32_t service,
                      const struct rg_admit_load *load)
