balance: drop a copy of an opening that comes after the flow has opened

Callers saw: an open flow opened a second time, at another upstream, and, under overload, reset (REFUSED overload), since the copy was taken for a new flow on the same ports.

Cause: an entry that was no longer in the state "opening" counted as that of an ended flow, whatever the opening's sequence number.

The entry now keeps the initial sequence number: the same one is a copy, another one a new flow, which gets a fresh entry (before, it kept the upstreams tried for the earlier one). A copy of an open flow is dropped, as its caller has answered already.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -113,19 +113,12 @@
                                 .token = endpoint->token};
 }
 
-/* The caller reuses the ports of a flow that has ended. */
+/* A copy of the opening that the entry began with. The ports of an ended flow
+ * may be used again, but a new flow begins with another sequence number. */
 static bool
-is_new_flow(const struct rg_tracked_flow *t)
+is_copy(const struct rg_tracked_flow *t, const struct rg_segment *s)
 {
-    return t->state != RG_TRACKED_OPENING;
-}
-
-/* Retransmitted openings are not subject to admission control, since the first
- * one may already be answered. */
-static bool
-is_retransmission(const struct rg_segment *s, const struct rg_tracked_flow *t)
-{
-    return s->ack != 0 || (t && !is_new_flow(t));
+    return t && s->seq == t->opening_seq;
 }
 
 /* True if the store confirmed the view recently, so that what the view lacks
@@ -143,9 +136,15 @@
     const struct rg_route *route =
         rg_routes_find(b->routes, s->flow.service_ip, s->flow.service_port);
     struct rg_tracked_flow *t = rg_tracked_flows_find(b->flows, &s->flow);
+    bool copy = is_copy(t, s);
     uint32_t service;
 
     rg_bal_count(b, RG_METRIC_OPENINGS);
+    if (copy && t->state != RG_TRACKED_OPENING) {
+        /* It was late on its way: the flow has opened since. */
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_LATE_OPENING,
+                           "late-opening");
+    }
     if (!route && !is_confirmed(b)) {
         return rg_bal_drop(b, s, RG_METRIC_DROPPED_STALE_VIEW, "stale-view");
     }
@@ -156,13 +155,14 @@
         return rg_bal_refuse(b, s, RG_METRIC_REFUSED_NO_UPSTREAM,
                              "no-service");
     }
-    if (!is_retransmission(s, t) && !rg_bal_admits(b, route, service)) {
+    /* The first of several copies may already be answered. */
+    if (s->ack == 0 && !copy && !rg_bal_admits(b, route, service)) {
         return rg_bal_refuse(b, s, RG_METRIC_REFUSED_OVERLOAD, "overload");
     }
-    if (t && !is_new_flow(t)) {
+    if (copy) {
         note_unanswered_opening(b, t);
     }
-    struct rg_pick picked = pick_upstream(b, t, route, service);
+    struct rg_pick picked = pick_upstream(b, copy ? t : NULL, route, service);
     if (!picked.endpoint && !is_confirmed(b)) {
         return rg_bal_drop(b, s, RG_METRIC_DROPPED_STALE_VIEW, "stale-view");
     }
@@ -171,12 +171,12 @@
                              "no-upstream");
     }
     rg_bal_log_opening(b, s, t, &picked);
-    if (t) {
+    if (copy) {
         rg_flows_move(b, t, picked.endpoint);
         rg_flows_set_state(t, RG_TRACKED_OPENING, b->now_ms);
     }
     else {
-        t = rg_flows_start(b, &s->flow, picked.endpoint);
+        t = rg_flows_start(b, t, s, picked.endpoint);
     }
     if (t) {
         t->probe = picked.rule == RG_PICK_PROBE;
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -59,6 +59,18 @@
     }
 }
 
+/* Releases all that the entry refers to. */
+static void
+forget(struct rg_tracked_flow *t)
+{
+    release(t);
+    for (int i = 0; i < RG_TRACKED_TRIES_MAX; i++) {
+        if (t->tried[i]) {
+            t->tried[i]->refs--;
+        }
+    }
+}
+
 bool
 rg_flows_expired(void *ctx, struct rg_tracked_flow *t)
 {
@@ -77,29 +89,34 @@
     if (is_outstanding(t)) {
         rg_request_log_unanswered(b, t, "forgotten");
     }
-    release(t);
-    for (int i = 0; i < RG_TRACKED_TRIES_MAX; i++) {
-        if (t->tried[i]) {
-            t->tried[i]->refs--;
-        }
-    }
+    forget(t);
     return true;
 }
 
 struct rg_tracked_flow *
-rg_flows_start(struct rg_balancer *b, const struct rg_flow_id *flow,
-               struct rg_endpoint *endpoint)
+rg_flows_start(struct rg_balancer *b, struct rg_tracked_flow *earlier,
+               const struct rg_segment *opening, struct rg_endpoint *endpoint)
 {
-    struct rg_tracked_flow *t = rg_tracked_flows_add(b->flows, flow);
+    struct rg_tracked_flow *t = earlier;
 
+    if (earlier) {
+        forget(earlier);
+    }
+    else {
+        t = rg_tracked_flows_add(b->flows, &opening->flow);
+    }
     if (!t) {
         rg_bal_count(b, RG_METRIC_UNTRACKED);
         return NULL;
     }
-    t->since_ms = b->now_ms;
-    t->last_ms = b->now_ms;
-    t->state = RG_TRACKED_OPENING;
-    t->answer_ms = RG_TRACKED_UNANSWERED;
+    *t = (struct rg_tracked_flow){
+        .flow = opening->flow,
+        .opening_seq = opening->seq,
+        .since_ms = b->now_ms,
+        .last_ms = b->now_ms,
+        .state = RG_TRACKED_OPENING,
+        .answer_ms = RG_TRACKED_UNANSWERED,
+    };
     acquire(t, endpoint);
     return t;
 }
@@ -143,8 +160,6 @@
     update_response_gap(b);
     rg_endpoint_responded(t->endpoint, b->now_ms);
     rg_bal_update_lost_share(b, false);
-    /* The entry may be that of an earlier flow with the same ports. */
-    t->answer_ms = RG_TRACKED_UNANSWERED;
     t->last_ack = s->ack;
     rg_flows_set_state(t, RG_TRACKED_IDLE, b->now_ms);
 }
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -145,10 +145,12 @@
 /* Tracked flows, in flows.c. Each holds a reference to its endpoint, and
  * counts as outstanding work there while an opening or a request waits. */
 
-/* Starts tracking a flow whose opening goes to `endpoint`. Returns NULL if the
- * table is full; the flow is then not tracked. */
+/* Starts tracking a flow whose opening goes to `endpoint`. `earlier` is the
+ * entry of an ended flow with the same ports, NULL if there is none. Returns
+ * NULL if the table is full; the flow is then not tracked. */
 struct rg_tracked_flow *rg_flows_start(struct rg_balancer *b,
-                                       const struct rg_flow_id *flow,
+                                       struct rg_tracked_flow *earlier,
+                                       const struct rg_segment *opening,
                                        struct rg_endpoint *endpoint);
 /* Moves the flow to another endpoint. */
 void rg_flows_move(struct rg_balancer *b, struct rg_tracked_flow *t,
--- a/balance/tracked_flows.h
+++ b/balance/tracked_flows.h
@@ -31,9 +31,10 @@
     struct rg_flow_id flow;
     struct rg_endpoint *endpoint; /* the current one, NULL: entry is free */
     struct rg_endpoint *tried[RG_TRACKED_TRIES_MAX]; /* earlier, or NULL */
-    uint64_t since_ms; /* start of the current state */
-    uint64_t last_ms;  /* last packet */
-    uint32_t last_seq; /* of the last data */
+    uint64_t since_ms;    /* start of the current state */
+    uint64_t last_ms;     /* last packet */
+    uint32_t opening_seq; /* initial sequence number of the caller */
+    uint32_t last_seq;    /* of the last data */
     uint32_t last_ack;
     uint32_t request_ack; /* value of last_ack when the request was sent */
     uint32_t answer_ms;   /* of the last request, or RG_TRACKED_UNANSWERED */
