balance: drop copies of an opening that cannot be forwarded, reset only firsts

Callers could see: a reset on a flow that had just opened. An instance without an upstream left, or without the route (added by a version that it does not have yet), refused each opening with a reset, copies too.

Cause: what this instance does not have was taken to mean that no instance has forwarded the earlier copy. Evidence: /openings/copy-without-upstream and /openings/copy-without-route failed before. A copy is now dropped; the first opening is refused at once as before, and so is a copy for a route that was removed, whose flows end anyway.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -130,6 +130,38 @@
            b->now_ms - b->confirmed_ms <= b->opts.stale_ms;
 }
 
+/* An opening to an address without a route. If it is a copy, the flow may be
+ * open by way of an instance that has a newer version, unless the route is one
+ * that was removed. */
+static struct rg_decision
+opening_without_route(struct rg_balancer *b, const struct rg_segment *s,
+                      bool may_be_open)
+{
+    if (!is_confirmed(b)) {
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_STALE_VIEW, "stale-view");
+    }
+    if (may_be_open && !rg_routes_was_removed(b->routes, s->flow.service_ip,
+                                              s->flow.service_port))
+    {
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_UNKNOWN_ROUTE,
+                           "unknown-route");
+    }
+    return rg_bal_refuse(b, s, RG_METRIC_REFUSED_NO_ROUTE, "no-route");
+}
+
+static struct rg_decision
+opening_without_upstream(struct rg_balancer *b, const struct rg_segment *s,
+                         bool may_be_open, const char *reason)
+{
+    if (!is_confirmed(b)) {
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_STALE_VIEW, "stale-view");
+    }
+    if (may_be_open) {
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_NO_UPSTREAM, reason);
+    }
+    return rg_bal_refuse(b, s, RG_METRIC_REFUSED_NO_UPSTREAM, reason);
+}
+
 static struct rg_decision
 steer_opening(struct rg_balancer *b, const struct rg_segment *s)
 {
@@ -137,6 +169,8 @@
         rg_routes_find(b->routes, s->flow.service_ip, s->flow.service_port);
     struct rg_tracked_flow *t = rg_tracked_flows_find(b->flows, &s->flow);
     bool copy = is_copy(t, s);
+    /* An earlier copy may be answered, and the flow open. */
+    bool may_be_open = copy || s->ack != 0;
     uint32_t service;
 
     rg_bal_count(b, RG_METRIC_OPENINGS);
@@ -145,30 +179,21 @@
         return rg_bal_drop(b, s, RG_METRIC_DROPPED_LATE_OPENING,
                            "late-opening");
     }
-    if (!route && !is_confirmed(b)) {
-        return rg_bal_drop(b, s, RG_METRIC_DROPPED_STALE_VIEW, "stale-view");
-    }
     if (!route) {
-        return rg_bal_refuse(b, s, RG_METRIC_REFUSED_NO_ROUTE, "no-route");
+        return opening_without_route(b, s, may_be_open);
     }
     if (!rg_route_pick_service(route, flow_hash(&s->flow), &service)) {
-        return rg_bal_refuse(b, s, RG_METRIC_REFUSED_NO_UPSTREAM,
-                             "no-service");
+        return opening_without_upstream(b, s, may_be_open, "no-service");
     }
-    /* The first of several copies may already be answered. */
-    if (s->ack == 0 && !copy && !rg_bal_admits(b, route, service)) {
+    if (!may_be_open && !rg_bal_admits(b, route, service)) {
         return rg_bal_refuse(b, s, RG_METRIC_REFUSED_OVERLOAD, "overload");
     }
     if (copy) {
         note_unanswered_opening(b, t);
     }
     struct rg_pick picked = pick_upstream(b, copy ? t : NULL, route, service);
-    if (!picked.endpoint && !is_confirmed(b)) {
-        return rg_bal_drop(b, s, RG_METRIC_DROPPED_STALE_VIEW, "stale-view");
-    }
     if (!picked.endpoint) {
-        return rg_bal_refuse(b, s, RG_METRIC_REFUSED_NO_UPSTREAM,
-                             "no-upstream");
+        return opening_without_upstream(b, s, may_be_open, "no-upstream");
     }
     rg_bal_log_opening(b, s, t, &picked);
     if (copy) {
--- a/balance/metrics.c
+++ b/balance/metrics.c
@@ -18,6 +18,7 @@
     [RG_METRIC_DROPPED_NO_TOKEN] = "dropped_no_token",
     [RG_METRIC_DROPPED_WRONG_SERVICE] = "dropped_wrong_service",
     [RG_METRIC_DROPPED_LATE_OPENING] = "dropped_late_opening",
+    [RG_METRIC_DROPPED_NO_UPSTREAM] = "dropped_no_upstream",
     [RG_METRIC_DISCARDED] = "packets_discarded",
     [RG_METRIC_UNTRACKED] = "flows_untracked",
     [RG_METRIC_EJECTIONS] = "ejections",
--- a/test/test_openings.c
+++ b/test/test_openings.c
@@ -33,7 +33,7 @@
 }
 
 static void
-add_upstream(struct rg_balancer *b, int i)
+update_upstream(struct rg_balancer *b, int i, bool draining, uint64_t revision)
 {
     g_autofree char *id = g_strdup_printf("u-%d", i);
     struct rg_endpoint_info info = {
@@ -43,10 +43,11 @@
         .service = name("shop"),
         .data_centre = name("dc1"),
         .slots = 2,
+        .draining = draining,
     };
 
     rg_addr_parse(&info.addr, "10.0.0.1:80");
-    rg_pool_update(rg_balancer_pool(b), &info, 1, START_MS);
+    rg_pool_update(rg_balancer_pool(b), &info, revision, START_MS);
 }
 
 static struct rg_balancer *
@@ -70,7 +71,7 @@
         (struct rg_route_share){.service = name("shop"), .weight = 1};
     rg_balancer_set_routes(b, rg_routes_create(1, route, 1));
     for (int i = 0; i < UPSTREAMS; i++) {
-        add_upstream(b, i);
+        update_upstream(b, i, false, 1);
     }
     rg_balancer_set_confirmed(b, START_MS);
     return b;
@@ -188,6 +189,46 @@
     g_assert_cmpuint(counter(f, 0, RG_METRIC_OPENINGS_MOVED), ==, 0);
 }
 
+/* Guards against a reset of a flow that has opened by way of another instance:
+ * the upstream of the first copy drains, and there is none for the second. */
+static void
+test_copy_without_upstream(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    open_copy(f, 0, 0);
+    for (int instance = 0; instance < 2; instance++) {
+        for (int i = 0; i < UPSTREAMS; i++) {
+            update_upstream(f->instances[instance], i, true, 2);
+        }
+    }
+    f->now_ms += FIRST_COPY_MS;
+    g_assert_cmpint(open_copy(f, 0, 1).kind, ==, RG_DECISION_DROP);
+    g_assert_cmpint(open_copy(f, 1, 1).kind, ==, RG_DECISION_DROP);
+    /* The first copy of all is refused at once. */
+    struct rg_segment s = segment_from(CALLER_PORT + 1);
+    s.opening = true;
+    g_assert_cmpint(rg_balancer_packet(f->instances[0], &s, f->now_ms).kind,
+                    ==, RG_DECISION_REFUSE);
+}
+
+/* The same where the route was added by a version that this instance does not
+ * have yet: an instance that has it may have forwarded the first copy. */
+static void
+test_copy_without_route(struct fixture *f, gconstpointer unused)
+{
+    struct rg_segment s = segment_from(CALLER_PORT);
+
+    (void)unused;
+    s.flow.service_port = SHOP_PORT + 1;
+    s.opening = true;
+    s.ack = 1;
+    g_assert_cmpint(rg_balancer_packet(f->instances[0], &s, f->now_ms).kind,
+                    ==, RG_DECISION_DROP);
+    s.ack = 0;
+    g_assert_cmpint(rg_balancer_packet(f->instances[0], &s, f->now_ms).kind,
+                    ==, RG_DECISION_REFUSE);
+}
+
 /* Guards against the ports of an ended flow being unusable for a new one,
  * whose opening is no copy. */
 static void
@@ -345,6 +386,8 @@
         void (*run)(struct fixture *f, gconstpointer unused);
     } tests[] = {
         {"/openings/copy-after-opening", test_copy_after_opening},
+        {"/openings/copy-without-upstream", test_copy_without_upstream},
+        {"/openings/copy-without-route", test_copy_without_route},
         {"/openings/new-flow-on-same-ports", test_new_flow_on_same_ports},
         {"/openings/copies-in-one-batch", test_copies_in_one_batch},
         {"/openings/copy-at-live-upstream", test_copy_at_live_upstream},
