balance: a second upstream for an opening only if the first seems silent

Callers saw: an open flow reset by an upstream that was not its own. Two upstreams had answered its opening.

Cause: each copy of an opening went to another upstream at once, also a copy that had waited in the socket together with the first (a process that stood still for less than 800 ms, after which nothing is discarded, sent two or three upstreams the same opening in one millisecond), and also where the first upstream had answered others meanwhile, so that only its answer to this caller was lost.

A copy that comes less than 100 ms after the one before, which no caller sends, stays at its upstream; so does the first repetition where the upstream has responded since. The second repetition goes elsewhere, as the path between these two may be cut. Red before: /openings/copies-in-one-batch, /openings/copy-at-live-upstream.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -18,6 +18,9 @@
 /* Used before that mean is known: the time after which callers send the first
  * retransmission. */
 #define OVERDUE_DEFAULT_MS 200
+/* Copies of an opening that arrive closer together than this have waited on
+ * their way: callers send them 200 ms apart or more. */
+#define COPY_MIN_INTERVAL_MS 100
 /* Gain of the moving average of openings per second, for each tick. */
 #define OPENINGS_GAIN 0.05
 
@@ -104,6 +107,45 @@
     return picked;
 }
 
+/* True if a copy came so soon after the one before it that its upstream has
+ * had no time to answer. */
+static bool
+came_too_soon(const struct rg_balancer *b, const struct rg_tracked_flow *t)
+{
+    return b->now_ms - t->last_ms < COPY_MIN_INTERVAL_MS;
+}
+
+/* True if the upstream has responded to others since it got the opening, so
+ * that only its answer to this one was lost. */
+static bool
+has_responded_since(const struct rg_balancer *b,
+                    const struct rg_tracked_flow *t)
+{
+    const struct rg_endpoint *e = t->endpoint;
+
+    return e->state == RG_ENDPOINT_READY && !rg_endpoint_is_outlier(e) &&
+           !rg_endpoint_is_ejected(e, b->now_ms) &&
+           e->last_response_ms > t->last_ms;
+}
+
+/* Upstream for a copy of an opening. Two upstreams that answer one opening
+ * endanger the flow, so a second one gets a copy only if the first seems to be
+ * silent, or has missed two. */
+static struct rg_pick
+pick_for_copy(struct rg_balancer *b, const struct rg_segment *s,
+              struct rg_tracked_flow *t, const struct rg_route *route,
+              uint32_t service)
+{
+    struct rg_pick same = {.endpoint = t->endpoint, .rule = RG_PICK_SAME};
+
+    if (came_too_soon(b, t)) {
+        return same;
+    }
+    bool stays = s->ack <= 1 && has_responded_since(b, t);
+    note_unanswered_opening(b, t);
+    return stays ? same : pick_upstream(b, t, route, service);
+}
+
 static struct rg_decision
 forward(struct rg_balancer *b, const struct rg_endpoint *endpoint)
 {
@@ -188,10 +230,8 @@
     if (!may_be_open && !rg_bal_admits(b, route, service)) {
         return rg_bal_refuse(b, s, RG_METRIC_REFUSED_OVERLOAD, "overload");
     }
-    if (copy) {
-        note_unanswered_opening(b, t);
-    }
-    struct rg_pick picked = pick_upstream(b, copy ? t : NULL, route, service);
+    struct rg_pick picked = copy ? pick_for_copy(b, s, t, route, service)
+                                 : pick_upstream(b, NULL, route, service);
     if (!picked.endpoint) {
         return opening_without_upstream(b, s, may_be_open, "no-upstream");
     }
@@ -203,7 +243,7 @@
     else {
         t = rg_flows_start(b, t, s, picked.endpoint);
     }
-    if (t) {
+    if (t && picked.rule != RG_PICK_SAME) {
         t->probe = picked.rule == RG_PICK_PROBE;
     }
     rg_endpoint_opening_sent(picked.endpoint, b->now_ms);
--- a/balance/pick.h
+++ b/balance/pick.h
@@ -19,6 +19,7 @@
     RG_PICK_BEST,  /* lowest cost */
     RG_PICK_TRIAL, /* tests whether a suspected data centre has recovered */
     RG_PICK_PROBE, /* tests whether an outlier has recovered */
+    RG_PICK_SAME,  /* copy of an opening: stays at its upstream */
 };
 
 struct rg_pick_opts {
