balance: keep an open flow at the upstream that its caller took

Callers saw: an open flow reset by an upstream that was not its own, or its packets went to that upstream, while its own was sound.

Cause: packets of an open flow went wherever their token pointed. Callers repeat the last token that they received. Where two upstreams have answered one opening (its copies passed two instances, or the first upstream was late), the one that was not taken repeats its answer for up to 9.4 s, and each of these changes the caller's token until the flow's own upstream sends again. A request sent, or repeated, in between went to the wrong upstream, which resets what it does not know.

An instance that tracks the flow now corrects the token. A packet that acknowledges new bytes answers the upstream that the caller took, and so does the first after the opening: its token decides. Any other packet goes to the flow's upstream, with that one's token. Entries of flows whose opening was repeated are kept for 10 s when idle. Flows that the instance does not track follow their token as before.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -237,6 +237,7 @@
     }
     rg_bal_log_opening(b, s, t, &picked);
     if (copy) {
+        t->repeated = true;
         rg_flows_move(b, t, picked.endpoint);
         rg_flows_set_state(t, RG_TRACKED_OPENING, b->now_ms);
     }
@@ -280,6 +281,24 @@
     return rg_bal_refuse(b, s, RG_METRIC_REFUSED_NO_ROUTE, "route-removed");
 }
 
+/* Two upstreams may have answered the opening of a flow, and the caller
+ * repeats the last token that it received, also that of an answer it did not
+ * take. Only a packet that acknowledges something new is certain to answer the
+ * upstream that the caller took. Returns where the packet goes. */
+static struct rg_endpoint *
+choose_endpoint(struct rg_balancer *b, struct rg_tracked_flow *t,
+                const struct rg_segment *s, struct rg_endpoint *named)
+{
+    if (!rg_flows_acknowledges_new(t, s)) {
+        rg_bal_count(b, RG_METRIC_TOKENS_CORRECTED);
+        rg_bal_log_token(b, s, t, named, "KEPT");
+        return t->endpoint;
+    }
+    rg_bal_log_token(b, s, t, named, "MOVED");
+    rg_flows_move(b, t, named);
+    return named;
+}
+
 static struct rg_decision
 steer_open(struct rg_balancer *b, const struct rg_segment *s)
 {
@@ -302,14 +321,13 @@
     if (!route) {
         return handle_missing_route(b, s);
     }
+    if (t && t->endpoint != endpoint) {
+        endpoint = choose_endpoint(b, t, s, endpoint);
+    }
     if (!token_is_allowed(b, route, endpoint, t)) {
         return rg_bal_drop(b, s, RG_METRIC_DROPPED_WRONG_SERVICE,
                            "wrong-service");
     }
-    if (t && t->endpoint != endpoint) {
-        rg_bal_log_moved(b, s, t, endpoint);
-        rg_flows_move(b, t, endpoint);
-    }
     if (t) {
         rg_flows_update(b, t, s, route);
     }
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -13,6 +13,11 @@
  * by their token. */
 #define IDLE_TIMEOUT_MS 5000
 #define CLOSED_TIMEOUT_MS 1000
+/* The same for an idle flow whose opening was repeated: an upstream that its
+ * caller did not take repeats its answer for up to 9.4 s. */
+#define IDLE_REPEATED_TIMEOUT_MS 10000
+/* Acknowledged bytes further back than this are those of another flow. */
+#define ACK_DISTANCE_MAX (1 << 20)
 /* Gain of the moving average of the time an opening takes. */
 #define OPENING_GAIN 0.05
 /* Gain of the moving average of the time between two responses. */
@@ -71,19 +76,28 @@
     }
 }
 
-bool
-rg_flows_expired(void *ctx, struct rg_tracked_flow *t)
+static uint32_t
+timeout_ms(const struct rg_tracked_flow *t)
 {
-    static const uint32_t timeout_ms[] = {
+    static const uint32_t by_state[] = {
         [RG_TRACKED_OPENING] = OPENING_TIMEOUT_MS,
         [RG_TRACKED_IDLE] = IDLE_TIMEOUT_MS,
         [RG_TRACKED_REQUEST] = REQUEST_TIMEOUT_MS,
         [RG_TRACKED_CLOSED] = CLOSED_TIMEOUT_MS,
     };
+
+    return t->state == RG_TRACKED_IDLE && t->repeated
+               ? IDLE_REPEATED_TIMEOUT_MS
+               : by_state[t->state];
+}
+
+bool
+rg_flows_expired(void *ctx, struct rg_tracked_flow *t)
+{
     struct rg_balancer *b = ctx;
 
     rg_request_tick(b, t);
-    if (b->now_ms - t->last_ms < timeout_ms[t->state]) {
+    if (b->now_ms - t->last_ms < timeout_ms(t)) {
         return false;
     }
     if (is_outstanding(t)) {
@@ -116,6 +130,7 @@
         .last_ms = b->now_ms,
         .state = RG_TRACKED_OPENING,
         .answer_ms = RG_TRACKED_UNANSWERED,
+        .repeated = opening->ack != 0,
     };
     acquire(t, endpoint);
     return t;
@@ -133,6 +148,16 @@
     t->last_ms = b->now_ms;
 }
 
+bool
+rg_flows_acknowledges_new(const struct rg_tracked_flow *t,
+                          const struct rg_segment *s)
+{
+    int32_t bytes = (int32_t)(s->ack - t->last_ack);
+
+    return t->state == RG_TRACKED_OPENING || bytes > 0 ||
+           bytes < -ACK_DISTANCE_MAX;
+}
+
 /* Updates the mean time between two responses of any upstream. */
 static void
 update_response_gap(struct rg_balancer *b)
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -91,10 +91,11 @@
                         const struct rg_segment *s,
                         const struct rg_tracked_flow *t,
                         const struct rg_pick *picked);
-/* Logs that a packet of a tracked flow names another endpoint than before. */
-void rg_bal_log_moved(const struct rg_balancer *b, const struct rg_segment *s,
+/* Logs that a packet of a tracked flow names another endpoint than before, and
+ * whether the flow has moved there or is kept. */
+void rg_bal_log_token(const struct rg_balancer *b, const struct rg_segment *s,
                       const struct rg_tracked_flow *t,
-                      const struct rg_endpoint *to);
+                      const struct rg_endpoint *named, const char *event);
 
 /* Logs that admission control of a service starts or stops refusing flows. */
 void rg_bal_log_admission(const struct rg_balancer *b, uint32_t service,
@@ -157,6 +158,11 @@
                    struct rg_endpoint *endpoint);
 void rg_flows_set_state(struct rg_tracked_flow *t,
                         enum rg_tracked_flow_state state, uint64_t now_ms);
+/* True if the packet acknowledges bytes that no packet of the flow here has
+ * acknowledged before, or is the first after the opening, or belongs to
+ * another flow with the same ports. */
+bool rg_flows_acknowledges_new(const struct rg_tracked_flow *t,
+                               const struct rg_segment *s);
 /* Updates the state of the flow, and that of its endpoint, from a packet of an
  * open flow. */
 void rg_flows_update(struct rg_balancer *b, struct rg_tracked_flow *t,
--- a/balance/report.c
+++ b/balance/report.c
@@ -125,18 +125,19 @@
 }
 
 void
-rg_bal_log_moved(const struct rg_balancer *b, const struct rg_segment *s,
-                 const struct rg_tracked_flow *t, const struct rg_endpoint *to)
+rg_bal_log_token(const struct rg_balancer *b, const struct rg_segment *s,
+                 const struct rg_tracked_flow *t,
+                 const struct rg_endpoint *named, const char *event)
 {
     char flow[RG_FLOW_TEXT_MAX];
 
-    rg_log_event(b->opts.log, RG_LOG_INFO, "MOVED",
-                 "flow=\"%s\" state=\"%s\" from=\"%s\" to=\"%s\" "
+    rg_log_event(b->opts.log, RG_LOG_INFO, event,
+                 "flow=\"%s\" state=\"%s\" upstream=\"%s\" named=\"%s\" "
                  "token=\"%08x\" seq=\"%08x\" ack=\"%u\" len=\"%u\" "
                  "since_ms=\"%llu\"",
                  rg_flow_text(&s->flow, flow), state_text(t),
-                 t->endpoint->id.s, to->id.s, s->token, s->seq, s->ack, s->len,
-                 (unsigned long long)(b->now_ms - t->since_ms));
+                 t->endpoint->id.s, named->id.s, s->token, s->seq, s->ack,
+                 s->len, (unsigned long long)(b->now_ms - t->since_ms));
 }
 
 void
--- a/balance/tracked_flows.h
+++ b/balance/tracked_flows.h
@@ -41,6 +41,7 @@
     uint8_t state;        /* enum rg_tracked_flow_state */
     uint8_t retransmissions; /* of the last data */
     bool overdue;            /* request counted as failed, or exempt from it */
+    bool repeated;           /* its opening was: two upstreams may have it */
     bool probe;              /* tests whether an outlier has recovered */
 };
 
