soak: callers and upstreams follow the protocol, open flows are checked by rule

Whether an edge broke an open flow could not be seen: all upstreams used the sequence number 100, so that a second one took a flow as its own; callers had one request a flow; a reset counted only if no upstream anywhere had been disturbed.

Upstreams now have a number of their own for each opening, send SYN+ACK again until it is acknowledged and reset what they do not hold. Callers repeat the last token that they received, a sixth of the flows has several requests with pauses, a quarter of the answers several packets, one request in 40 takes up to a second more. A reset of an open flow that its upstream did not send, and packets that reach only others for 2 s, count while that upstream is settled and the edge that took the packets has had no fault; planned work is no excuse. A finding prints where each packet of its flow went.

The old check excused all flows while any upstream was disturbed and counted resets by an edge that had a fault itself, which the rule does not.

--- a/standin/soak/callers.c
+++ b/standin/soak/callers.c
@@ -1,6 +1,9 @@
-/* Simulated callers and the fabric: each request opens a flow, retransmits
- * what is not answered and checks what it receives. */
+/* Simulated callers and the fabric: callers open flows for one request or for
+ * several, retransmit what is not answered and check what they receive, by the
+ * rule on open flows above all. Each flow keeps a history, printed with a
+ * finding: "e1" is an edge, "u2" an upstream, times are from its start. */
 #include <arpa/inet.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -9,25 +12,54 @@
 
 #define ATTEMPTS_MAX 3
 #define OPENING_TIMEOUT_MS 1400
+#define RETRANSMIT_MS 200
+#define RETRANSMIT_MAX_MS 1600
+/* Every so many flows one has up to so many requests, with pauses. */
+#define LONG_FLOW_EVERY 6
+#define LONG_FLOW_REQUESTS 6
+#define PAUSE_MIN_MS 100
+#define PAUSE_MAX_MS 1500
+/* Every so many requests one takes long without any fault. */
+#define SLOW_EVERY 40
+#define SLOW_MAX_MS 1000
+/* Of an open flow's packets that reach other upstreams. */
+#define MISROUTED_MIN 3
+/* A reset's sequence number is at most so far from the last one that the
+ * caller acknowledged. */
+#define RESET_WINDOW 76800
 
 enum phase {
     OPENING,
     REQUEST, /* flow open, request sent */
+    PAUSE,   /* flow open, request answered, another will follow */
 };
 
 struct request {
-    uint64_t number;
+    uint64_t number; /* of the current request */
     enum soak_route route;
     enum phase phase;
     int caller;
     uint16_t port;
     uint64_t start_ms;
+    uint32_t slow_ms;             /* the upstream takes so much longer */
+    int left;                     /* further requests on this flow */
     uint64_t opened_ms;           /* first SYN of the current flow */
     uint64_t next_ms;             /* next retransmission */
     uint32_t syn_retransmissions; /* in the current flow */
     uint32_t retransmit_ms;       /* between retransmissions of the request */
     int attempts;
     uint32_t token;
+    uint32_t first_seq;             /* of the opening */
+    uint32_t seq;                   /* of the current request */
+    uint32_t ack;                   /* next byte expected of the upstream */
+    struct soak_upstream *taken;    /* whose SYN+ACK the caller took */
+    uint64_t taken_id;              /* its id then */
+    bool open;                      /* the acknowledgement has reached it */
+    uint64_t own_ms;                /* last packet there */
+    unsigned misrouted;             /* packets at other upstreams since */
+    struct soak_edge *misrouted_by; /* edge that forwarded the last of them */
+    bool misroute_reported;
+    GString *history;            /* of the current flow */
     bool after_faults;           /* started after the faults */
     struct soak_edge *last_edge; /* edge that got the last packet */
 };
@@ -67,6 +99,34 @@
     return 0xc6120000 | (route == SOAK_GALLERY ? 2 : 1);
 }
 
+static void __attribute__((format(printf, 3, 4)))
+note(const struct soak *s, struct request *r, const char *format, ...)
+{
+    va_list ap;
+
+    g_string_append_printf(r->history, " +%lu ", s->now_ms - r->opened_ms);
+    va_start(ap, format);
+    g_string_append_vprintf(r->history, format, ap);
+    va_end(ap);
+}
+
+/* Reports a violation and the flow's history. */
+static void
+fail_flow(struct soak *s, const struct request *r, const char *what)
+{
+    soak_fail(s, "flow 127.%d.64.%d:%u of request %lu %s:%s", s->net,
+              r->caller + 1, r->port, r->number, what, r->history->str);
+}
+
+static void
+free_request(gpointer p)
+{
+    struct request *r = p;
+
+    g_string_free(r->history, TRUE);
+    g_free(r);
+}
+
 /* The fabric's choice: rendezvous hashing over the ready edges, or over all if
  * none is ready. */
 static struct soak_edge *
@@ -88,12 +148,27 @@
     return best;
 }
 
+static void
+deliver(struct soak *s, int caller, const struct soak_edge *edge,
+        const uint8_t *data, size_t len)
+{
+    uv_buf_t buf = uv_buf_init((char *)data, (unsigned)len);
+    struct sockaddr_in to;
+    char ip[32];
+
+    soak_ip(s, SOAK_EDGE_SUBNET, edge->index + 1, ip);
+    uv_ip4_addr(ip, SOAK_PACKET_PORT, &to);
+    uv_udp_try_send(&s->callers->udp[caller], &buf, 1,
+                    (const struct sockaddr *)&to);
+}
+
 static void
 send_packet(struct soak *s, struct request *r, uint8_t flags, uint32_t seq,
             uint32_t ack, const char *data)
 {
+    bool opening = flags & SOAK_SYN;
     struct soak_packet p = {
-        .token = flags & SOAK_SYN ? 0 : r->token,
+        .token = opening ? 0 : r->token,
         .seq = seq,
         .ack = ack,
         .src = caller_ip(s, r->caller),
@@ -104,17 +179,17 @@
         .len = (uint16_t)strlen(data),
     };
     uint8_t out[SOAK_HEADER_LEN + SOAK_DATA_MAX];
-    struct sockaddr_in to;
-    char ip[32];
 
     snprintf(p.data, sizeof(p.data), "%s", data);
     size_t len = soak_pack(&p, out);
-    uv_buf_t buf = uv_buf_init((char *)out, (unsigned)len);
     r->last_edge = pick_edge(s, r);
-    soak_ip(s, 1, r->last_edge->index + 1, ip);
-    uv_ip4_addr(ip, SOAK_PACKET_PORT, &to);
-    uv_udp_try_send(&s->callers->udp[r->caller], &buf, 1,
-                    (const struct sockaddr *)&to);
+    if (opening) {
+        note(s, r, "syn%u>e%d", ack, r->last_edge->index);
+    }
+    else {
+        note(s, r, "%s>e%d", *data ? "data" : "ack", r->last_edge->index);
+    }
+    deliver(s, r->caller, r->last_edge, out, len);
 }
 
 static void
@@ -122,25 +197,61 @@
 {
     char text[64];
 
-    snprintf(text, sizeof(text), "REQ %lu", r->number);
-    send_packet(s, r, SOAK_ACK, 1, 101, text);
+    snprintf(text, sizeof(text), "REQ %lu %u", r->number, r->slow_ms);
+    send_packet(s, r, SOAK_ACK, r->seq, r->ack, text);
+}
+
+/* Sequence number after the current request. */
+static uint32_t
+seq_after(const struct request *r)
+{
+    char text[64];
+
+    return r->seq + (uint32_t)snprintf(text, sizeof(text), "REQ %lu %u",
+                                       r->number, r->slow_ms);
 }
 
 static void
-finish(struct soak *s, struct request *r, bool served)
+count_request(struct soak *s, struct request *r)
 {
+    r->number = ++s->callers->next_number;
+    r->start_ms = s->now_ms;
+    r->attempts = 0;
+    r->slow_ms = rg_rand_below(&s->rand, SLOW_EVERY)
+                     ? 0
+                     : rg_rand_below(&s->rand, SLOW_MAX_MS);
     if (r->route != SOAK_TOGGLED) {
-        s->served += served;
-        s->calm_served += served && r->after_faults;
-        if (r->after_faults && !served) {
-            soak_fail(
-                s, "request %lu was not served although all faults had ended",
-                r->number);
-        }
+        s->asked++;
+        s->calm_asked += r->after_faults;
     }
+}
+
+static void
+count_served(struct soak *s, const struct request *r, bool served)
+{
+    if (r->route == SOAK_TOGGLED) {
+        return;
+    }
+    s->served += served;
+    s->calm_served += served && r->after_faults;
+    if (r->after_faults && !served) {
+        fail_flow(s, r, "was not served although all faults had ended");
+    }
+}
+
+static void
+end_flow(struct soak *s, struct request *r)
+{
     g_hash_table_remove(s->callers->open, request_key(r->caller, r->port));
 }
 
+static void
+finish(struct soak *s, struct request *r, bool served)
+{
+    count_served(s, r, served);
+    end_flow(s, r);
+}
+
 /* Opens a new flow for the request. */
 static void
 open_flow(struct soak *s, struct request *r)
@@ -153,10 +264,17 @@
     g_hash_table_insert(c->open, request_key(r->caller, r->port), r);
     r->phase = OPENING;
     r->opened_ms = s->now_ms;
+    r->first_seq = (uint32_t)rg_rand_next(&s->rand);
+    r->token = 0;
+    r->taken = NULL;
+    r->open = false;
+    r->misrouted = 0;
+    r->misroute_reported = false;
+    g_string_truncate(r->history, 0);
     r->syn_retransmissions = 0;
     r->next_ms = s->now_ms + 200;
     r->attempts++;
-    send_packet(s, r, SOAK_SYN, 0, 0, "");
+    send_packet(s, r, SOAK_SYN, r->first_seq, 0, "");
 }
 
 void
@@ -164,15 +282,16 @@
 {
     struct request *r = g_new0(struct request, 1);
 
-    r->number = ++s->callers->next_number;
     r->route = route;
     r->caller = (int)rg_rand_below(&s->rand, SOAK_CALLER_COUNT);
-    r->start_ms = s->now_ms;
+    r->history = g_string_new(NULL);
+    /* Holds for all requests of the flow: an upstream that left in the time of
+     * faults may end an older flow. */
     r->after_faults = s->now_ms > s->faults_end_ms + SOAK_SETTLE_MS;
-    if (route != SOAK_TOGGLED) {
-        s->asked++;
-        s->calm_asked += r->after_faults;
+    if (rg_rand_below(&s->rand, LONG_FLOW_EVERY) == 0) {
+        r->left = 1 + (int)rg_rand_below(&s->rand, LONG_FLOW_REQUESTS - 1);
     }
+    count_request(s, r);
     open_flow(s, r);
 }
 
@@ -184,7 +303,7 @@
 {
     g_hash_table_steal(s->callers->open, request_key(r->caller, r->port));
     if (allowed && r->attempts < ATTEMPTS_MAX &&
-        s->now_ms - r->start_ms < SOAK_DEADLINE_MS)
+        s->now_ms - r->start_ms < SOAK_DEADLINE_MS + r->slow_ms)
     {
         open_flow(s, r);
         return;
@@ -193,19 +312,40 @@
     finish(s, r, false);
 }
 
+/* True if the rule on open flows holds for the flow now, apart from faults at
+ * the edges: its upstream lives and has not been disturbed lately, and its
+ * route was not removed since it opened. */
+static bool
+is_protected(const struct soak *s, const struct request *r)
+{
+    bool route_kept = r->route != SOAK_TOGGLED ||
+                      (s->has_toggled_route && s->toggled_ms < r->opened_ms);
+
+    return r->open && route_kept && r->taken->id == r->taken_id &&
+           r->taken->up && !r->taken->crashed &&
+           soak_is_settled(s, r->taken->disturbed_ms);
+}
+
+/* A reset by an edge or an upstream; the other of the two is NULL. */
 static void
-check_reset(struct soak *s, const struct request *r)
+check_reset(struct soak *s, const struct request *r,
+            const struct soak_packet *p, const struct soak_edge *edge,
+            const struct soak_upstream *u)
 {
-    /* Edges may reset an open flow only if an upstream was disturbed lately.
-     */
-    bool settled = true;
+    char what[96];
+    const struct soak_edge *by = edge ? edge : r->misrouted_by;
 
-    for (int i = 0; i < s->upstream_count; i++) {
-        settled = settled && soak_is_settled(s, s->upstreams[i].disturbed_ms);
-    }
-    if (r->phase == REQUEST && settled && r->route != SOAK_TOGGLED) {
-        soak_fail(s, "flow of request %lu was reset without a recent fault",
-                  r->number);
+    if (u != r->taken && is_protected(s, r) &&
+        (!by || soak_is_settled(s, by->unplanned_ms)))
+    {
+        bool in_window = p->seq - r->ack + RESET_WINDOW <= 2 * RESET_WINDOW;
+        snprintf(what, sizeof(what), "of u%d was reset by %s%d%s",
+                 r->taken->index, edge ? "e" : "u",
+                 edge ? edge->index
+                 : u  ? u->index
+                      : -1,
+                 in_window ? "" : " (far sequence number)");
+        fail_flow(s, r, what);
     }
     if (r->phase == OPENING && r->route == SOAK_TOGGLED &&
         s->has_toggled_route &&
@@ -218,21 +358,128 @@
     }
 }
 
+void
+soak_callers_note_packet(struct soak *s, struct soak_upstream *u,
+                         const struct soak_packet *p, struct soak_edge *edge,
+                         bool accepted)
+{
+    int caller = (int)(p->src & 0xff) - 1;
+    struct request *r =
+        g_hash_table_lookup(s->callers->open, request_key(caller, p->sport));
+    bool opening = p->flags & SOAK_SYN;
+    char what[96];
+
+    if (!r || (opening && p->seq != r->first_seq)) {
+        return; /* the flow has ended */
+    }
+    int by = edge ? edge->index : -1;
+    if (opening) {
+        note(s, r, "syn%u,e%d>u%d", p->ack, by, u->index);
+    }
+    else {
+        note(s, r, "packet,e%d>u%d", by, u->index);
+    }
+    if (u == r->taken && u->id == r->taken_id) {
+        r->open = r->open || accepted;
+        r->own_ms = s->now_ms;
+        r->misrouted = 0;
+        return;
+    }
+    r->misrouted++;
+    r->misrouted_by = edge;
+    if (r->misrouted >= MISROUTED_MIN && !r->misroute_reported &&
+        is_protected(s, r) && s->now_ms - r->own_ms >= SOAK_MISROUTE_MS &&
+        (!edge || soak_is_settled(s, edge->unplanned_ms)))
+    {
+        r->misroute_reported = true;
+        snprintf(what, sizeof(what),
+                 "of u%d had %u packets at others, the last at u%d by e%d",
+                 r->taken->index, r->misrouted, u->index, by);
+        fail_flow(s, r, what);
+    }
+}
+
 static void
-on_answer(struct soak *s, struct request *r, const struct soak_packet *p)
+take_answer(struct soak *s, struct request *r, const struct soak_packet *p)
 {
     unsigned long number;
     unsigned long upstream_id;
+    unsigned part;
+    unsigned parts;
 
-    if (sscanf(p->data, "ANS %lu %lx", &number, &upstream_id) != 2 ||
-        number != r->number)
+    if (sscanf(p->data, "ANS %lu %lx %u %u", &number, &upstream_id, &part,
+               &parts) != 4 ||
+        number != r->number || upstream_id != r->taken_id)
     {
         soak_fail(s, "request %lu got a wrong answer: '%s'", r->number,
                   p->data);
         return;
     }
-    send_packet(s, r, SOAK_FIN | SOAK_ACK, 50, 101 + p->len, "");
-    finish(s, r, true);
+    r->ack += p->len;
+    if (part < parts) {
+        if (part % 2 == 0) {
+            send_packet(s, r, SOAK_ACK, seq_after(r), r->ack, "");
+        }
+        return;
+    }
+    r->seq = seq_after(r);
+    count_served(s, r, true);
+    if (r->left == 0) {
+        send_packet(s, r, SOAK_FIN | SOAK_ACK, r->seq, r->ack, "");
+        end_flow(s, r);
+        return;
+    }
+    r->left--;
+    r->phase = PAUSE;
+    r->next_ms = s->now_ms + PAUSE_MIN_MS +
+                 rg_rand_below(&s->rand, PAUSE_MAX_MS - PAUSE_MIN_MS);
+    send_packet(s, r, SOAK_ACK, r->seq, r->ack, "");
+}
+
+static void
+start_next_request(struct soak *s, struct request *r)
+{
+    r->phase = REQUEST;
+    r->retransmit_ms = RETRANSMIT_MS;
+    r->next_ms = s->now_ms + RETRANSMIT_MS;
+    send_request(s, r);
+}
+
+static void
+take_syn_ack(struct soak *s, struct request *r, const struct soak_packet *p,
+             struct soak_upstream *u)
+{
+    if (!u) {
+        soak_fail(s, "request %lu got a SYN+ACK of no upstream", r->number);
+        return;
+    }
+    r->taken = u;
+    r->taken_id = u->id;
+    r->own_ms = s->now_ms;
+    r->misrouted = 0;
+    r->ack = p->seq + 1;
+    r->seq = r->first_seq + 1;
+    start_next_request(s, r);
+}
+
+static void
+on_reset(struct soak *s, struct request *r, const struct soak_packet *p,
+         const struct sockaddr *from)
+{
+    bool retries = r->phase == OPENING || r->route != SOAK_ORDER;
+    const struct soak_edge *edge = soak_edge_by_address(s, from);
+    const struct soak_upstream *u = soak_upstream_by_address(s, from);
+
+    note(s, r, "reset<%s%d", edge ? "e" : "u",
+         edge ? edge->index
+         : u  ? u->index
+              : -1);
+    check_reset(s, r, p, edge, u);
+    if (r->phase == PAUSE) {
+        end_flow(s, r);
+        return;
+    }
+    retry(s, r, retries);
 }
 
 static void
@@ -256,33 +503,35 @@
         return; /* the flow has ended */
     }
     if (p.flags & SOAK_RST) {
-        bool open = r->phase == REQUEST;
-        /* Upstreams reset with sequence number 1, edges with others. */
-        bool by_edge = p.seq != 1;
-        if (by_edge || !open) {
-            check_reset(s, r);
-        }
-        retry(s, r, !open || r->route != SOAK_ORDER);
+        on_reset(s, r, &p, from);
         return;
     }
     if (p.token) {
         r->token = p.token;
     }
-    if (p.flags & SOAK_SYN && r->phase == OPENING) {
-        r->phase = REQUEST;
-        r->retransmit_ms = 200;
-        r->next_ms = s->now_ms + r->retransmit_ms;
-        send_request(s, r);
+    if (p.flags & SOAK_SYN) {
+        struct soak_upstream *u = soak_upstream_by_address(s, from);
+        note(s, r, "syn+ack<u%d", u ? u->index : -1);
+        if (r->phase == OPENING) {
+            take_syn_ack(s, r, &p, u);
+        }
     }
-    else if (p.len > 0 && r->phase == REQUEST) {
-        on_answer(s, r, &p);
+    else if (p.len > 0 && r->phase == REQUEST && p.seq == r->ack) {
+        take_answer(s, r, &p);
     }
 }
 
 static void
 step_request(struct soak *s, struct request *r)
 {
-    if (s->now_ms - r->start_ms >= SOAK_DEADLINE_MS) {
+    if (r->phase == PAUSE) {
+        if (s->now_ms >= r->next_ms) {
+            count_request(s, r);
+            start_next_request(s, r);
+        }
+        return;
+    }
+    if (s->now_ms - r->start_ms >= SOAK_DEADLINE_MS + r->slow_ms) {
         finish(s, r, false);
         return;
     }
@@ -295,7 +544,7 @@
         return;
     }
     if (r->phase == REQUEST) {
-        r->retransmit_ms *= 2;
+        r->retransmit_ms = MIN(r->retransmit_ms * 2, RETRANSMIT_MAX_MS);
         r->next_ms = s->now_ms + r->retransmit_ms;
         send_request(s, r);
         return;
@@ -305,7 +554,7 @@
                      ? r->opened_ms + 600
                      : r->opened_ms + OPENING_TIMEOUT_MS;
     if (r->syn_retransmissions <= 2) {
-        send_packet(s, r, SOAK_SYN, 0, r->syn_retransmissions, "");
+        send_packet(s, r, SOAK_SYN, r->first_seq, r->syn_retransmissions, "");
     }
 }
 
@@ -339,7 +588,7 @@
 
     s->callers = c;
     c->soak = s;
-    c->open = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    c->open = g_hash_table_new_full(NULL, NULL, NULL, free_request);
     for (int i = 0; i < SOAK_CALLER_COUNT; i++) {
         soak_ip(s, 64, i + 1, ip);
         uv_ip4_addr(ip, SOAK_PACKET_PORT, &sa);
--- a/standin/soak/common.c
+++ b/standin/soak/common.c
@@ -52,15 +52,29 @@
     snprintf(out, 32, "127.%d.%d.%d", s->net, subnet, index);
 }
 
-struct soak_edge *
-soak_edge_by_address(struct soak *s, const struct sockaddr *from)
+/* Index of the address in its subnet; -1 if it is in another or too high. */
+static int
+index_in_subnet(const struct sockaddr *from, uint32_t subnet, int count)
 {
     const struct sockaddr_in *in = (const struct sockaddr_in *)from;
     uint32_t ip = ntohl(in->sin_addr.s_addr);
     int index = (int)(ip & 0xff) - 1;
 
-    if ((ip >> 8 & 0xff) != 1 || index < 0 || index >= s->edge_count) {
-        return NULL;
-    }
-    return &s->edges[index];
+    return (ip >> 8 & 0xff) == subnet && index < count ? index : -1;
+}
+
+struct soak_edge *
+soak_edge_by_address(struct soak *s, const struct sockaddr *from)
+{
+    int index = index_in_subnet(from, SOAK_EDGE_SUBNET, s->edge_count);
+
+    return index < 0 ? NULL : &s->edges[index];
+}
+
+struct soak_upstream *
+soak_upstream_by_address(struct soak *s, const struct sockaddr *from)
+{
+    int index = index_in_subnet(from, SOAK_UPSTREAM_SUBNET, s->upstream_count);
+
+    return index < 0 ? NULL : &s->upstreams[index];
 }
--- a/standin/soak/edges.c
+++ b/standin/soak/edges.c
@@ -35,6 +35,7 @@
             " \"peer_address\": \"%s:%d\",\n"
             " \"peer_advertise\": \"%s:%d\", \"drain_ms\": %d,\n"
             " \"apply_ms\": %d, \"grace_s\": %g, \"flow_age_s\": 30,\n"
+            " \"log_lines_per_s\": 2000,\n"
             " \"store\": {\"address\": \"%s:8169\"}}\n",
             e->index, e->index % 2, own, SOAK_PACKET_PORT, own, HEALTH_PORT,
             own, SOAK_PEER_PORT, proxy, SOAK_PEER_PORT, SOAK_DRAIN_MS,
@@ -68,6 +69,7 @@
                   e->index, (int)status, signum);
     }
     e->disturbed_ms = s->now_ms;
+    e->killed = e->killed || signum != 0;
     e->restart_ms = s->now_ms + RESTART_MS;
     uv_close((uv_handle_t *)process, NULL);
 }
@@ -117,6 +119,7 @@
     }
     e->process.data = e;
     e->exit_expected = false;
+    e->killed = false;
     e->late_reported = false;
     e->started_ms = s->now_ms;
     e->restart_ms = 0;
@@ -136,6 +139,7 @@
     }
     e->exit_expected =
         e->exit_expected || signum == SIGTERM || signum == SIGKILL;
+    e->killed = e->killed || signum == SIGKILL;
     e->stopped = signum == SIGSTOP || (e->stopped && signum != SIGCONT);
     e->disturbed_ms = s->now_ms;
     uv_process_kill(&e->process, signum);
@@ -191,6 +195,9 @@
         if (is_cut_off(e)) {
             e->disturbed_ms = s->now_ms;
         }
+        if (e->stopped || e->killed || is_cut_off(e)) {
+            e->unplanned_ms = s->now_ms;
+        }
         check_ready(s, e);
         if (e->stopped || !e->running) {
             e->disturbed_ms = s->now_ms;
--- a/standin/soak/faults.c
+++ b/standin/soak/faults.c
@@ -124,6 +124,7 @@
         /* Affects every instance like a reset of its connections. */
         for (int i = 0; i < s->edge_count; i++) {
             s->edges[i].disturbed_ms = s->now_ms;
+            s->edges[i].unplanned_ms = s->now_ms;
         }
         break;
     default:
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -31,9 +31,13 @@
 /* For this long after a fault, violations at what it affected are ignored. */
 #define SOAK_SETTLE_MS 4000
 #define SOAK_DEADLINE_MS 1500
+/* So long three packets of an open flow may reach other upstreams only. */
+#define SOAK_MISROUTE_MS 2000
 #define SOAK_PACKET_PORT 5300
 #define SOAK_PEER_PORT 5302
-/* Third byte of the proxies' addresses. */
+/* Third bytes of the edges', upstreams' and proxies' addresses. */
+#define SOAK_EDGE_SUBNET 1
+#define SOAK_UPSTREAM_SUBNET 3
 #define SOAK_PROXY_SUBNET 4
 /* Routes without callers in a large configuration: so many that it is decoded
  * off the packet path. */
@@ -90,13 +94,15 @@
     enum soak_peers_fault peers_fault;
     int ignored_edge; /* edge whose digests are dropped, plus 1; 0: none */
     uv_process_t process;
-    bool running;       /* the process exists */
-    bool stopped;       /* SIGSTOP */
-    bool exit_expected; /* SIGTERM or SIGKILL was sent */
-    bool ready;         /* gets packets from the fabric */
-    int failed_checks;  /* failed readiness checks in a row */
-    uint64_t disturbed_ms;
-    uint64_t restart_ms; /* when to start it again; 0: never */
+    bool running;          /* the process exists */
+    bool stopped;          /* SIGSTOP */
+    bool exit_expected;    /* SIGTERM or SIGKILL was sent */
+    bool ready;            /* gets packets from the fabric */
+    int failed_checks;     /* failed readiness checks in a row */
+    uint64_t disturbed_ms; /* last time of a fault or of planned work */
+    bool killed;           /* by SIGKILL; until the next start */
+    uint64_t unplanned_ms; /* last time of a fault alone */
+    uint64_t restart_ms;   /* when to start it again; 0: never */
     char settings[128];
     char log[128];
     struct rg_http_client *ready_client; /* polls /ready */
@@ -148,7 +154,9 @@
 /* Edge that has the address; NULL if none. */
 struct soak_edge *soak_edge_by_address(struct soak *s,
                                        const struct sockaddr *from);
-struct soak_upstream *soak_upstream_by_id(struct soak *s, uint64_t id);
+/* The same for upstreams. */
+struct soak_upstream *soak_upstream_by_address(struct soak *s,
+                                               const struct sockaddr *from);
 
 /* store.c */
 void soak_store_start(struct soak *s);
@@ -183,6 +191,12 @@
 void soak_callers_start(struct soak *s);
 void soak_callers_start_request(struct soak *s, enum soak_route route);
 void soak_callers_tick(struct soak *s);
+struct soak_packet;
+/* A packet of a caller has reached the upstream, forwarded by the edge (NULL:
+ * unknown). `accepted`: it belongs to a flow that the upstream holds. */
+void soak_callers_note_packet(struct soak *s, struct soak_upstream *u,
+                              const struct soak_packet *p,
+                              struct soak_edge *edge, bool accepted);
 
 /* faults.c */
 void soak_faults_tick(struct soak *s);
--- a/standin/soak/upstreams.c
+++ b/standin/soak/upstreams.c
@@ -11,6 +11,13 @@
 
 #define UPSTREAM_PORT 8080
 #define REPORT_MS 400
+/* Retransmission of a SYN+ACK that is not acknowledged. */
+#define RETRANSMIT_MS 200
+#define RETRANSMIT_MAX_MS 1600
+#define RETRANSMISSIONS_MAX 8
+/* Every so many answers one has several packets. */
+#define LONG_ANSWER_EVERY 4
+#define LONG_ANSWER_PARTS 6
 
 struct flow {
     uint32_t caller_ip;
@@ -18,10 +25,19 @@
     uint16_t service_port;
     uint32_t service_ip;
     uint32_t token;
-    uint32_t next_seq; /* next sequence number expected of the caller */
+    uint32_t caller_seq; /* of the opening */
+    uint32_t seq;        /* of the SYN+ACK */
+    uint32_t sent;       /* bytes sent after it */
+    uint32_t next_seq;   /* next sequence number expected of the caller */
+    bool open;           /* the caller has acknowledged the SYN+ACK */
+    uint64_t retransmit_at_ms; /* of the SYN+ACK */
+    uint32_t retransmit_ms;
+    int retransmissions;
     uint64_t request;
-    uint64_t due_ms; /* when to answer it; 0: nothing to answer */
-    bool answered;
+    uint64_t due_ms; /* when to send the next part of the answer; 0: never */
+    uint32_t answer_at; /* bytes sent before the answer */
+    uint32_t parts;     /* packets of the answer */
+    uint32_t part;      /* packets of it sent */
 };
 
 static gpointer
@@ -73,7 +89,7 @@
                      .service_ip = in->dst,
                      .service_port = in->dport};
 
-    reply(u, &f, SOAK_RST | SOAK_ACK, 1, "");
+    reply(u, &f, SOAK_RST | SOAK_ACK, in->ack, "");
 }
 
 static void
@@ -109,21 +125,28 @@
                 const struct soak_packet *p)
 {
     unsigned long long request;
+    unsigned slow_ms;
     gpointer key;
 
-    if (sscanf(p->data, "REQ %llu", &request) != 1) {
+    if (sscanf(p->data, "REQ %llu %u", &request, &slow_ms) != 2) {
         soak_fail(s, "upstream %d got data that is not a request", u->index);
         return;
     }
     if (f->request == request) {
-        if (f->answered) {
+        if (f->part == f->parts) {
+            f->part = 0;
             f->due_ms = s->now_ms;
         }
         return;
     }
     f->request = request;
-    f->answered = false;
-    f->due_ms = s->now_ms + 1 + rg_rand_below(&s->rand, u->service_ms * 2);
+    f->answer_at = f->sent;
+    f->part = 0;
+    f->parts = rg_rand_below(&s->rand, LONG_ANSWER_EVERY)
+                   ? 1
+                   : 2 + rg_rand_below(&s->rand, LONG_ANSWER_PARTS - 1);
+    f->due_ms =
+        s->now_ms + 1 + slow_ms + rg_rand_below(&s->rand, u->service_ms * 2);
     key = GSIZE_TO_POINTER(request);
     gsize executions =
         GPOINTER_TO_SIZE(g_hash_table_lookup(s->executions, key)) + 1;
@@ -135,9 +158,31 @@
     }
 }
 
+/* A retransmitted opening gets the same SYN+ACK again and changes nothing. */
+static void
+handle_opening(struct soak *s, struct soak_upstream *u, struct flow *f,
+               const struct soak_packet *p)
+{
+    if (!f || f->caller_seq != p->seq) {
+        f = g_new0(struct flow, 1);
+        *f = (struct flow){.caller_ip = p->src,
+                           .caller_port = p->sport,
+                           .service_ip = p->dst,
+                           .service_port = p->dport,
+                           .token = p->token,
+                           .caller_seq = p->seq,
+                           .seq = (uint32_t)rg_rand_next(&s->rand),
+                           .next_seq = p->seq + 1,
+                           .retransmit_ms = RETRANSMIT_MS,
+                           .retransmit_at_ms = s->now_ms + RETRANSMIT_MS};
+        g_hash_table_replace(u->flows, flow_key(p), f);
+    }
+    reply(u, f, SOAK_SYN | SOAK_ACK, f->seq, "");
+}
+
 static void
 handle_packet(struct soak *s, struct soak_upstream *u,
-              const struct soak_packet *p, const struct soak_edge *from)
+              const struct soak_packet *p, struct soak_edge *from)
 {
     struct flow *f = g_hash_table_lookup(u->flows, flow_key(p));
 
@@ -147,26 +192,20 @@
         return;
     }
     if (p->flags & SOAK_SYN) {
+        soak_callers_note_packet(s, u, p, from, false);
         check_opening(s, u, p, from);
-        if (!f) {
-            f = g_new0(struct flow, 1);
-            g_hash_table_insert(u->flows, flow_key(p), f);
-        }
-        *f = (struct flow){.caller_ip = p->src,
-                           .caller_port = p->sport,
-                           .service_ip = p->dst,
-                           .service_port = p->dport,
-                           .token = p->token,
-                           .next_seq = p->seq + 1};
-        reply(u, f, SOAK_SYN | SOAK_ACK, 100, "");
+        handle_opening(s, u, f, p);
         return;
     }
-    if (!f) {
+    bool holds = f && p->ack - (f->seq + 1) <= f->sent;
+    soak_callers_note_packet(s, u, p, from, holds);
+    if (!holds) {
         if (!(p->flags & (SOAK_FIN | SOAK_RST))) {
             send_reset(u, p);
         }
         return;
     }
+    f->open = true;
     f->token = p->token;
     if (p->len > 0) {
         f->next_seq = p->seq + p->len;
@@ -305,6 +344,41 @@
     soak_upstream_put_entry(s, u);
 }
 
+/* Sends a SYN+ACK again that the caller has not acknowledged. Returns true if
+ * the upstream gives the flow up. */
+static bool
+retransmit_opening(struct soak *s, struct soak_upstream *u, struct flow *f)
+{
+    if (f->open || s->now_ms < f->retransmit_at_ms) {
+        return false;
+    }
+    if (f->retransmissions++ == RETRANSMISSIONS_MAX) {
+        return true;
+    }
+    reply(u, f, SOAK_SYN | SOAK_ACK, f->seq, "");
+    f->retransmit_ms = MIN(f->retransmit_ms * 2, RETRANSMIT_MAX_MS);
+    f->retransmit_at_ms = s->now_ms + f->retransmit_ms;
+    return false;
+}
+
+/* Sends one packet of the answer at each tick. All have the same length. */
+static void
+send_answer_part(struct soak *s, struct soak_upstream *u, struct flow *f)
+{
+    char text[64];
+
+    if (!f->due_ms || s->now_ms < f->due_ms) {
+        return;
+    }
+    int len = snprintf(text, sizeof(text), "ANS %lu %lx %u %u", f->request,
+                       u->id, f->part + 1, f->parts);
+    uint32_t offset = f->answer_at + f->part * (uint32_t)len;
+    reply(u, f, SOAK_ACK, f->seq + 1 + offset, text);
+    f->sent = MAX(f->sent, offset + (uint32_t)len);
+    f->part++;
+    f->due_ms = f->part < f->parts ? s->now_ms + 1 : 0;
+}
+
 void
 soak_upstreams_tick(struct soak *s)
 {
@@ -312,20 +386,17 @@
         struct soak_upstream *u = &s->upstreams[i];
         GHashTableIter iter;
         gpointer value;
-        char text[64];
         if (u->crashed) {
             u->disturbed_ms = s->now_ms;
             continue;
         }
         g_hash_table_iter_init(&iter, u->flows);
         while (g_hash_table_iter_next(&iter, NULL, &value)) {
-            struct flow *f = value;
-            if (f->due_ms && s->now_ms >= f->due_ms) {
-                f->due_ms = 0;
-                f->answered = true;
-                snprintf(text, sizeof(text), "ANS %lu %lx", f->request, u->id);
-                reply(u, f, SOAK_ACK, 101, text);
+            if (retransmit_opening(s, u, value)) {
+                g_hash_table_iter_remove(&iter);
+                continue;
             }
+            send_answer_part(s, u, value);
         }
     }
 }
