--- a/standin/soak/faults.c
+++ b/standin/soak/faults.c
@@ -4,7 +4,8 @@
 
 #include "standin/soak/soak.h"
 
-#define FAULT_PERIOD_MS 350 /* mean time between two */
+#define FAULT_PERIOD_MS 350   /* mean time between two */
+#define REHASH_PERIOD_MS 1500 /* the same, until the fabric hashes anew */
 
 void
 soak_config_put(struct soak *s)
@@ -234,6 +235,10 @@
     if (s->store_fault) {
         s->store_disturbed_ms = s->now_ms;
     }
+    if (rg_rand_below(&s->rand, REHASH_PERIOD_MS / tick_ms) == 0) {
+        soak_log(s, "the fabric hashes anew");
+        s->fabric_hash = rg_rand_next(&s->rand);
+    }
     if (faults_on && rg_rand_below(&s->rand, FAULT_PERIOD_MS / tick_ms) == 0) {
         inject_fault(s);
     }
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -130,6 +130,7 @@
     bool large;             /* it has many routes without callers */
     bool has_toggled_route; /* it has the route SOAK_TOGGLED */
     uint64_t toggled_ms;    /* when that last changed */
+    uint64_t fabric_hash;   /* drawn anew whenever the fabric moves flows */
     struct soak_callers *callers;
     GHashTable *executions; /* request number -> times executed */
     /* Results. */
