--- a/standin/soak/faults.c
+++ b/standin/soak/faults.c
@@ -4,7 +4,8 @@
 
 #include "standin/soak/soak.h"
 
-#define FAULT_PERIOD_MS 350 /* mean time between two */
+#define FAULT_PERIOD_MS 350   /* mean time between two */
+#define REHASH_PERIOD_MS 1500 /* the same, until the fabric hashes anew */
 
 void
 soak_config_put(struct soak *s)
@@ -124,6 +125,7 @@
         /* Affects every instance like a reset of its connections. */
         for (int i = 0; i < s->edge_count; i++) {
             s->edges[i].disturbed_ms = s->now_ms;
+            s->edges[i].unplanned_ms = s->now_ms;
         }
         break;
     default:
@@ -233,6 +235,10 @@
     if (s->store_fault) {
         s->store_disturbed_ms = s->now_ms;
     }
+    if (rg_rand_below(&s->rand, REHASH_PERIOD_MS / tick_ms) == 0) {
+        soak_log(s, "the fabric hashes anew");
+        s->fabric_hash = rg_rand_next(&s->rand);
+    }
     if (faults_on && rg_rand_below(&s->rand, FAULT_PERIOD_MS / tick_ms) == 0) {
         inject_fault(s);
     }
