core: an instance that has not joined opens no flow as owner

Cause: the members count an instance as alive from its first ping, and send it packets as owner of existing flows, before it has their member list. It asked only the members that it knew, here the other daemon that had just started, took "no record there" for "no record anywhere", and sent the packet to the table's default. For openings it did not even ask: ownership_is_settled() read the join time of an instance that had not joined, 0, as long ago.

Now such an instance drops the packet of a flow that it finds no record of, and counts it as held; the caller's retransmission finds it joined.

--- a/core/counters.h
+++ b/core/counters.h
@@ -42,7 +42,7 @@
     X(flows_adopted, "records taken over from other instances")               \
     X(flows_orphaned, "flows found with no holder; table default used")       \
     X(packets_held, "packets of no known flow not passed on while members "   \
-                    "are missing")                                            \
+                    "are missing, or before joining")                         \
     X(lookups, "lookups sent to other instances")                             \
     X(lookups_found, "lookups answered with a record")                        \
     X(replicas_stored, "records stored as replica")                           \
--- a/core/owner.c
+++ b/core/owner.c
@@ -152,7 +152,8 @@
 
 /* True once every opening that an earlier owner forwarded has expired and no
  * leaving instance can still hold records. An opening without a record is then
- * known to be a new flow. */
+ * known to be a new flow. An instance that has not joined does not know the
+ * earlier owners. */
 static bool
 ownership_is_settled(const struct rg_transit *t)
 {
@@ -160,7 +161,8 @@
     uint32_t limit = core->settings->flows.opening_ms;
     uint32_t changed = rg_rank_changed_ms(core->rank, t->bucket);
 
-    return core->now_ms - changed >= limit &&
+    return rg_members_joined(core->members) &&
+           core->now_ms - changed >= limit &&
            core->now_ms - rg_members_joined_ms(core->members) >= limit &&
            rg_members_leaving_count(core->members) == 0;
 }
@@ -387,7 +389,10 @@
 {
     struct rg_core *core = t->core;
 
-    if (hold_back(t)) {
+    /* Until this instance has joined, it does not know whom to ask, though
+     * members may send it packets as the owner already. The caller
+     * retransmits. */
+    if (!rg_members_joined(core->members) || hold_back(t)) {
         core->counters.packets_held++;
         return;
     }
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -67,6 +67,75 @@
     net_destroy(net);
 }
 
+/* The members hear of an instance that joins before it hears of them, and send
+ * it packets as the owner of existing flows. It does not know whom to ask for
+ * their records, and must not take them for unknown flows. */
+static void
+test_joining_owner_keeps_dests(void)
+{
+    struct rg_addr dests[FLOWS];
+    struct net *net = create_established(3, dests);
+    uint32_t held = 0;
+
+    for (uint32_t i = 0; i < 3; i++) {
+        net->cut[i][3] = true;
+    }
+    net_start(net, 3);
+    net_run(net, 200);
+    memset(net->cut, 0, sizeof(net->cut));
+    g_assert_false(rg_core_ready(net->nodes[3].core));
+    for (uint32_t n = 0; n < FLOWS; n++) {
+        struct rg_addr now = net_dest(net, 0, n);
+        held += now.port == 0;
+        g_assert_true(now.port == 0 || rg_addr_eq(&now, &dests[n]));
+    }
+    g_assert_cmpuint(held, >, 0);
+    net_run(net, 1000);
+    g_assert_true(rg_core_ready(net->nodes[3].core));
+    assert_dests(net, dests);
+    g_assert_cmpuint(NET_COUNT(net, flows_orphaned), ==, 0);
+    net_destroy(net);
+}
+
+/* The same with a retransmitted opening: it must not be forwarded to another
+ * upstream, nor refused, and reaches that of the first transmission once the
+ * instance has joined. */
+static void
+test_joining_owner_opens_nothing(void)
+{
+    struct net *net = net_create(3, 5);
+    struct rg_addr dests[FLOWS];
+    uint32_t held = 0;
+
+    for (uint32_t n = 0; n < FLOWS; n++) {
+        net_send(net, n % 3, n, RG_TCP_SYN, 1000 + n);
+        dests[n] = net_last_sent(net)->to;
+    }
+    for (uint32_t i = 0; i < 3; i++) {
+        net->cut[i][3] = true;
+    }
+    net_start(net, 3);
+    net_run(net, 200);
+    memset(net->cut, 0, sizeof(net->cut));
+    for (uint32_t n = 0; n < FLOWS; n++) {
+        if (net_holder(net, 0, n, 0) == 3) {
+            net_clear_sent(net);
+            net_send(net, 0, n, RG_TCP_SYN, 1000 + n);
+            g_assert_cmpuint(net->sent->len, ==, 0);
+            held++;
+        }
+    }
+    g_assert_cmpuint(held, >, 0);
+    net_run(net, 1000);
+    for (uint32_t n = 0; n < FLOWS; n++) {
+        if (net_holder(net, 0, n, 0) == 3) {
+            net_send(net, 0, n, RG_TCP_SYN, 1000 + n);
+            g_assert_true(rg_addr_eq(&net_last_sent(net)->to, &dests[n]));
+        }
+    }
+    net_destroy(net);
+}
+
 /* If all instances listed by the platform start together, they must be ready
  * without waiting for the join timeout, as none of them can know others. */
 static void
@@ -422,6 +491,10 @@
     g_test_add_func("/core/join-keeps-destinations", test_join_keeps_dests);
     g_test_add_func("/core/joining-pair-is-not-ready",
                     test_joining_pair_is_not_ready);
+    g_test_add_func("/core/joining-owner-keeps-destinations",
+                    test_joining_owner_keeps_dests);
+    g_test_add_func("/core/joining-owner-opens-nothing",
+                    test_joining_owner_opens_nothing);
     g_test_add_func("/core/whole-fleet-starts", test_whole_fleet_starts);
     g_test_add_func("/core/crash-keeps-destinations", test_crash_keeps_dests);
     g_test_add_func("/core/leave-hands-over-idle-flows",
