core: an instance that learned all members from pings still asks for a list

Cause: a member's list was asked for only if the digests differed. An instance that had learned of all members from pings asked for none, so that it joined, and was ready, only after the join timeout of 3 s.

Evidence: test_core /gossip-completes-join fails without the change.

It now asks every member that it hears of until it has joined; the existing limit on requests to one member stays.

--- a/core/member.c
+++ b/core/member.c
@@ -57,7 +57,9 @@
     if (slot == RG_MEMBER_NONE || slot == m->self) {
         return;
     }
-    if (view != m->digest) {
+    /* An instance that has not joined needs a list even if it lacks nothing.
+     */
+    if (view != m->digest || !m->joined) {
         request_view(m, slot, now_ms);
     }
     m->opts.on_generation(m->opts.ctx, &from->addr, generation);
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -3,6 +3,8 @@
  * differently. */
 #include "fake_flows.h"
 
+#include "core/member_priv.h"
+
 /* A data packet may arrive at any instance. One without the flow's record must
  * not send it to another upstream. */
 static void
@@ -136,6 +138,30 @@
     net_destroy(net);
 }
 
+/* An instance that learns of all members from updates in pings must still ask
+ * for a list, or it has joined only after the timeout. */
+static void
+test_gossip_completes_join(void)
+{
+    struct net *net = net_create(3, 5);
+
+    net_start(net, 3);
+    for (uint32_t i = 0; i < 3; i++) {
+        struct rg_members *m = rg_core_members(net->nodes[3].core);
+        struct rg_msg_update u = rg_member_entry(rg_members_at(
+            rg_core_members(net->nodes[i].core),
+            rg_members_self(rg_core_members(net->nodes[i].core))));
+        rg_member_apply_update(m, &u, (uint32_t)net->now_ms);
+        u = rg_members_own_entry(m);
+        rg_member_apply_update(rg_core_members(net->nodes[i].core), &u,
+                               (uint32_t)net->now_ms);
+    }
+    g_assert_false(rg_core_ready(net->nodes[3].core));
+    net_run(net, 500);
+    g_assert_true(rg_core_ready(net->nodes[3].core));
+    net_destroy(net);
+}
+
 /* If all instances listed by the platform start together, they must be ready
  * without waiting for the join timeout, as none of them can know others. */
 static void
@@ -491,6 +517,7 @@
     g_test_add_func("/core/join-keeps-destinations", test_join_keeps_dests);
     g_test_add_func("/core/joining-pair-is-not-ready",
                     test_joining_pair_is_not_ready);
+    g_test_add_func("/core/gossip-completes-join", test_gossip_completes_join);
     g_test_add_func("/core/joining-owner-keeps-destinations",
                     test_joining_owner_keeps_dests);
     g_test_add_func("/core/joining-owner-opens-nothing",
