balance: reset no request on the evidence of its own wait

What callers saw: an idempotent request was reset after half its deadline although its upstream was sound: one slow request, or a flow that the fabric moved while the answer was on its way. Cause: rg_request_is_lost() took it as proof that nothing had been answered at the upstream since the request was sent. The request's own failure keeps other flows away, so hardly anything was asked there.

Such a reset now needs two requests that failed lately, own and reported together, and no answer since, late or in time. An answer that has begun counts as one too; before, it counted when it was complete. The time is the same as before. So that a second request exists, the instance that saw the only failure sends one idempotent request there 300 ms later, while the first still waits. If it is answered, nothing is reset; if not, the upstream is an outlier and both are reset. Not while the service is overloaded, and once a second at most.

/requests/single-request asserted the reset for just this input, one request that waits while nothing else is asked there. It now asserts the opposite, and two-failures (own; reported), second-request and answer-since check what it checked besides: when a reset comes, and which answers prevent it.

--- a/balance/outlier.c
+++ b/balance/outlier.c
@@ -4,7 +4,8 @@
 
 #include "common/rand.h"
 
-/* Failed requests that make an outlier: a single one may be chance. */
+/* Failed requests that make an outlier, or confirm each other where none is
+ * made: a single one may be chance. */
 #define OUTLIER_MIN_FAILURES 2
 /* The same while the service is overloaded, when requests fail because of
  * queues, too. */
@@ -26,10 +27,15 @@
 /* One more instance may probe an outlier after each interval of this length;
  * by then the outcome of a probe has reached the peers. */
 #define PROBE_STAGGER_MS 600
+/* A request that tests whether a failure was chance is sent only this long
+ * after it, a gossip period and a tick: in a large fleet others have seen
+ * failures there, too, by then, and no further one is needed. */
+#define SECOND_REQUEST_AFTER_MS 300
 /* A flow whose requests are not safe to retry may be a probe only this long
  * after the exclusion, when no other flow has probed the outlier by then. */
 #define PROBE_UNSAFE_AFTER_MS 4000
-/* Minimum interval between two probes by one instance. */
+/* Minimum interval between two probes by one instance, or two requests that
+ * test whether a failure was chance. */
 #define PROBE_INTERVAL_MS 1000
 
 static uint32_t
@@ -111,11 +117,32 @@
 {
     const struct rg_outlier_state *s = &e->outlier;
 
-    return last_answered_ms(s) < since_ms &&
+    return last_answered_ms(s) < since_ms && e->latency_at_ms < since_ms &&
            s->own.last_ms[RG_OUTCOME_LATE] < since_ms &&
            total(e, RG_OUTCOME_LATE, now_ms) == 0;
 }
 
+bool
+rg_endpoint_only_failures_since(const struct rg_endpoint *e, uint64_t since_ms,
+                                uint64_t now_ms)
+{
+    return total(e, RG_OUTCOME_FAILED, now_ms) >= OUTLIER_MIN_FAILURES &&
+           rg_endpoint_no_answer_since(e, since_ms, now_ms);
+}
+
+bool
+rg_endpoint_needs_second_request(const struct rg_endpoint *e, uint64_t now_ms)
+{
+    const struct rg_outlier_state *s = &e->outlier;
+
+    return !rg_endpoint_is_outlier(e) && e->open_work > 0 &&
+           rg_outcomes_count(&s->own, RG_OUTCOME_FAILED, now_ms) == 1 &&
+           total(e, RG_OUTCOME_FAILED, now_ms) == 1 &&
+           now_ms - s->probed_ms >= PROBE_INTERVAL_MS &&
+           now_ms - last_failed_ms(s) >= SECOND_REQUEST_AFTER_MS &&
+           rg_endpoint_no_answer_since(e, last_failed_ms(s), now_ms);
+}
+
 static uint64_t
 exclusion_ms(uint32_t detections)
 {
--- a/balance/outlier.h
+++ b/balance/outlier.h
@@ -57,10 +57,22 @@
 bool rg_endpoint_is_unresponsive(const struct rg_endpoint *e, uint64_t now_ms);
 
 /* True if no request is known to have been answered since `since_ms`, in time
- * or late. */
+ * or late, not even in part. */
 bool rg_endpoint_no_answer_since(const struct rg_endpoint *e,
                                  uint64_t since_ms, uint64_t now_ms);
 
+/* The same, and several requests are known to have failed lately, here or
+ * elsewhere. That no answer is known proves little by itself: there may have
+ * been no other request, or the answer may have passed another instance. */
+bool rg_endpoint_only_failures_since(const struct rg_endpoint *e,
+                                     uint64_t since_ms, uint64_t now_ms);
+
+/* True if one more request would show whether the only known failure, of a
+ * request of this instance that still waits, was chance: it is answered, or it
+ * confirms the failure. */
+bool rg_endpoint_needs_second_request(const struct rg_endpoint *e,
+                                      uint64_t now_ms);
+
 /* Input to rg_endpoint_may_probe(). */
 struct rg_probe_opts {
     uint64_t self;    /* identifies this instance */
--- a/balance/pick.c
+++ b/balance/pick.c
@@ -243,6 +243,20 @@
            !is_retransmission(opts) && rg_endpoint_may_probe(e, &opts->probe);
 }
 
+/* A first failure keeps other flows away. One more is sent nevertheless, to
+ * learn whether the failure was chance; if it hangs, too, both are reset and
+ * the upstream is an outlier. */
+static bool
+second_request_is_due(const struct rg_endpoint *e,
+                      const struct rg_pick_opts *opts)
+{
+    return opts->probe.idempotent && !opts->overloaded &&
+           !is_retransmission(opts) && !e->data_centre->suspect &&
+           !rg_endpoint_is_ejected(e, opts->now_ms) &&
+           e->open_work < e->slots &&
+           rg_endpoint_needs_second_request(e, opts->now_ms);
+}
+
 /* Among upstreams of equal cost the one chosen longest ago is better, so that
  * flows rotate over idle upstreams. */
 static bool
@@ -355,6 +369,11 @@
             best = (struct rg_pick){e, RG_PICK_PROBE, 0};
             break;
         }
+        if (second_request_is_due(e, opts)) {
+            e->outlier.probed_ms = opts->now_ms;
+            best = (struct rg_pick){e, RG_PICK_SECOND, 0};
+            break;
+        }
         if (is_excluded(e, opts->now_ms) && !use_excluded) {
             continue;
         }
--- a/balance/pick.h
+++ b/balance/pick.h
@@ -15,10 +15,11 @@
 
 /* Why an upstream was chosen. */
 enum rg_pick_rule {
-    RG_PICK_NONE,  /* no upstream can take the flow */
-    RG_PICK_BEST,  /* lowest cost */
-    RG_PICK_TRIAL, /* tests whether a suspected data centre has recovered */
-    RG_PICK_PROBE, /* tests whether an outlier has recovered */
+    RG_PICK_NONE,   /* no upstream can take the flow */
+    RG_PICK_BEST,   /* lowest cost */
+    RG_PICK_TRIAL,  /* tests whether a suspected data centre has recovered */
+    RG_PICK_PROBE,  /* tests whether an outlier has recovered */
+    RG_PICK_SECOND, /* tests whether a single failure was chance */
 };
 
 struct rg_pick_opts {
@@ -32,6 +33,7 @@
                             upstream */
     double lost_share;   /* of recent openings, 0 to 1 */
     double service_failure_rate; /* of this instance's requests to it */
+    bool overloaded; /* the service is: failures are due to queues */
     struct rg_probe_opts probe;
     struct rg_rand *rand; /* borrowed; for random tie breaking */
 };
--- a/balance/report.c
+++ b/balance/report.c
@@ -62,10 +62,9 @@
                    const struct rg_pick *picked)
 {
     static const char *const rules[] = {
-        [RG_PICK_NONE] = "none",
-        [RG_PICK_BEST] = "best",
-        [RG_PICK_TRIAL] = "trial",
-        [RG_PICK_PROBE] = "probe",
+        [RG_PICK_NONE] = "none",     [RG_PICK_BEST] = "best",
+        [RG_PICK_TRIAL] = "trial",   [RG_PICK_PROBE] = "probe",
+        [RG_PICK_SECOND] = "second",
     };
     char flow[RG_FLOW_TEXT_MAX];
 
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -20,8 +20,8 @@
 #define LOST_MIN_MS 250
 #define LOST_DEADLINE_SHARE 0.4
 #define LOST_DEADLINE_SHARE_MAX 0.5
-/* The same where this request is the only evidence against its upstream. */
-#define LOST_SINGLE_FACTOR 32
+/* The same where requests fail but the upstream is no outlier. */
+#define LOST_NO_OUTLIER_FACTOR 32
 /* Answers needed before the median of a route is relied on. */
 #define LOST_MIN_ANSWERS 5
 /* Queues may remain for this long after a service was overloaded. */
@@ -77,14 +77,13 @@
            b->now_ms - overloaded_ms > OVERLOAD_EXPIRY_MS;
 }
 
-/* A single failure makes this instance prefer other upstreams, so a second one
- * may never come to confirm it. A request that has waited this long is proof
- * enough. */
+/* The same for a request at an upstream that is no outlier, for example
+ * because requests fail everywhere. */
 static double
-single_lost_after_ms(const struct rg_route *route)
+lost_no_outlier_after_ms(const struct rg_route *route)
 {
     return fmax(
-        LOST_SINGLE_FACTOR * route->median_ms,
+        LOST_NO_OUTLIER_FACTOR * route->median_ms,
         fmax(LOST_DEADLINE_SHARE_MAX * route->timeout_ms, LOST_MIN_MS));
 }
 
@@ -138,8 +137,9 @@
     {
         return true;
     }
-    return rg_endpoint_no_answer_since(t->endpoint, t->since_ms, b->now_ms) &&
-           waited_ms >= single_lost_after_ms(route);
+    return waited_ms >= lost_no_outlier_after_ms(route) &&
+           rg_endpoint_only_failures_since(t->endpoint, t->since_ms,
+                                           b->now_ms);
 }
 
 /* Resets the flow of a lost request without waiting for its next packet. */
