balance, edge: count no request against its upstream after flows have moved

What callers saw: when the fabric moved flows, requests at sound upstreams were reset. Cause: the instance that had passed a request saw no acknowledgement of its answer, as that passed another instance, and took this for a request that hangs. Two of them made the upstream an outlier, and those that waited there were reset.

The other instance does see something: acknowledgements of flows that it does not track. Three such flows within 500 ms are evidence of a move. It applies to its own requests at once and is sent to the peers of the data centre in digests (flows_moved_age_ms; 0 is not known), by the urgent digests that exist for failures, whose pace is bounded, and passed on by those that hear of it. A request whose flow has had no packet here since that time is neither counted as failed nor reset; a retransmission here shows that the flow has stayed.

Not evidence: flows that begin again after their entry expired (data or their end comes first), one flow counted twice, single flows, the first 5 s of a process or after a suspension, the lifetime of a flow after the table was full, and repeated openings, whose first copy may have been lost. A field of a message may be marked as appended now: a digest of an older build lacks it, and older builds ignore elements that they do not know.

Open: failures counted before the news arrives remain counted, though nothing is reset for them at flows without a packet since. The first 5 s of a process give no evidence, so flows that move only to a new instance are not recognised.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -242,6 +242,9 @@
         return rg_bal_drop(b, s, RG_METRIC_DROPPED_WRONG_SERVICE,
                            "wrong-service");
     }
+    if (!t) {
+        rg_bal_note_untracked(b, s);
+    }
     if (t && t->endpoint != endpoint) {
         rg_bal_log_moved(b, s, t, endpoint);
         rg_flows_move(b, t, endpoint);
@@ -458,6 +461,7 @@
 rg_balancer_paused(struct rg_balancer *b, uint64_t now_ms)
 {
     b->now_ms = now_ms;
+    rg_bal_ignore_untracked(b, RG_TRACKED_IDLE_TIMEOUT_MS);
     rg_tracked_flows_sweep(b->flows, ignore_overdue, b);
 }
 
@@ -493,6 +497,7 @@
     b->ticked_ms = now_ms;
     b->started_ms = now_ms;
     b->now_ms = now_ms;
+    rg_bal_ignore_untracked(b, RG_TRACKED_IDLE_TIMEOUT_MS);
     return b;
 }
 
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -133,6 +133,19 @@
                                        const struct rg_outcome_row *row,
                                        uint64_t now_ms);
 
+/* When the fabric last moved flows of this data centre, as far as is known
+ * here, 0: never; to be sent to peers of this data centre. */
+uint64_t rg_balancer_next_flows_moved(struct rg_balancer *b);
+
+/* True if that was seen here and has not been sent to any peer yet. */
+bool rg_balancer_has_unsent_move(const struct rg_balancer *b);
+
+/* A peer of this data centre reports such a time. Requests without a packet
+ * here since then are neither counted as failed nor reset: their answers may
+ * be acknowledged at another instance. */
+void rg_balancer_add_reported_move(struct rg_balancer *b, uint64_t at_ms,
+                                   uint64_t now_ms);
+
 struct rg_metrics *rg_balancer_metrics(struct rg_balancer *b);
 size_t rg_balancer_tracked_count(const struct rg_balancer *b);
 
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -9,9 +9,6 @@
 #define OPENING_TIMEOUT_MS 1600
 /* A request without progress for this long no longer counts as outstanding. */
 #define REQUEST_TIMEOUT_MS 4000
-/* An idle open flow is dropped from the table; its packets are still steered
- * by their token. */
-#define IDLE_TIMEOUT_MS 5000
 #define CLOSED_TIMEOUT_MS 1000
 /* Gain of the moving average of the time an opening takes. */
 #define OPENING_GAIN 0.05
@@ -64,7 +61,7 @@
 {
     static const uint32_t timeout_ms[] = {
         [RG_TRACKED_OPENING] = OPENING_TIMEOUT_MS,
-        [RG_TRACKED_IDLE] = IDLE_TIMEOUT_MS,
+        [RG_TRACKED_IDLE] = RG_TRACKED_IDLE_TIMEOUT_MS,
         [RG_TRACKED_REQUEST] = REQUEST_TIMEOUT_MS,
         [RG_TRACKED_CLOSED] = CLOSED_TIMEOUT_MS,
     };
@@ -94,6 +91,7 @@
 
     if (!t) {
         rg_bal_count(b, RG_METRIC_UNTRACKED);
+        rg_bal_ignore_untracked(b, b->opts.flow_age_ms);
         return NULL;
     }
     t->since_ms = b->now_ms;
--- /dev/null
+++ b/balance/moved_flows.c
@@ -0,0 +1,93 @@
+#include "balance/moved_flows.h"
+
+#include "balance/priv.h"
+
+static uint32_t
+hash_of(const struct rg_flow_id *f)
+{
+    uint64_t addresses = (uint64_t)f->caller_ip << 32 | f->service_ip;
+    uint64_t ports = (uint64_t)f->caller_port << 16 | f->service_port;
+
+    return (uint32_t)(rg_mix64(rg_mix64(addresses) ^ ports) >> 32);
+}
+
+/* True for the first packet of an untracked flow. False as well if another
+ * flow takes its place in the table, and it may have been seen before. */
+static bool
+note_seen(struct rg_moved_flows *m, uint32_t hash, uint64_t now_ms)
+{
+    struct rg_moved_seen *seen = &m->seen[hash % RG_MOVED_SEEN_MAX];
+    uint32_t at_ms = (uint32_t)now_ms;
+    bool live = at_ms - seen->at_ms < RG_TRACKED_IDLE_TIMEOUT_MS;
+
+    if (!live || seen->hash == hash) {
+        *seen = (struct rg_moved_seen){.hash = hash, .at_ms = at_ms};
+    }
+    return !live;
+}
+
+void
+rg_bal_note_untracked(struct rg_balancer *b, const struct rg_segment *s)
+{
+    struct rg_moved_flows *m = &b->moved;
+    bool first = note_seen(m, hash_of(&s->flow), b->now_ms);
+    bool acknowledges = s->len == 0 && !s->fin && !s->reset;
+
+    if (!first || !acknowledges || b->now_ms < m->ignore_until_ms) {
+        return;
+    }
+    m->arrived_ms[m->next] = b->now_ms;
+    m->next = (m->next + 1) % RG_MOVED_MIN_FLOWS;
+    uint64_t oldest_ms = m->arrived_ms[m->next];
+    if (oldest_ms == 0 || b->now_ms - oldest_ms > RG_MOVED_WINDOW_MS) {
+        return;
+    }
+    if (b->now_ms - m->last_ms > RG_MOVED_WINDOW_MS) {
+        rg_log_event(b->opts.log, RG_LOG_NOTICE, "FLOWS_MOVED",
+                     "flows=\"%d\" within_ms=\"%llu\"", RG_MOVED_MIN_FLOWS,
+                     (unsigned long long)(b->now_ms - oldest_ms));
+    }
+    m->last_ms = b->now_ms;
+    m->unsent = true;
+}
+
+void
+rg_bal_ignore_untracked(struct rg_balancer *b, uint64_t ms)
+{
+    uint64_t until_ms = b->now_ms + ms;
+
+    if (until_ms > b->moved.ignore_until_ms) {
+        b->moved.ignore_until_ms = until_ms;
+    }
+}
+
+bool
+rg_bal_may_have_moved(const struct rg_balancer *b,
+                      const struct rg_tracked_flow *t)
+{
+    return t->last_ms <= b->moved.last_ms;
+}
+
+uint64_t
+rg_balancer_next_flows_moved(struct rg_balancer *b)
+{
+    b->moved.unsent = false;
+    return b->moved.last_ms;
+}
+
+bool
+rg_balancer_has_unsent_move(const struct rg_balancer *b)
+{
+    /* If no peer is known here, it remains unsent. */
+    return b->moved.unsent &&
+           b->now_ms - b->moved.last_ms < RG_OUTCOME_ROW_LIFETIME_MS;
+}
+
+void
+rg_balancer_add_reported_move(struct rg_balancer *b, uint64_t at_ms,
+                              uint64_t now_ms)
+{
+    if (at_ms <= now_ms && at_ms > b->moved.last_ms) {
+        b->moved.last_ms = at_ms;
+    }
+}
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -4,6 +4,7 @@
 
 #include "balance/admit.h"
 #include "balance/balancer.h"
+#include "balance/moved_flows.h"
 #include "balance/outcome_table.h"
 #include "balance/outlier.h"
 #include "balance/pick.h"
@@ -26,6 +27,7 @@
     struct rg_rand rand;
     struct rg_metrics metrics;
     struct rg_outcome_table *outcome_table;
+    struct rg_moved_flows moved;
     struct rg_bal_service *services; /* by service index */
     size_t service_count;
     struct rg_fleet fleet;
@@ -125,6 +127,18 @@
 /* Call every RG_BALANCER_TICK_MS. */
 void rg_bal_tick_outcomes(struct rg_balancer *b);
 
+/* Flows that the fabric has moved to other instances, in moved_flows.c. */
+
+/* A packet of an open flow that is not in the flow table. */
+void rg_bal_note_untracked(struct rg_balancer *b, const struct rg_segment *s);
+/* For this long, flows may be missing from the flow table for other reasons
+ * than a move. */
+void rg_bal_ignore_untracked(struct rg_balancer *b, uint64_t ms);
+/* True if the fabric has moved flows since the flow's last packet here, so
+ * that later packets may have passed another instance. */
+bool rg_bal_may_have_moved(const struct rg_balancer *b,
+                           const struct rg_tracked_flow *t);
+
 /* Requests waiting for an answer, in requests.c. */
 
 /* True if the flow's request will not be answered and is safe to retry. */
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -117,7 +117,7 @@
     const struct rg_route *route = route_of(b, t);
 
     if (t->state != RG_TRACKED_REQUEST || !route ||
-        route->repeat != RG_REPEAT_SAFE)
+        route->repeat != RG_REPEAT_SAFE || rg_bal_may_have_moved(b, t))
     {
         return false;
     }
@@ -162,7 +162,9 @@
 static void
 note_overdue(struct rg_balancer *b, struct rg_tracked_flow *t)
 {
-    if (t->state != RG_TRACKED_REQUEST || t->overdue) {
+    if (t->state != RG_TRACKED_REQUEST || t->overdue ||
+        rg_bal_may_have_moved(b, t))
+    {
         return;
     }
     const struct rg_route *route = route_of(b, t);
--- a/balance/tracked_flows.h
+++ b/balance/tracked_flows.h
@@ -20,6 +20,10 @@
 
 #define RG_TRACKED_UNANSWERED UINT32_MAX
 
+/* An idle open flow is dropped from the table after this time; its packets are
+ * still steered by their token. */
+#define RG_TRACKED_IDLE_TIMEOUT_MS 5000
+
 enum rg_tracked_flow_state {
     RG_TRACKED_OPENING, /* only openings seen so far */
     RG_TRACKED_IDLE,    /* open, no outstanding request */
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -21,6 +21,8 @@
 #define SNAPSHOT_CALL_MS 1000
 /* Age in a digest that stands for "never". */
 #define AGE_NEVER UINT32_MAX
+/* An older move of flows is not reported: no request waits that long. */
+#define FLOWS_MOVED_MAX_MS 60000
 /* Minimum time between two requests for a snapshot. */
 #define SNAPSHOT_PAUSE_MS 500
 
@@ -141,6 +143,26 @@
     }
 }
 
+static void
+add_flows_moved(struct rg_gossip *g, struct rg_msg_digest *d, uint64_t now)
+{
+    uint64_t at_ms = rg_balancer_next_flows_moved(g->opts.balancer);
+
+    if (at_ms != 0 && at_ms <= now && now - at_ms < FLOWS_MOVED_MAX_MS) {
+        d->flows_moved_age_ms = at_ms < now ? (uint32_t)(now - at_ms) : 1;
+    }
+}
+
+static void
+handle_flows_moved(struct rg_gossip *g, const struct rg_msg_digest *d,
+                   uint64_t now)
+{
+    if (d->flows_moved_age_ms != 0 && d->flows_moved_age_ms <= now) {
+        rg_balancer_add_reported_move(g->opts.balancer,
+                                      now - d->flows_moved_age_ms, now);
+    }
+}
+
 static void
 send_digest(struct rg_gossip *g, const struct rg_peers_view *view,
             enum rg_peers_scope scope)
@@ -157,6 +179,7 @@
     add_ejections(g, &m.u.digest);
     if (to.local) {
         add_outcomes(g, &m.u.digest, now);
+        add_flows_moved(g, &m.u.digest, now);
     }
     size_t len = rg_msg_pack(&m, out, sizeof(out));
     uv_buf_t buf = uv_buf_init((char *)out, (unsigned)len);
@@ -184,6 +207,7 @@
     }
     if (rg_name_eq(&d->data_centre, &g->opts.peers.data_centre)) {
         handle_outcomes(g, d, now);
+        handle_flows_moved(g, d, now);
     }
 }
 
@@ -289,14 +313,15 @@
 
 /* --- ticks --------------------------------------------------------------- */
 
-/* Sends one digest a tick. With failures not sent yet, sends two at once to
- * instances of this data centre, none in the next tick, and one to any peer in
- * the tick after that. */
+/* Sends one digest a tick. With failures or moves not sent yet, sends two at
+ * once to instances of this data centre, none in the next tick, and one to any
+ * peer in the tick after that. */
 static void
 send_digests(struct rg_gossip *g, const struct rg_peers_view *view)
 {
     bool urgent =
-        !g->leaving && rg_balancer_has_unsent_failure(g->opts.balancer);
+        !g->leaving && (rg_balancer_has_unsent_failure(g->opts.balancer) ||
+                        rg_balancer_has_unsent_move(g->opts.balancer));
 
     switch (g->pace) {
     case PACE_NORMAL:
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -824,6 +824,7 @@
     for (uint16_t i = 0; i < m->outcomes_count; i++) {
         pack_outcomes(pk, &m->outcomes[i]);
     }
+    rg_pack_u64(pk, m->flows_moved_age_ms);
 }
 
 static bool
@@ -915,6 +916,12 @@
             return false;
         }
     }
+    if (o->via.array.size > 17) {
+        if (!rg_unpack_u64(&o->via.array.ptr[17], 4294967295U, &value)) {
+            return false;
+        }
+        m->flows_moved_age_ms = (uint32_t)value;
+    }
     return true;
 }
 
@@ -1090,7 +1097,7 @@
         pack_content(&pk, &m->u.content);
         break;
     case RG_MSG_DIGEST:
-        rg_pack_list(&pk, 17);
+        rg_pack_list(&pk, 18);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_digest(&pk, &m->u.digest);
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -318,6 +318,9 @@
      * instances */
     uint16_t outcomes_count;
     struct rg_msg_outcomes outcomes[12];
+    /* only to the sender's own data centre: time since the fabric last moved
+     * flows there, as far as the sender knows, 1 at least; 0: not known */
+    uint32_t flows_moved_age_ms;
 };
 
 /* HTTP: part of a snapshot, with routes of the configuration in force. */
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -415,6 +415,37 @@
     rg_peers_destroy(p);
 }
 
+/* Guards against instances of two builds that do not understand each other's
+ * digests: an older one lacks the last field, a newer one has more. */
+static void
+test_digest_of_other_build(void)
+{
+    struct rg_msg m = {.kind = RG_MSG_DIGEST};
+    uint8_t data[2048];
+
+    m.u.digest.version = 7;
+    m.u.digest.flows_moved_age_ms = 90;
+    g_assert_true(rg_name_set(&m.u.digest.from, rg_str_of("edge-1")));
+    g_assert_true(rg_name_set(&m.u.digest.data_centre, rg_str_of("dc1")));
+    m.u.digest.addr = addr_of(1);
+    size_t len = rg_msg_pack(&m, data, sizeof(data) - 1);
+    g_assert_true(rg_msg_unpack(&m, data, len));
+    g_assert_cmpuint(m.u.digest.flows_moved_age_ms, ==, 90);
+    /* An array with a length of two bytes; its last element has one byte. */
+    g_assert_cmphex(data[0], ==, 0xdc);
+    g_assert_cmphex(data[len - 1], ==, 90);
+    data[len] = 0;
+    data[2]++;
+    g_assert_true(rg_msg_unpack(&m, data, len + 1));
+    g_assert_cmpuint(m.u.digest.flows_moved_age_ms, ==, 90);
+    data[2] -= 2;
+    g_assert_true(rg_msg_unpack(&m, data, len - 1));
+    g_assert_cmpuint(m.u.digest.version, ==, 7);
+    g_assert_cmpuint(m.u.digest.flows_moved_age_ms, ==, 0);
+    data[2]--;
+    g_assert_false(rg_msg_unpack(&m, data, len - 2));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -430,5 +461,7 @@
     g_test_add_func("/peers/tight-bound", test_tight_bound);
     g_test_add_func("/peers/newer-peer", test_newer_peer);
     g_test_add_func("/peers/bounded", test_bounded);
+    g_test_add_func("/peers/digest-of-other-build",
+                    test_digest_of_other_build);
     return g_test_run();
 }
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -102,9 +102,14 @@
     out += f"struct {prefix}{name} *m)\n{{\n"
     if any(f["type"] in INTS for f in fields):
         out += "uint64_t value;\n\n"
-    out += f"if (!rg_unpack_shape(o, {total + skip})) {{\nreturn false;\n}}\n"
+    required = sum(not f.get("appended") for f in fields)
+    out += f"if (!rg_unpack_shape(o, {required + skip})) {{\nreturn false;\n}}\n"
     for at, field in enumerate(fields):
-        out += unpack_field(prefix, field, at + skip)
+        code = unpack_field(prefix, field, at + skip)
+        if field.get("appended"):
+            # Older instances do not send it; it is 0 then.
+            code = f"if (o->via.array.size > {at + skip}) {{\n{code}}}\n"
+        out += code
     return out + "return true;\n}\n\n"
 
 
