--- a/balance/flows.c
+++ b/balance/flows.c
@@ -9,9 +9,6 @@
 #define OPENING_TIMEOUT_MS 1600
 /* A request without progress for this long no longer counts as outstanding. */
 #define REQUEST_TIMEOUT_MS 4000
-/* An idle open flow is dropped from the table; its packets are still steered
- * by their token. */
-#define IDLE_TIMEOUT_MS 5000
 #define CLOSED_TIMEOUT_MS 1000
 /* The same for an idle flow whose opening was repeated: an upstream that its
  * caller did not take repeats its answer for up to 9.4 s. */
@@ -81,7 +78,7 @@
 {
     static const uint32_t by_state[] = {
         [RG_TRACKED_OPENING] = OPENING_TIMEOUT_MS,
-        [RG_TRACKED_IDLE] = IDLE_TIMEOUT_MS,
+        [RG_TRACKED_IDLE] = RG_TRACKED_IDLE_TIMEOUT_MS,
         [RG_TRACKED_REQUEST] = REQUEST_TIMEOUT_MS,
         [RG_TRACKED_CLOSED] = CLOSED_TIMEOUT_MS,
     };
@@ -121,6 +118,7 @@
     }
     if (!t) {
         rg_bal_count(b, RG_METRIC_UNTRACKED);
+        rg_bal_ignore_untracked(b, b->opts.flow_age_ms);
         return NULL;
     }
     *t = (struct rg_tracked_flow){
