balance: corroborate an unreachable upstream before a request is reset

What callers saw: two requests that took over 450 ms at a sound upstream were reset. Cause: an upstream need not acknowledge a request before its answer; the caller then retransmits it after 200 ms, and two retransmissions with 250 ms of silence made the upstream unreachable. Neither an answer known from peers nor queues at an overloaded service counted against that.

Such a request must now have failed by its wait, too, or have been retransmitted twice; and no answer may be known anywhere since it was sent, nor the service have been overloaded within 3 s. An answer that a peer reported was forgotten when the upstream became an outlier; the time of the last one is kept now.

Evidence: /requests/slow-unacknowledged (usual time 140 ms, two requests at one upstream retransmitted, answered after 590 ms) had 2 resets before and has none. /requests/retransmitted-request: the two are reset within 560 ms if the upstream is silent, before and now, and were so although a peer had reported an answer since. Removing the second condition, or the time that is kept, fails these tests. /balancer/dead-upstream passes unchanged.

--- a/balance/outlier.c
+++ b/balance/outlier.c
@@ -117,7 +117,8 @@
 {
     const struct rg_outlier_state *s = &e->outlier;
 
-    return last_answered_ms(s) < since_ms && e->latency_at_ms < since_ms &&
+    return last_answered_ms(s) < since_ms && s->answered_ms < since_ms &&
+           e->latency_at_ms < since_ms &&
            s->own.last_ms[RG_OUTCOME_LATE] < since_ms &&
            total(e, RG_OUTCOME_LATE, now_ms) == 0;
 }
@@ -160,6 +161,7 @@
 reset_outcomes(struct rg_outlier_state *s, uint64_t now_ms)
 {
     s->changed_ms = now_ms;
+    s->answered_ms = later(s->answered_ms, last_answered_ms(s));
     rg_outcomes_clear(&s->own);
     s->reported = (struct rg_outcome_sum){0};
 }
--- a/balance/pool.h
+++ b/balance/pool.h
@@ -60,11 +60,12 @@
     uint32_t detections;            /* in a row, 0: not an outlier */
     uint32_t recent_detections;     /* set the exclusion time; kept for a
                                        while after clearing */
-    uint64_t changed_ms; /* last detection or clearing; earlier outcomes no
-                            longer count */
-    uint64_t until_ms;   /* end of the exclusion of an outlier */
-    uint64_t probed_ms;  /* last flow sent as a probe */
-    bool slow;           /* an outlier that has answered late */
+    uint64_t changed_ms;  /* last detection or clearing; earlier outcomes no
+                             longer count */
+    uint64_t answered_ms; /* last answer known when it changed */
+    uint64_t until_ms;    /* end of the exclusion of an outlier */
+    uint64_t probed_ms;   /* last flow sent as a probe */
+    bool slow;            /* an outlier that has answered late */
 };
 
 /* One incarnation of an upstream, and what this instance knows of it. */
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -24,6 +24,9 @@
 #define LOST_NO_OUTLIER_FACTOR 32
 /* Answers needed before the median of a route is relied on. */
 #define LOST_MIN_ANSWERS 5
+/* Retransmissions that show by themselves that a request is not
+ * acknowledged: copies are acknowledged before the answer. */
+#define UNREACHABLE_REPEATS 2
 /* Queues may remain for this long after a service was overloaded. */
 #define OVERLOAD_EXPIRY_MS 3000
 /* The last response of any upstream may be this many mean intervals old; if it
@@ -60,6 +63,18 @@
     return fmax(limit, overdue_after_ms(route, t));
 }
 
+/* True within OVERLOAD_EXPIRY_MS of the upstream's service being overloaded.
+ */
+static bool
+was_overloaded(const struct rg_balancer *b, const struct rg_endpoint *e)
+{
+    uint64_t at_ms = e->service < b->service_count
+                         ? b->services[e->service].overloaded_ms
+                         : 0;
+
+    return at_ms != 0 && b->now_ms - at_ms <= OVERLOAD_EXPIRY_MS;
+}
+
 /* A long wait proves a failure only if the median of the route is known well
  * enough and no queue at the upstreams explains it. */
 static bool
@@ -67,14 +82,9 @@
                     const struct rg_tracked_flow *t,
                     const struct rg_route *route)
 {
-    uint32_t service = t->endpoint->service;
-
-    if (service >= b->service_count || route->answers < LOST_MIN_ANSWERS) {
-        return false;
-    }
-    uint64_t overloaded_ms = b->services[service].overloaded_ms;
-    return overloaded_ms == 0 ||
-           b->now_ms - overloaded_ms > OVERLOAD_EXPIRY_MS;
+    return t->endpoint->service < b->service_count &&
+           route->answers >= LOST_MIN_ANSWERS &&
+           !was_overloaded(b, t->endpoint);
 }
 
 /* The same for a request at an upstream that is no outlier, for example
@@ -106,6 +116,20 @@
     return b->now_ms - b->ticked_ms > LATE_TICKS * RG_BALANCER_TICK_MS;
 }
 
+/* True if the upstream cannot be reached: it is silent, and the request was
+ * retransmitted. A sound upstream may not acknowledge a request before its
+ * answer, and an answer may be known elsewhere only. So the request must have
+ * failed by its wait as well, or have been retransmitted repeatedly. */
+static bool
+is_unreachable(const struct rg_balancer *b, const struct rg_tracked_flow *t)
+{
+    return t->retransmissions > 0 &&
+           (t->overdue || t->retransmissions >= UNREACHABLE_REPEATS) &&
+           rg_endpoint_is_unreachable(t->endpoint, b->now_ms) &&
+           rg_endpoint_no_answer_since(t->endpoint, t->since_ms, b->now_ms) &&
+           !was_overloaded(b, t->endpoint);
+}
+
 /* True for a request that is safe to retry at an upstream that will not answer
  * it. A reset makes the caller retry now instead of after its deadline.
  * Requests that are not safe to retry are left alone, since nobody knows
@@ -121,9 +145,7 @@
     {
         return false;
     }
-    if (t->retransmissions > 0 &&
-        rg_endpoint_is_unreachable(t->endpoint, b->now_ms))
-    {
+    if (is_unreachable(b, t)) {
         return true;
     }
     if (!t->overdue || !others_respond(b, t, route) ||
--- a/test/test_requests.c
+++ b/test/test_requests.c
@@ -5,6 +5,7 @@
 
 #include "balance/balancer.h"
 #include "balance/outlier.h"
+#include "balance/priv.h"
 #include "test/captured_log.h"
 
 #define SERVICE_IP 0xc6120001
@@ -14,6 +15,7 @@
 #define START_MS 100000
 #define RTT_MS 6
 #define WORK_MS 20
+#define SLOW_WORK_MS 140
 #define DEADLINE_MS 1500
 #define UPSTREAMS 8
 #define ANSWER_BYTES 1000
@@ -177,15 +179,21 @@
 /* Serves ordinary requests, so that the medians are known and upstreams
  * respond regularly. */
 static void
-serve_requests(struct fixture *f, int count)
+serve_requests_in(struct fixture *f, int count, uint32_t work_ms)
 {
     for (int i = 0; i < count; i++) {
         struct flow flow = send_request(f, i % 4 ? SAFE_PORT : UNSAFE_PORT);
-        run(f, WORK_MS);
+        run(f, work_ms);
         send_answer(f, &flow);
     }
 }
 
+static void
+serve_requests(struct fixture *f, int count)
+{
+    serve_requests_in(f, count, WORK_MS);
+}
+
 /* A peer reports failures at the upstream of this flow. */
 static void
 report_failures(struct fixture *f, const struct flow *flow, uint32_t source,
@@ -263,10 +271,10 @@
     }
 }
 
-/* Two requests wait at each upstream; all are answered but those at the
- * upstream of the first. Returns that one and the other there. */
+/* Two requests wait at each upstream; all are answered after `work_ms` but
+ * those at the upstream of the first. Returns that one and the other there. */
 static void
-send_two_hanging(struct fixture *f, struct flow hanging[2])
+send_two_hanging(struct fixture *f, struct flow hanging[2], uint32_t work_ms)
 {
     struct flow flows[2 * UPSTREAMS];
     size_t found = 0;
@@ -274,6 +282,7 @@
     for (size_t i = 0; i < G_N_ELEMENTS(flows); i++) {
         flows[i] = send_request(f, SAFE_PORT);
     }
+    run(f, work_ms);
     for (size_t i = 0; i < G_N_ELEMENTS(flows); i++) {
         if (flows[i].token == flows[0].token && found < 2) {
             hanging[found++] = flows[i];
@@ -338,7 +347,7 @@
 
     serve_requests(f, 60);
     uint64_t sent_ms = f->now_ms + RTT_MS;
-    send_two_hanging(f, hanging);
+    send_two_hanging(f, hanging, 0);
     report_failing_service(f, &hanging[0]);
     check_reset_at_half_deadline(f, sent_ms);
     g_assert_false(rg_endpoint_is_outlier(endpoint_of(f, &hanging[0])));
@@ -443,7 +452,7 @@
         struct fixture *f = create_fixture();
         struct flow hanging[2];
         serve_requests(f, 60);
-        send_two_hanging(f, hanging);
+        send_two_hanging(f, hanging, 0);
         uint64_t sent_ms = f->now_ms;
         report_failing_service(f, &hanging[0]);
         serve_requests(f, 15);
@@ -454,6 +463,77 @@
     }
 }
 
+/* The callers retransmit their requests after the usual time, and others are
+ * served, until `ms` after the requests were sent. */
+static void
+retransmit_and_serve(struct fixture *f, const struct flow flows[2],
+                     uint64_t sent_ms, uint32_t ms, uint32_t work_ms)
+{
+    struct rg_segment data = {
+        .token = flows[0].token, .seq = 1, .ack = 1, .len = 100};
+
+    while (f->now_ms < sent_ms + 200) {
+        serve_requests_in(f, 1, work_ms);
+    }
+    send_packet(f, &flows[0], data);
+    send_packet(f, &flows[1], data);
+    while (f->now_ms < sent_ms + ms) {
+        serve_requests_in(f, 1, work_ms);
+    }
+}
+
+/* Guards against a reset at a sound upstream that does not acknowledge a
+ * request before its answer: two requests there take longer than their first
+ * retransmission, but no longer than others of the route sometimes do. */
+static void
+test_slow_unacknowledged(void)
+{
+    struct fixture *f = create_fixture();
+    struct flow slow[2];
+
+    serve_requests_in(f, 60, SLOW_WORK_MS);
+    uint64_t sent_ms = f->now_ms + RTT_MS;
+    send_two_hanging(f, slow, SLOW_WORK_MS);
+    retransmit_and_serve(f, slow, sent_ms, 590, SLOW_WORK_MS);
+    g_assert_cmpuint(f->resets, ==, 0);
+    send_answer(f, &slow[0]);
+    send_answer(f, &slow[1]);
+    serve_requests_in(f, 10, SLOW_WORK_MS);
+    g_assert_cmpuint(f->resets, ==, 0);
+    destroy_fixture(f);
+}
+
+/* Guards against resets at an upstream that answers another instance, or while
+ * queues explain the silence; without these the requests are reset soon. */
+static void
+test_retransmitted_request(void)
+{
+    enum {
+        SILENT,
+        ANSWERS_ELSEWHERE,
+        OVERLOADED,
+        CASES
+    };
+
+    for (int i = 0; i < CASES; i++) {
+        struct fixture *f = create_fixture();
+        struct flow hanging[2];
+        serve_requests(f, 60);
+        uint64_t sent_ms = f->now_ms + RTT_MS;
+        send_two_hanging(f, hanging, 0);
+        if (i == ANSWERS_ELSEWHERE) {
+            answer_there(f, hanging, ANSWER_REPORTED);
+        }
+        if (i == OVERLOADED) {
+            f->balancer->services[0].overloaded_ms = f->now_ms;
+        }
+        /* Requests at an outlier are not reset for their wait by then. */
+        retransmit_and_serve(f, hanging, sent_ms, 560, WORK_MS);
+        g_assert_cmpuint(f->resets, ==, i == SILENT ? 2 : 0);
+        destroy_fixture(f);
+    }
+}
+
 /* Nothing is received at all: the fault is in this instance, or everywhere. */
 static void
 test_no_responses(void)
@@ -578,6 +658,9 @@
     g_test_add_func("/requests/two-failures", test_two_failures);
     g_test_add_func("/requests/second-request", test_second_request);
     g_test_add_func("/requests/answer-since", test_answer_since);
+    g_test_add_func("/requests/slow-unacknowledged", test_slow_unacknowledged);
+    g_test_add_func("/requests/retransmitted-request",
+                    test_retransmitted_request);
     g_test_add_func("/requests/no-responses", test_no_responses);
     g_test_add_func("/requests/process-suspended", test_process_suspended);
     g_test_add_func("/requests/unanswered-logged", test_unanswered_logged);
