balance: reset no request at an outlier that answers others

Callers saw: an open flow reset (dead-upstream) while its upstream was sound and answered others. An outlier is made by two failures, and these are not proof: two slow requests, or two answers acknowledged at another instance. A third request that then waited 0.4 of its deadline was reset although the upstream answered.

Red before: /requests/outlier-that-answers. An answer since the request was sent now prevents this reset as it does the others.

/moved-flows/retransmitted-here let the upstream that hangs answer all other requests, which no longer is a dead upstream; it now answers none of them.

--- a/balance/requests.c
+++ b/balance/requests.c
@@ -155,6 +155,7 @@
     }
     double waited_ms = (double)(b->now_ms - t->since_ms);
     if (rg_endpoint_is_unresponsive(t->endpoint, b->now_ms) &&
+        rg_endpoint_no_answer_since(t->endpoint, t->since_ms, b->now_ms) &&
         waited_ms >= lost_after_ms(route, t))
     {
         return true;
--- a/test/test_moved_flows.c
+++ b/test/test_moved_flows.c
@@ -27,6 +27,7 @@
     uint64_t now_ms;
     uint16_t next_port;
     uint32_t resets;
+    uint32_t hung_token; /* of an upstream that answers nothing, 0: none */
 };
 
 struct flow {
@@ -224,8 +225,12 @@
         struct flow a = send_request(f, 0);
         struct flow b = send_request(f, 1);
         run(f, WORK_MS);
-        acknowledge(f, 0, &a);
-        acknowledge(f, 1, &b);
+        if (a.token != f->hung_token) {
+            acknowledge(f, 0, &a);
+        }
+        if (b.token != f->hung_token) {
+            acknowledge(f, 1, &b);
+        }
     }
 }
 
@@ -289,6 +294,7 @@
     uint32_t hanging = 0;
 
     send_together(f, flows);
+    f->hung_token = flows[0].token;
     for (int i = 0; i < MOVED_FLOWS; i++) {
         if (flows[i].token != flows[0].token) {
             acknowledge(f, 1, &flows[i]);
--- a/test/test_requests.c
+++ b/test/test_requests.c
@@ -571,6 +571,25 @@
     destroy_fixture(f);
 }
 
+/* Guards against a reset at an outlier that answers others in time: a slow
+ * request there is no lost one. */
+static void
+test_outlier_that_answers(void)
+{
+    struct fixture *f = create_fixture();
+    struct flow hanging[2];
+
+    serve_requests(f, 60);
+    uint64_t sent_ms = f->now_ms + RTT_MS;
+    send_two_hanging(f, hanging, WORK_MS);
+    while (f->now_ms < sent_ms + DEADLINE_MS) {
+        endpoint_of(f, &hanging[0])->latency_at_ms = f->now_ms;
+        serve_requests(f, 1);
+    }
+    g_assert_cmpuint(f->resets, ==, 0);
+    destroy_fixture(f);
+}
+
 /* Every request without an answer is logged once, however its flow ends;
  * answered ones are not logged. */
 static void
@@ -663,6 +682,8 @@
                     test_retransmitted_request);
     g_test_add_func("/requests/no-responses", test_no_responses);
     g_test_add_func("/requests/process-suspended", test_process_suspended);
+    g_test_add_func("/requests/outlier-that-answers",
+                    test_outlier_that_answers);
     g_test_add_func("/requests/unanswered-logged", test_unanswered_logged);
     g_test_add_func("/requests/probe-lost", test_probe_lost);
     g_test_add_func("/requests/several-requests", test_several_requests);
