balance: reset no request that waited while the process was suspended

Cause: after a pause waiting requests were exempt from being counted as failed by marking them as counted, and that mark is also the precondition of a reset. Their answers may have passed meanwhile. Now a flow whose last packet is older than the end of the suspension is neither counted nor reset, as after a move of flows. Red before: /requests/no-reset-after-pause (2 resets).

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -530,22 +530,12 @@
     rg_bal_tick_outcomes(b);
 }
 
-/* Sets `overdue` without counting a failure: a request that waited while this
- * process was suspended may have been answered meanwhile. */
-static bool
-ignore_overdue(void *ctx, struct rg_tracked_flow *t)
-{
-    (void)ctx;
-    t->overdue = true;
-    return false;
-}
-
 void
 rg_balancer_paused(struct rg_balancer *b, uint64_t now_ms)
 {
     b->now_ms = now_ms;
+    b->paused_ms = now_ms;
     rg_bal_ignore_untracked(b, RG_TRACKED_IDLE_TIMEOUT_MS);
-    rg_tracked_flows_sweep(b->flows, ignore_overdue, b);
 }
 
 struct rg_metrics *
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -41,6 +41,7 @@
     double response_gap_ms;
     uint64_t last_response_ms; /* last response of any upstream */
     uint64_t started_ms;
+    uint64_t paused_ms;     /* last end of a suspension, 0: none */
     uint64_t confirmed_ms;  /* store last confirmed the view, 0: never */
     uint64_t partial_ms;    /* partial view was last current, 0: never */
     uint64_t ticked_ms;     /* last tick */
@@ -135,8 +136,9 @@
 /* For this long, flows may be missing from the flow table for other reasons
  * than a move. */
 void rg_bal_ignore_untracked(struct rg_balancer *b, uint64_t ms);
-/* True if the fabric has moved flows since the flow's last packet here, so
- * that later packets may have passed another instance. */
+/* True if the fabric has moved flows since the flow's last packet here, or the
+ * process was suspended: later packets may have passed another instance, or
+ * were lost here. */
 bool rg_bal_may_have_moved(const struct rg_balancer *b,
                            const struct rg_tracked_flow *t);
 
--- a/test/test_requests.c
+++ b/test/test_requests.c
@@ -571,6 +571,26 @@
     destroy_fixture(f);
 }
 
+/* Guards against a reset of a request that waited while the process stood
+ * still: its answer may have come and its caller gone on meanwhile. */
+static void
+test_no_reset_after_pause(void)
+{
+    struct fixture *f = create_fixture();
+    struct flow hanging[2];
+
+    serve_requests(f, 60);
+    send_two_hanging(f, hanging, WORK_MS);
+    f->now_ms += 900;
+    rg_balancer_paused(f->balancer, f->now_ms);
+    for (int i = 0; i < 30; i++) {
+        endpoint_of(f, &hanging[0])->outlier.detections = 1;
+        serve_requests(f, 1);
+    }
+    g_assert_cmpuint(f->resets, ==, 0);
+    destroy_fixture(f);
+}
+
 /* Guards against a reset at an outlier that answers others in time: a slow
  * request there is no lost one. */
 static void
@@ -682,6 +702,8 @@
                     test_retransmitted_request);
     g_test_add_func("/requests/no-responses", test_no_responses);
     g_test_add_func("/requests/process-suspended", test_process_suspended);
+    g_test_add_func("/requests/no-reset-after-pause",
+                    test_no_reset_after_pause);
     g_test_add_func("/requests/outlier-that-answers",
                     test_outlier_that_answers);
     g_test_add_func("/requests/unanswered-logged", test_unanswered_logged);
