balance: no reset where a peer that reports failures reports answers, too

Two failures were enough if no later answer was known, but a peer's report of one comes late, as it is sent in turn, and an answer counts when its flow goes on.

A peer counts answers at an upstream only while it knows of failures there, so any answer in its report says that the upstream answers. Red before: /requests/peer-with-answers (reset after 858 ms). Bounds of /fleet/hanging-upstreams and the others of test_fleet_outliers hold as they stand.

--- a/balance/outlier.c
+++ b/balance/outlier.c
@@ -128,6 +128,7 @@
                                 uint64_t now_ms)
 {
     return total(e, RG_OUTCOME_FAILED, now_ms) >= OUTLIER_MIN_FAILURES &&
+           e->outlier.reported.counts[RG_OUTCOME_ANSWERED] == 0 &&
            rg_endpoint_no_answer_since(e, since_ms, now_ms);
 }
 
--- a/balance/outlier.h
+++ b/balance/outlier.h
@@ -61,9 +61,10 @@
 bool rg_endpoint_no_answer_since(const struct rg_endpoint *e,
                                  uint64_t since_ms, uint64_t now_ms);
 
-/* The same, and several requests are known to have failed lately, here or
- * elsewhere. That no answer is known proves little by itself: there may have
- * been no other request, or the answer may have passed another instance. */
+/* The same, and several requests have failed, here or elsewhere, and no peer
+ * that reports failures reports an answer. That no answer is known since
+ * `since_ms` proves little by itself: there may have been no other request, or
+ * its answer may have passed another instance, whose report is on its way. */
 bool rg_endpoint_only_failures_since(const struct rg_endpoint *e,
                                      uint64_t since_ms, uint64_t now_ms);
 
--- a/test/test_requests.c
+++ b/test/test_requests.c
@@ -610,6 +610,31 @@
     destroy_fixture(f);
 }
 
+/* Guards against a reset where a peer has seen failures and answers: its
+ * report of a later answer may still be on its way. */
+static void
+test_peer_with_answers(void)
+{
+    struct fixture *f = create_fixture();
+
+    serve_requests(f, 60);
+    struct flow flow = send_request(f, SAFE_PORT);
+    uint64_t sent_ms = f->now_ms;
+    report_failing_service(f, &flow);
+    struct rg_outcome_row row = {
+        .token = flow.token,
+        .source = 1,
+        .serial = 1,
+        .counts = {[RG_OUTCOME_FAILED] = 1, [RG_OUTCOME_ANSWERED] = 3},
+        .last_ms = sent_ms,
+        .failed_ms = sent_ms,
+        .answered_ms = sent_ms - 1,
+    };
+    rg_balancer_add_reported_outcomes(f->balancer, &row, f->now_ms);
+    g_assert_cmpuint(reset_after_ms(f, sent_ms), ==, 0);
+    destroy_fixture(f);
+}
+
 /* Every request without an answer is logged once, however its flow ends;
  * answered ones are not logged. */
 static void
@@ -706,6 +731,7 @@
                     test_no_reset_after_pause);
     g_test_add_func("/requests/outlier-that-answers",
                     test_outlier_that_answers);
+    g_test_add_func("/requests/peer-with-answers", test_peer_with_answers);
     g_test_add_func("/requests/unanswered-logged", test_unanswered_logged);
     g_test_add_func("/requests/probe-lost", test_probe_lost);
     g_test_add_func("/requests/several-requests", test_several_requests);
