balance: only pure acknowledgements move a flow to another upstream

A request, or a close, may acknowledge the last bytes of the answer before it (callers acknowledge every second packet) and yet carry the token of an answer to the opening that came since: the flow moved to the upstream that its caller had not taken. An acknowledgement without data is sent as soon as the bytes arrive, so its token is right.

Red before: /openings/request-with-new-acknowledgement; the other three have no test of their own.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -273,7 +273,8 @@
 static struct rg_decision
 handle_missing_route(struct rg_balancer *b, const struct rg_segment *s)
 {
-    if (!rg_routes_was_removed(b->routes, s->flow.service_ip,
+    if (!is_confirmed(b) ||
+        !rg_routes_was_removed(b->routes, s->flow.service_ip,
                                s->flow.service_port))
     {
         return rg_bal_drop(b, s, RG_METRIC_DROPPED_UNKNOWN_ROUTE,
@@ -284,13 +285,16 @@
 
 /* Two upstreams may have answered the opening of a flow, and the caller
  * repeats the last token that it received, also that of an answer it did not
- * take. Only a packet that acknowledges something new is certain to answer the
- * upstream that the caller took. Returns where the packet goes. */
+ * take. Moves the flow to the endpoint that the token names, or keeps it at
+ * its own; returns where the packet goes. */
 static struct rg_endpoint *
-choose_endpoint(struct rg_balancer *b, struct rg_tracked_flow *t,
-                const struct rg_segment *s, struct rg_endpoint *named)
+correct_token(struct rg_balancer *b, struct rg_tracked_flow *t,
+              const struct rg_segment *s, const struct rg_route *route,
+              struct rg_endpoint *named)
 {
-    if (!rg_flows_acknowledges_new(t, s)) {
+    t->repeated = true;
+    if (!rg_flows_confirms_token(t, s) ||
+        !token_is_allowed(b, route, named, t)) {
         rg_bal_count(b, RG_METRIC_TOKENS_CORRECTED);
         rg_bal_log_token(b, s, t, named, "KEPT");
         return t->endpoint;
@@ -323,7 +327,7 @@
         return handle_missing_route(b, s);
     }
     if (t && t->endpoint != endpoint) {
-        endpoint = choose_endpoint(b, t, s, endpoint);
+        endpoint = correct_token(b, t, s, route, endpoint);
     }
     if (!token_is_allowed(b, route, endpoint, t)) {
         return rg_bal_drop(b, s, RG_METRIC_DROPPED_WRONG_SERVICE,
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -10,10 +10,10 @@
 /* A request without progress for this long no longer counts as outstanding. */
 #define REQUEST_TIMEOUT_MS 4000
 #define CLOSED_TIMEOUT_MS 1000
-/* The same for an idle flow whose opening was repeated: an upstream that its
- * caller did not take repeats its answer for up to 9.4 s. */
-#define IDLE_REPEATED_TIMEOUT_MS 10000
-/* Acknowledged bytes further back than this are those of another flow. */
+/* The same for a flow that two upstreams may have: the one that its caller did
+ * not take repeats its answer to the opening for up to 9.4 s. */
+#define REPEATED_TIMEOUT_MS 10000
+/* Acknowledged bytes further away than this are those of another flow. */
 #define ACK_DISTANCE_MAX (1 << 20)
 /* Gain of the moving average of the time an opening takes. */
 #define OPENING_GAIN 0.05
@@ -83,9 +83,8 @@
         [RG_TRACKED_CLOSED] = CLOSED_TIMEOUT_MS,
     };
 
-    return t->state == RG_TRACKED_IDLE && t->repeated
-               ? IDLE_REPEATED_TIMEOUT_MS
-               : by_state[t->state];
+    return t->state != RG_TRACKED_OPENING && t->repeated ? REPEATED_TIMEOUT_MS
+                                                         : by_state[t->state];
 }
 
 bool
@@ -147,13 +146,15 @@
 }
 
 bool
-rg_flows_acknowledges_new(const struct rg_tracked_flow *t,
-                          const struct rg_segment *s)
+rg_flows_confirms_token(const struct rg_tracked_flow *t,
+                        const struct rg_segment *s)
 {
     int32_t bytes = (int32_t)(s->ack - t->last_ack);
+    bool same_flow = bytes <= ACK_DISTANCE_MAX && bytes >= -ACK_DISTANCE_MAX;
+    bool only_acknowledges = s->len == 0 && !s->fin && !s->reset;
 
-    return t->state == RG_TRACKED_OPENING || bytes > 0 ||
-           bytes < -ACK_DISTANCE_MAX;
+    return t->state == RG_TRACKED_OPENING || !same_flow ||
+           (bytes > 0 && only_acknowledges);
 }
 
 /* Updates the mean time between two responses of any upstream. */
--- a/test/test_openings.c
+++ b/test/test_openings.c
@@ -359,6 +359,24 @@
     g_assert_cmpuint(send_data(f, 0, first, 100, 1000, 100).token, ==, second);
 }
 
+/* Guards against a request taken for an acknowledgement: it acknowledges the
+ * last bytes of the answer before, which its caller had not acknowledged yet,
+ * and carries the token of an answer to the opening that came since. */
+static void
+test_request_with_new_acknowledgement(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    uint32_t first = open_copy(f, 0, 0).token;
+
+    f->now_ms += FIRST_COPY_MS;
+    uint32_t second = open_copy(f, 0, 1).token;
+    f->now_ms += RTT_MS;
+    acknowledge(f, 0, second);
+    send_data(f, 0, second, 0, 0, 100);
+    f->now_ms += RTT_MS;
+    g_assert_cmpuint(send_data(f, 0, first, 100, 1000, 100).token, ==, second);
+}
+
 /* Guards against a flow with long pauses being forgotten while an upstream
  * that its caller did not take still repeats its answer. */
 static void
@@ -397,6 +415,8 @@
          test_copies_through_two_instances},
         {"/openings/acknowledged-bytes-decide",
          test_acknowledged_bytes_decide},
+        {"/openings/request-with-new-acknowledgement",
+         test_request_with_new_acknowledgement},
         {"/openings/pause-after-two-answers", test_pause_after_two_answers},
     };
 
