balance: resets at cold upstreams and of probes, and after a suspension

Found by the review; each resets a flow at a sound upstream: - An upstream that has just started is slow for some seconds, by its entry. Two requests that wait there no longer let one be reset. Red: /requests/cold-upstream (636 ms). - A probe was reset after 16 times the usual time, 250 ms at least, whatever its deadline. It now gets 0.4 of its deadline like any other, so that a late answer shows the outlier to be slow. Red: /requests/slow-probe.

--- a/balance/moved_flows.c
+++ b/balance/moved_flows.c
@@ -65,7 +65,7 @@
 rg_bal_may_have_moved(const struct rg_balancer *b,
                       const struct rg_tracked_flow *t)
 {
-    return t->last_ms <= b->moved.last_ms || t->last_ms <= b->paused_ms;
+    return t->last_ms <= b->moved.last_ms || t->since_ms <= b->paused_ms;
 }
 
 uint64_t
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -49,14 +49,12 @@
                     : fmax(OVERDUE_FACTOR * route->median_ms, OVERDUE_MIN_MS);
 }
 
-/* A probe needs no share of the deadline: its upstream is known to be an
- * outlier. */
 static double
 lost_after_ms(const struct rg_route *route, const struct rg_tracked_flow *t)
 {
     double limit = fmax(LOST_FACTOR * route->median_ms, LOST_MIN_MS);
 
-    if (route->timeout_ms != 0 && !t->probe) {
+    if (route->timeout_ms != 0) {
         limit = fmax(limit, LOST_DEADLINE_SHARE * route->timeout_ms);
         limit = fmin(limit, LOST_DEADLINE_SHARE_MAX * route->timeout_ms);
     }
@@ -148,8 +146,8 @@
     if (is_unreachable(b, t)) {
         return true;
     }
-    if (!t->overdue || !others_respond(b, t, route) ||
-        !wait_proves_failure(b, t, route))
+    if (!t->overdue || b->now_ms < t->endpoint->cold_until_ms ||
+        !others_respond(b, t, route) || !wait_proves_failure(b, t, route))
     {
         return false;
     }
--- a/test/test_requests.c
+++ b/test/test_requests.c
@@ -635,6 +635,87 @@
     destroy_fixture(f);
 }
 
+/* Opens flows until one is a probe of the outlier with this token. */
+static struct flow
+open_probe(struct fixture *f, uint32_t token)
+{
+    struct flow probe = {.token = 0};
+
+    for (int i = 0; i < 400; i++) {
+        serve_requests(f, 1);
+        probe.id = (struct rg_flow_id){.caller_ip = CALLER_IP,
+                                       .service_ip = SERVICE_IP,
+                                       .caller_port = ++f->next_port,
+                                       .service_port = SAFE_PORT};
+        probe.token =
+            send_packet(f, &probe, (struct rg_segment){.opening = true}).token;
+        run(f, RTT_MS);
+        if (probe.token == token) {
+            return probe;
+        }
+        send_packet(
+            f, &probe,
+            (struct rg_segment){
+                .token = probe.token, .seq = 1, .ack = 1, .fin = true});
+    }
+    g_assert_not_reached();
+}
+
+/* Guards against a reset of a slow request that probes an outlier: nothing
+ * else is sent there, so that no answer confirms nothing. */
+static void
+test_slow_probe(void)
+{
+    struct fixture *f = create_fixture();
+
+    serve_requests(f, 60);
+    struct flow flow = send_request(f, SAFE_PORT);
+    report_failures(f, &flow, 1, 4, 0);
+    send_answer(f, &flow);
+    struct flow probe = open_probe(f, flow.token);
+    g_assert_true(rg_endpoint_is_outlier(endpoint_of(f, &flow)));
+    uint32_t before = f->resets;
+    send_packet(f, &probe,
+                (struct rg_segment){
+                    .token = probe.token, .seq = 1, .ack = 1, .len = 100});
+    uint64_t sent_ms = f->now_ms;
+    while (f->now_ms + RG_BALANCER_TICK_MS < sent_ms + DEADLINE_MS * 2 / 5) {
+        serve_requests(f, 1);
+        g_assert_cmpuint(f->resets, ==, before);
+    }
+    /* An answer to a request that failed before: the outlier is only slow. */
+    rg_balancer_add_reported_outcomes(
+        f->balancer,
+        &(struct rg_outcome_row){
+            .token = flow.token,
+            .source = 1,
+            .serial = 9,
+            .counts = {[RG_OUTCOME_FAILED] = 4, [RG_OUTCOME_LATE] = 1},
+            .last_ms = f->now_ms,
+            .failed_ms = sent_ms},
+        f->now_ms);
+    while (f->now_ms < sent_ms + DEADLINE_MS) {
+        serve_requests(f, 1);
+    }
+    g_assert_cmpuint(f->resets, ==, before);
+    destroy_fixture(f);
+}
+
+/* Guards against resets at an upstream that has just started and is slow. */
+static void
+test_cold_upstream(void)
+{
+    struct fixture *f = create_fixture();
+    struct flow slow[2];
+
+    serve_requests(f, 60);
+    uint64_t sent_ms = f->now_ms + RTT_MS;
+    send_two_hanging(f, slow, 0);
+    endpoint_of(f, &slow[0])->cold_until_ms = sent_ms + DEADLINE_MS;
+    g_assert_cmpuint(reset_after_ms(f, sent_ms), ==, 0);
+    destroy_fixture(f);
+}
+
 /* Every request without an answer is logged once, however its flow ends;
  * answered ones are not logged. */
 static void
@@ -732,6 +813,8 @@
     g_test_add_func("/requests/outlier-that-answers",
                     test_outlier_that_answers);
     g_test_add_func("/requests/peer-with-answers", test_peer_with_answers);
+    g_test_add_func("/requests/slow-probe", test_slow_probe);
+    g_test_add_func("/requests/cold-upstream", test_cold_upstream);
     g_test_add_func("/requests/unanswered-logged", test_unanswered_logged);
     g_test_add_func("/requests/probe-lost", test_probe_lost);
     g_test_add_func("/requests/several-requests", test_several_requests);
