balance: names and comments that stopped a reader

By the review: the flow table's header said that forwarding does not depend on it; rg_bal_may_have_moved() is also true after a suspension (now rg_bal_may_have_missed_packets()); rg_balancer_next_flows_moved() marks the news as sent (now rg_balancer_take_flows_moved()). No behaviour changes.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -108,8 +108,8 @@
     return picked;
 }
 
-/* True if a copy came so soon after the one before it that its upstream has
- * had no time to answer. */
+/* True if a copy came sooner after the one before it than callers send them:
+ * both have waited on their way, and the upstream had no time to answer. */
 static bool
 came_too_soon(const struct rg_balancer *b, const struct rg_tracked_flow *t)
 {
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -1,7 +1,8 @@
 /* Steering by routing token: decides what happens to each packet of a caller.
  *
  * Packets of an open flow go to the endpoint that their token names, so that
- * any instance can forward them without further state. The opening of a flow
+ * any instance can forward them without further state; an instance that tracks
+ * the flow may know better and corrects the token. The opening of a flow
  * goes to an upstream chosen here, whose token the flow then carries. One
  * owner; no I/O, clock or threads. */
 #ifndef RG_BALANCE_BALANCER_H
@@ -134,8 +135,9 @@
                                        uint64_t now_ms);
 
 /* When the fabric last moved flows of this data centre, as far as is known
- * here, 0: never; to be sent to peers of this data centre. */
-uint64_t rg_balancer_next_flows_moved(struct rg_balancer *b);
+ * here, 0: never; to be sent to peers of this data centre. It then counts as
+ * sent. */
+uint64_t rg_balancer_take_flows_moved(struct rg_balancer *b);
 
 /* True if that was seen here and has not been sent to any peer yet. */
 bool rg_balancer_has_unsent_move(const struct rg_balancer *b);
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -117,6 +117,7 @@
     }
     if (!t) {
         rg_bal_count(b, RG_METRIC_UNTRACKED);
+        /* Its later packets must not look like those of a moved flow. */
         rg_bal_ignore_untracked(b, b->opts.flow_age_ms);
         return NULL;
     }
--- a/balance/moved_flows.c
+++ b/balance/moved_flows.c
@@ -62,14 +62,14 @@
 }
 
 bool
-rg_bal_may_have_moved(const struct rg_balancer *b,
-                      const struct rg_tracked_flow *t)
+rg_bal_may_have_missed_packets(const struct rg_balancer *b,
+                               const struct rg_tracked_flow *t)
 {
     return t->last_ms <= b->moved.last_ms || t->since_ms <= b->paused_ms;
 }
 
 uint64_t
-rg_balancer_next_flows_moved(struct rg_balancer *b)
+rg_balancer_take_flows_moved(struct rg_balancer *b)
 {
     b->moved.unsent = false;
     return b->moved.last_ms;
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -139,8 +139,8 @@
 /* True if the fabric has moved flows since the flow's last packet here, or the
  * process was suspended: later packets may have passed another instance, or
  * were lost here. */
-bool rg_bal_may_have_moved(const struct rg_balancer *b,
-                           const struct rg_tracked_flow *t);
+bool rg_bal_may_have_missed_packets(const struct rg_balancer *b,
+                                    const struct rg_tracked_flow *t);
 
 /* Requests waiting for an answer, in requests.c. */
 
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -139,7 +139,8 @@
     const struct rg_route *route = route_of(b, t);
 
     if (t->state != RG_TRACKED_REQUEST || !route ||
-        route->repeat != RG_REPEAT_SAFE || rg_bal_may_have_moved(b, t))
+        route->repeat != RG_REPEAT_SAFE ||
+        rg_bal_may_have_missed_packets(b, t))
     {
         return false;
     }
@@ -184,7 +185,7 @@
 note_overdue(struct rg_balancer *b, struct rg_tracked_flow *t)
 {
     if (t->state != RG_TRACKED_REQUEST || t->overdue ||
-        rg_bal_may_have_moved(b, t))
+        rg_bal_may_have_missed_packets(b, t))
     {
         return;
     }
--- a/balance/tracked_flows.h
+++ b/balance/tracked_flows.h
@@ -2,8 +2,9 @@
  * work, to recognise retransmitted openings, and to learn from callers how
  * upstreams perform.
  *
- * Forwarding does not depend on it: an untracked flow is steered by its token
- * alone. Bounded; one owner; no I/O. */
+ * An untracked flow is steered by its token alone; the token of a tracked one
+ * is corrected where it is that of an upstream its caller did not take.
+ * Bounded; one owner; no I/O. */
 #ifndef RG_BALANCE_TRACKED_FLOWS_H
 #define RG_BALANCE_TRACKED_FLOWS_H
 
@@ -44,7 +45,7 @@
     uint32_t answer_ms;   /* of the last request, or RG_TRACKED_UNANSWERED */
     uint8_t state;        /* enum rg_tracked_flow_state */
     uint8_t retransmissions; /* of the last data */
-    bool overdue;            /* request counted as failed, or exempt from it */
+    bool overdue;            /* request counted as failed */
     bool repeated;           /* its opening was: two upstreams may have it */
     bool probe;              /* tests whether an outlier has recovered */
 };
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -146,7 +146,7 @@
 static void
 add_flows_moved(struct rg_gossip *g, struct rg_msg_digest *d, uint64_t now)
 {
-    uint64_t at_ms = rg_balancer_next_flows_moved(g->opts.balancer);
+    uint64_t at_ms = rg_balancer_take_flows_moved(g->opts.balancer);
 
     if (at_ms != 0 && at_ms <= now && now - at_ms < FLOWS_MOVED_MAX_MS) {
         d->flows_moved_age_ms = at_ms < now ? (uint32_t)(now - at_ms) : 1;
--- a/test/test_moved_flows.c
+++ b/test/test_moved_flows.c
@@ -124,7 +124,7 @@
     struct rg_balancer *to = f->balancers[1 - from];
     size_t count = rg_balancer_next_outcomes(f->balancers[from], rows,
                                              G_N_ELEMENTS(rows));
-    uint64_t moved_ms = rg_balancer_next_flows_moved(f->balancers[from]);
+    uint64_t moved_ms = rg_balancer_take_flows_moved(f->balancers[from]);
 
     for (size_t i = 0; i < count; i++) {
         rg_balancer_add_reported_outcomes(to, &rows[i], f->now_ms);
@@ -252,8 +252,8 @@
     while (f->now_ms <= START_MS + IDLE_TIMEOUT_MS) {
         serve_requests(f, 1);
     }
-    g_assert_cmpuint(rg_balancer_next_flows_moved(f->balancers[0]), ==, 0);
-    g_assert_cmpuint(rg_balancer_next_flows_moved(f->balancers[1]), ==, 0);
+    g_assert_cmpuint(rg_balancer_take_flows_moved(f->balancers[0]), ==, 0);
+    g_assert_cmpuint(rg_balancer_take_flows_moved(f->balancers[1]), ==, 0);
     return f;
 }
 
@@ -339,7 +339,7 @@
         send_packet(f, 1, &flow, (struct rg_segment){.seq = 101, .ack = 900});
         run(f, interval_ms);
     }
-    return rg_balancer_next_flows_moved(f->balancers[1]) != 0;
+    return rg_balancer_take_flows_moved(f->balancers[1]) != 0;
 }
 
 /* Guards against ordinary traffic that counts as moved flows, which would stop
@@ -373,7 +373,7 @@
         send_packet(f, 1, &flow,
                     (struct rg_segment){.seq = 101, .ack = 900 + (uint32_t)i});
     }
-    g_assert_cmpuint(rg_balancer_next_flows_moved(f->balancers[1]), ==, 0);
+    g_assert_cmpuint(rg_balancer_take_flows_moved(f->balancers[1]), ==, 0);
     /* Entries expired while the process was suspended. */
     rg_balancer_paused(f->balancers[1], f->now_ms);
     g_assert_false(sends_evidence(f, 10, 10, NULL));
@@ -416,7 +416,7 @@
         send_packet(f, 1, &flow, (struct rg_segment){.seq = 101, .ack = 900});
     }
     g_assert_true(rg_balancer_has_unsent_move(b));
-    g_assert_cmpuint(rg_balancer_next_flows_moved(b), ==, f->now_ms);
+    g_assert_cmpuint(rg_balancer_take_flows_moved(b), ==, f->now_ms);
     g_assert_false(rg_balancer_has_unsent_move(b));
     destroy_fleet(f);
 }
