--- a/review/standin/lab.py
+++ b/review/standin/lab.py
@@ -779,9 +779,11 @@
     """A flow of a caller, PROTOCOL.md 'Flows', judged by the rule FLOW."""
 
     def __init__(self, caller, port, host, dport, name, lose_syn_acks=0,
-                 answers_strays=False):
+                 answers_strays=False, ack_delay_s=0.0):
         self.lab, self.caller = caller.lab, caller
         self.answers_strays = answers_strays
+        self.ack_delay_s = ack_delay_s  # of an odd packet; even ones at once
+        self.ack_timer = None
         self.port, self.host, self.dport = port, host, dport
         self.name = name
         self.lose_syn_acks = lose_syn_acks  # datagrams lost on their way
@@ -804,6 +806,9 @@
 
     def send(self, flags, seq, ack, data=b""):
         edge = self.lab.pick_edge(self)
+        if self.ack_timer:  # this packet acknowledges, too
+            self.ack_timer.cancel()
+            self.ack_timer = None
         p = Packet(0 if flags & SYN else self.echo, seq, ack,
                    self.caller.number, self.port, ip_number(self.host),
                    self.dport, flags, data)
@@ -918,8 +923,10 @@
         if p.seq == self.ack:
             self.ack = self.ack + len(p.data) & 0xffffffff
             self.buffer += p.data
-        self.send(ACK, self.seq, self.ack)
-        head, sep, body = self.buffer.partition(b"\r\n\r\n")
+            self.acknowledge_new()
+        else:
+            self.send(ACK, self.seq, self.ack)  # it has come before
+        _, sep, body = self.buffer.partition(b"\r\n\r\n")
         if sep and len(body) >= 600 and self.waiting and \
                 not self.waiting.done():
             if self.attempt.encode() not in body:
@@ -927,6 +934,20 @@
                                  "answer")
             self.waiting.set_result(True)
 
+    def acknowledge_new(self):
+        """Acknowledges every second packet at once, an odd one later."""
+        if self.ack_delay_s == 0 or self.ack_timer:
+            self.send(ACK, self.seq, self.ack)
+            return
+        self.ack_timer = self.lab.loop.call_later(
+            self.ack_delay_s, self.send_delayed)
+
+    def send_delayed(self):
+        self.ack_timer = None
+        if not self.dead:
+            self.note(f"delayed ACK, token {self.echo:08x}")
+            self.send(ACK, self.seq, self.ack)
+
     def protected(self):
         """FLOW holds for the flow now, apart from the instances' state."""
         now = self.lab.now()
