--- a/review/standin/lab.py
+++ b/review/standin/lab.py
@@ -163,10 +163,13 @@
         self.tasks.append(task)
         return task
 
-    async def start_all(self, edges, upstreams, zones=("zv-a",)):
+    async def start_all(self, edges, upstreams, zones=("zv-a",),
+                        links=False):
         for i in range(edges):
             e = Edge(self, i + 1, zones[i % len(zones)])
             self.edges.append(e)
+            if links:
+                await PeerLink(self, e).open()
             await self.store.listen(e.store_ip)
         for service, zone in upstreams:
             await self.add_upstream(service, zone)
@@ -191,6 +194,8 @@
             t.cancel()
         for e in self.edges:
             e.kill()
+            if e.link:
+                e.link.close()
         for u in self.upstreams:
             u.close()
         for c in self.callers:
@@ -228,7 +233,7 @@
         self.changed = asyncio.Event()
         self.servers = []
         self.conns = set()
-        self.calls = {}  # kind of call -> number
+        self.calls = {}  # (instance's address here, kind) -> number
         self.on_answer = None  # called with (path, connection's local ip)
 
     async def listen(self, ip):
@@ -333,7 +338,8 @@
         query = {k: v[0] for k, v in
                  parse_qs(url.query, keep_blank_values=True).items()}
         kind = url.path.split("/")[2]
-        s.calls[kind] = s.calls.get(kind, 0) + 1
+        s.calls[self.local_ip, kind] = s.calls.get(
+            (self.local_ip, kind), 0) + 1
         s.expire()
         if kind != "kv-watch":
             await asyncio.sleep(0.004)
@@ -424,9 +430,11 @@
         self.misses = 0
         self.disturbed = -1e9  # last moment of an unplanned disturbance
         self.expected_end = False
+        self.link = None  # PeerLink, if its peers' traffic passes one
 
     def write_settings(self):
-        """deploy/settings.json, filled in as DEPLOY.md says."""
+        """deploy/settings.json, filled in as DEPLOY.md says. The address for
+        peers is that of the link's stand-in, if there is one."""
         doc = {"name": self.name, "data_centre": self.zone,
                "packet_address": f"{self.ip}:{PACKET_PORT}",
                "health_address": f"{self.ip}:{READY_PORT}",
@@ -435,6 +443,8 @@
                "grace_s": GRACE_S, "flow_age_s": FLOW_AGE_S,
                "peer_address": f"{self.ip}:{PEER_PORT}",
                "store": {"address": f"{self.store_ip}:{STORE_PORT}"}}
+        if self.link:
+            doc["peer_advertise"] = f"{self.link.ip}:{PEER_PORT}"
         with open(self.settings, "w", encoding="ascii") as out:
             json.dump(doc, out)
 
@@ -508,6 +518,62 @@
             return [line.rstrip() for line in log if f" {word} " in line]
 
 
+class PeerLink(asyncio.DatagramProtocol):
+    """What other instances send to an instance passes here. While its link is
+    choked, everything waits `delay_s`, in order; nothing is lost."""
+
+    def __init__(self, lab, edge):
+        self.lab, self.edge = lab, edge
+        self.ip = f"127.{lab.net}.4.{edge.index}"
+        self.delay_s = 0.0
+        self.transport = None
+        self.server = None
+        edge.link = self
+
+    async def open(self):
+        await self.lab.loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self.ip, PEER_PORT))
+        self.server = await asyncio.start_server(self.relay, self.ip,
+                                                 PEER_PORT)
+
+    def close(self):
+        self.transport.close()
+        self.server.close()
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, raw, addr):
+        self.lab.loop.call_later(self.delay_s, self.pass_on, raw)
+
+    def pass_on(self, raw):
+        if not self.transport.is_closing():
+            self.transport.sendto(raw, (self.edge.ip, PEER_PORT))
+
+    async def relay(self, reader, writer):
+        try:
+            to_reader, to_writer = await asyncio.open_connection(
+                self.edge.ip, PEER_PORT)
+        except OSError:
+            writer.close()
+            return
+
+        async def copy(source, target, inbound):
+            try:
+                while data := await source.read(65536):
+                    if inbound and self.delay_s:
+                        await asyncio.sleep(self.delay_s)
+                    target.write(data)
+                    await target.drain()
+            except OSError:
+                pass
+            finally:
+                target.close()
+
+        await asyncio.gather(copy(reader, to_writer, True),
+                             copy(to_reader, writer, False))
+
+
 # --- upstreams --------------------------------------------------------------
 
 class UpstreamFlow:
@@ -540,7 +606,6 @@
         self.name = f"u{index}"
         self.flows = {}
         self.state = "ready"
-        self.seq = 1
         self.work_s = 0.022
         self.ran = {}  # attempt id -> number of runs here
         self.draining_since = None
@@ -552,7 +617,6 @@
         await self.lab.loop.create_datagram_endpoint(
             lambda: self, local_addr=(self.ip, UPSTREAM_PORT))
         self.write_entry()
-        self.lab.spawn(self.report())
 
     def connection_made(self, transport):
         self.transport = transport
@@ -566,20 +630,14 @@
         return f"servers/i-{self.id:010x}"
 
     def write_entry(self):
+        """Its entry. Heartbeats are left out, since "the entry changes when
+        more than `Seq` changes"."""
         self.lab.store.put_json(self.key(), {
             "Service": self.service, "Address": f"{self.ip}:{UPSTREAM_PORT}",
             "Zone": self.zone, "Version": "v1", "Slots": 2,
-            "State": self.state, "ColdLeftMs": 0, "Seq": self.seq,
+            "State": self.state, "ColdLeftMs": 0, "Seq": 1,
             "born": self.born})
 
-    async def report(self):
-        """Writes its entry about every HeartbeatMs."""
-        while self.running:
-            await asyncio.sleep(1.2)
-            self.seq += 1
-            if self.running:
-                self.write_entry()
-
     def drain(self):
         self.state = "draining"
         self.write_entry()
@@ -779,11 +837,12 @@
     """A flow of a caller, PROTOCOL.md 'Flows', judged by the rule FLOW."""
 
     def __init__(self, caller, port, host, dport, name, lose_syn_acks=0,
-                 answers_strays=False, ack_delay_s=0.0):
+                 answers_strays=False, ack_delay_s=0.0, by=None):
         self.lab, self.caller = caller.lab, caller
         self.answers_strays = answers_strays
         self.ack_delay_s = ack_delay_s  # of an odd packet; even ones at once
         self.ack_timer = None
+        self.by = by  # the instance that the routers chose, None: by hash
         self.port, self.host, self.dport = port, host, dport
         self.name = name
         self.lose_syn_acks = lose_syn_acks  # datagrams lost on their way
@@ -805,7 +864,7 @@
         self.lab.note(f"flow {self.name}: {text}")
 
     def send(self, flags, seq, ack, data=b""):
-        edge = self.lab.pick_edge(self)
+        edge = self.by or self.lab.pick_edge(self)
         if self.ack_timer:  # this packet acknowledges, too
             self.ack_timer.cancel()
             self.ack_timer = None
