review: stand-ins end their processes when stopped; short records

A stopped script now kills the instances that it started. Callers press on the choked instance in case 4, as the rule on choked links says. Requests of the background get one line each in the record.

--- a/review/standin/lab.py
+++ b/review/standin/lab.py
@@ -151,12 +151,13 @@
             out.write("\n".join(self.lines) + "\n")
             out.write(verdict + "\n")
 
-    def send_later(self, transport, raw, ip):
-        """The way between callers and the deployment takes CALLER_LINK_S."""
+    def send_later(self, transport, raw, ip, wait_s=0.0):
+        """The way between callers and the deployment takes CALLER_LINK_S,
+        and longer if the packet waits on a link."""
         def send():
             if not transport.is_closing():
                 transport.sendto(raw, (ip, PACKET_PORT))
-        self.loop.call_later(CALLER_LINK_S, send)
+        self.loop.call_later(CALLER_LINK_S + wait_s, send)
 
     def spawn(self, coro):
         task = self.loop.create_task(coro)
@@ -846,11 +847,13 @@
     """A flow of a caller, PROTOCOL.md 'Flows', judged by the rule FLOW."""
 
     def __init__(self, caller, port, host, dport, name, lose_syn_acks=0,
-                 answers_strays=False, ack_delay_s=0.0, by=None):
+                 answers_strays=False, ack_delay_s=0.0, by=None,
+                 brief=False):
         self.lab, self.caller = caller.lab, caller
         self.answers_strays = answers_strays
         self.ack_delay_s = ack_delay_s  # of an odd packet; even ones at once
         self.ack_timer = None
+        self.brief = brief  # only its requests' ends go into the record
         self.by = by  # the instance that the routers chose, None: by hash
         self.port, self.host, self.dport = port, host, dport
         self.name = name
@@ -870,7 +873,8 @@
         self.last_packet = 0.0
 
     def note(self, text):
-        self.lab.note(f"flow {self.name}: {text}")
+        if not self.brief:
+            self.lab.note(f"flow {self.name}: {text}")
 
     def send(self, flags, seq, ack, data=b""):
         edge = self.by or self.lab.pick_edge(self)
@@ -882,7 +886,8 @@
                    self.dport, flags, data)
         self.last_packet = self.lab.now()
         if edge:
-            self.lab.send_later(self.caller.transport, p.encode(), edge.ip)
+            self.lab.send_later(self.caller.transport, p.encode(), edge.ip,
+                                edge.link.delay_s if edge.link else 0.0)
         return edge
 
     # The opening: a SYN, copies after 200 and 600 ms, the end after 1.4 s.
@@ -934,7 +939,7 @@
             except asyncio.TimeoutError:
                 delay = min(delay * 2, 1.6)
         answered = self.waiting.done() and self.waiting.result() is True
-        self.note(f"request {attempt} " +
+        self.lab.note(f"flow {self.name}: request {attempt} " +
                   ("answered" if answered else f"NOT answered "
                    f"({self.dead or 'time budget over'})"))
         return answered
@@ -1105,7 +1110,7 @@
 async def background(lab, caller, host, dport, per_s, served):
     """Requests with a flow each."""
     async def one(number):
-        flow = caller.new_flow(host, dport, f"bg-{number}")
+        flow = caller.new_flow(host, dport, f"bg-{number}", brief=True)
         ok = await flow.open() and await flow.request(f"bg-{number}", 2.5,
                                                       "GET")
         flow.close()
@@ -1127,12 +1132,16 @@
                                                          "big"))))
 
     async def run():
+        task = asyncio.current_task()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(signum, task.cancel)
         lab = Lab(folder, seed)
+        code = 2
         lab.note(f"seed {seed}, trouble {int(trouble)}")
         try:
             await asyncio.wait_for(case(lab, trouble), 110)
             code = 1 if lab.violations else 0
-        except Exception as e:  # the case could not run
+        except (Exception, asyncio.CancelledError) as e:  # it could not run
             lab.note(f"cannot run: {type(e).__name__}: {e}")
             code = 2
         finally:
