--- a/balance/priv.h
+++ b/balance/priv.h
@@ -104,6 +104,20 @@
 void rg_bal_log_admission(const struct rg_balancer *b, uint32_t service,
                           const struct rg_admit_load *load);
 
+/* Steering of packets, in openings.c and open_flows.c. */
+
+struct rg_decision rg_bal_steer_opening(struct rg_balancer *b,
+                                        const struct rg_segment *s);
+struct rg_decision rg_bal_steer_open(struct rg_balancer *b,
+                                     const struct rg_segment *s);
+
+/* Counts and decides that a packet goes to `endpoint`, with its token. */
+struct rg_decision rg_bal_forward(struct rg_balancer *b,
+                                  const struct rg_endpoint *endpoint);
+/* True if the store confirmed the view recently, so that what the view lacks
+ * does not exist. */
+bool rg_bal_is_confirmed(const struct rg_balancer *b);
+
 /* Admission control, in balancer_admission.c. */
 
 /* Allocates the state of services up to this index. */
