balance: keep flows that two upstreams may have for their whole life

Cause: two upstreams had answered the opening. The entry that says which of them the caller took was dropped 10 s after the last packet, the time for which the other repeats its answer. The token of that answer stays with the caller until it receives something else, and an idle flow receives nothing. The next packet followed the token.

Fix: the entry of such an open flow stays for the maximum age of a flow. A request without progress ends after 4 s as at other flows, without the entry; it counted as outstanding work for 10 s.

Red before: /openings/longest-pause-after-two-answers, /openings/outstanding-after-two-answers.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -205,6 +205,7 @@
     update_openings_per_s(b, now_ms - b->ticked_ms);
     b->ticked_ms = now_ms;
     b->dropped_lines = 0;
+    b->untracked_lines = 0;
     rg_pool_tick(b->pool, now_ms);
     rg_bal_tick_admission(b);
     rg_bal_tick_outcomes(b);
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -12,7 +12,7 @@
 #define CLOSED_TIMEOUT_MS 1000
 /* The same for a flow that two upstreams may have: the one that its caller did
  * not take repeats its answer to the opening for up to 9.4 s. */
-#define REPEATED_TIMEOUT_MS 10000
+#define REPEATED_CLOSED_TIMEOUT_MS 10000
 /* Acknowledged bytes further away than this are those of another flow. */
 #define ACK_DISTANCE_MAX (1 << 20)
 /* Gain of the moving average of the time an opening takes. */
@@ -83,8 +83,20 @@
         [RG_TRACKED_CLOSED] = CLOSED_TIMEOUT_MS,
     };
 
-    return t->state != RG_TRACKED_OPENING && t->repeated ? REPEATED_TIMEOUT_MS
-                                                         : by_state[t->state];
+    return t->state == RG_TRACKED_CLOSED && t->repeated
+               ? REPEATED_CLOSED_TIMEOUT_MS
+               : by_state[t->state];
+}
+
+/* True for an open flow that two upstreams may have. Its caller keeps the
+ * token of the one that it did not take until it receives something else,
+ * however long it pauses, so the entry is needed as long as the flow may live.
+ */
+static bool
+is_needed(const struct rg_balancer *b, const struct rg_tracked_flow *t)
+{
+    return t->repeated && t->state == RG_TRACKED_IDLE &&
+           b->now_ms - t->opened_ms < b->opts.flow_age_ms;
 }
 
 bool
@@ -93,12 +105,19 @@
     struct rg_balancer *b = ctx;
 
     rg_request_tick(b, t);
-    if (b->now_ms - t->last_ms < timeout_ms(t)) {
+    if (b->now_ms - t->last_ms < timeout_ms(t) || is_needed(b, t)) {
         return false;
     }
     if (is_outstanding(t)) {
         rg_request_log_unanswered(b, t, "forgotten");
     }
+    if (t->state == RG_TRACKED_REQUEST && t->repeated) {
+        rg_flows_set_state(t, RG_TRACKED_IDLE, b->now_ms);
+        return false;
+    }
+    if (t->repeated && t->state == RG_TRACKED_IDLE) {
+        rg_bal_log_forgotten(b, t);
+    }
     forget(t);
     return true;
 }
@@ -125,6 +144,7 @@
         .flow = opening->flow,
         .opening_seq = opening->seq,
         .since_ms = b->now_ms,
+        .opened_ms = b->now_ms,
         .last_ms = b->now_ms,
         .state = RG_TRACKED_OPENING,
         .answer_ms = RG_TRACKED_UNANSWERED,
--- a/balance/moved_flows.c
+++ b/balance/moved_flows.c
@@ -27,12 +27,16 @@
 }
 
 void
-rg_bal_note_untracked(struct rg_balancer *b, const struct rg_segment *s)
+rg_bal_note_untracked(struct rg_balancer *b, const struct rg_segment *s,
+                      const struct rg_endpoint *endpoint)
 {
     struct rg_moved_flows *m = &b->moved;
     bool first = note_seen(m, hash_of(&s->flow), b->now_ms);
     bool acknowledges = s->len == 0 && !s->fin && !s->reset;
 
+    if (first) {
+        rg_bal_log_untracked(b, s, endpoint);
+    }
     if (!first || !acknowledges || b->now_ms < m->ignore_until_ms) {
         return;
     }
--- a/balance/open_flows.c
+++ b/balance/open_flows.c
@@ -83,7 +83,7 @@
                            "wrong-service");
     }
     if (!t) {
-        rg_bal_note_untracked(b, s);
+        rg_bal_note_untracked(b, s, endpoint);
     }
     if (t) {
         rg_flows_update(b, t, s, route);
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -41,11 +41,12 @@
     double response_gap_ms;
     uint64_t last_response_ms; /* last response of any upstream */
     uint64_t started_ms;
-    uint64_t paused_ms;     /* last end of a suspension, 0: none */
-    uint64_t confirmed_ms;  /* store last confirmed the view, 0: never */
-    uint64_t partial_ms;    /* partial view was last current, 0: never */
-    uint64_t ticked_ms;     /* last tick */
-    uint32_t dropped_lines; /* dropped packets logged since then */
+    uint64_t paused_ms;       /* last end of a suspension, 0: none */
+    uint64_t confirmed_ms;    /* store last confirmed the view, 0: never */
+    uint64_t partial_ms;      /* partial view was last current, 0: never */
+    uint64_t ticked_ms;       /* last tick */
+    uint32_t dropped_lines;   /* dropped packets logged since then */
+    uint32_t untracked_lines; /* untracked flows logged since then */
     uint64_t now_ms;
 };
 
@@ -99,6 +100,14 @@
 void rg_bal_log_token(const struct rg_balancer *b, const struct rg_segment *s,
                       const struct rg_tracked_flow *t,
                       const struct rg_endpoint *named, const char *event);
+/* Logs the first packet that is seen of an untracked flow, and the endpoint it
+ * goes to, within a limit per tick. */
+void rg_bal_log_untracked(struct rg_balancer *b, const struct rg_segment *s,
+                          const struct rg_endpoint *endpoint);
+/* Logs that the entry of an open flow which two upstreams may have is removed.
+ */
+void rg_bal_log_forgotten(const struct rg_balancer *b,
+                          const struct rg_tracked_flow *t);
 
 /* Logs that admission control of a service starts or stops refusing flows. */
 void rg_bal_log_admission(const struct rg_balancer *b, uint32_t service,
@@ -145,8 +154,10 @@
 
 /* Flows that the fabric has moved to other instances, in moved_flows.c. */
 
-/* A packet of an open flow that is not in the flow table. */
-void rg_bal_note_untracked(struct rg_balancer *b, const struct rg_segment *s);
+/* A packet of an open flow that is not in the flow table goes to `endpoint`.
+ */
+void rg_bal_note_untracked(struct rg_balancer *b, const struct rg_segment *s,
+                           const struct rg_endpoint *endpoint);
 /* For this long, flows may be missing from the flow table for other reasons
  * than a move. */
 void rg_bal_ignore_untracked(struct rg_balancer *b, uint64_t ms);
--- a/balance/report.c
+++ b/balance/report.c
@@ -9,6 +9,9 @@
 /* Dropped packets that are logged between two ticks: a flood of them must not
  * use up the log's rate. */
 #define DROPPED_LINES_PER_TICK 5
+/* The same for flows that the fabric has moved here, which may be all flows of
+ * another instance. */
+#define UNTRACKED_LINES_PER_TICK 5
 
 static const char *
 state_text(const struct rg_tracked_flow *t)
@@ -140,6 +143,38 @@
                  s->len, (unsigned long long)(b->now_ms - t->since_ms));
 }
 
+void
+rg_bal_log_untracked(struct rg_balancer *b, const struct rg_segment *s,
+                     const struct rg_endpoint *endpoint)
+{
+    char flow[RG_FLOW_TEXT_MAX];
+
+    if (b->untracked_lines == UNTRACKED_LINES_PER_TICK) {
+        return;
+    }
+    b->untracked_lines++;
+    rg_log_event(b->opts.log, RG_LOG_INFO, "UNTRACKED",
+                 "flow=\"%s\" upstream=\"%s\" token=\"%08x\" seq=\"%08x\" "
+                 "ack=\"%u\" len=\"%u\"",
+                 rg_flow_text(&s->flow, flow), endpoint->id.s, s->token,
+                 s->seq, s->ack, s->len);
+}
+
+void
+rg_bal_log_forgotten(const struct rg_balancer *b,
+                     const struct rg_tracked_flow *t)
+{
+    char flow[RG_FLOW_TEXT_MAX];
+
+    rg_log_event(b->opts.log, RG_LOG_INFO, "FORGOTTEN",
+                 "flow=\"%s\" state=\"%s\" upstream=\"%s\" "
+                 "idle_ms=\"%llu\" open_ms=\"%llu\"",
+                 rg_flow_text(&t->flow, flow), state_text(t),
+                 t->endpoint->id.s,
+                 (unsigned long long)(b->now_ms - t->last_ms),
+                 (unsigned long long)(b->now_ms - t->opened_ms));
+}
+
 void
 rg_bal_log_admission(const struct rg_balancer *b, uint32_t service,
                      const struct rg_admit_load *load)
--- a/balance/tracked_flows.h
+++ b/balance/tracked_flows.h
@@ -36,6 +36,7 @@
     struct rg_flow_id flow;
     struct rg_endpoint *endpoint; /* the current one, NULL: entry is free */
     struct rg_endpoint *tried[RG_TRACKED_TRIES_MAX]; /* earlier, or NULL */
+    uint64_t opened_ms;   /* first copy of its opening */
     uint64_t since_ms;    /* start of the current state */
     uint64_t last_ms;     /* last packet */
     uint32_t opening_seq; /* initial sequence number of the caller */
--- a/test/test_openings.c
+++ b/test/test_openings.c
@@ -11,6 +11,7 @@
 #define CALLER_PORT 40001
 #define START_MS 1000
 #define RTT_MS 6
+#define FLOW_AGE_MS 60000
 #define UPSTREAMS 4
 #define OPENING_SEQ 0x11223344
 #define UPSTREAM_SEQ 0x50000000
@@ -55,7 +56,7 @@
 {
     struct rg_balancer_opts opts = {
         .data_centre = name("dc1"),
-        .flow_age_ms = 60000,
+        .flow_age_ms = FLOW_AGE_MS,
         .stale_ms = 3000,
         .tracked_flows = 64,
         .seed = seed,
@@ -162,6 +163,18 @@
     g_assert_not_reached();
 }
 
+/* Lets time pass for all instances. */
+static void
+tick_until(struct fixture *f, uint64_t until_ms)
+{
+    while (f->now_ms < until_ms) {
+        f->now_ms += RG_BALANCER_TICK_MS;
+        for (size_t i = 0; i < G_N_ELEMENTS(f->instances); i++) {
+            rg_balancer_tick(f->instances[i], f->now_ms);
+        }
+    }
+}
+
 static uint64_t
 counter(struct fixture *f, int instance, enum rg_metric_counter c)
 {
@@ -410,11 +423,52 @@
     uint32_t second = open_copy(f, 0, 1).token;
     f->now_ms += RTT_MS;
     acknowledge(f, 0, second);
-    for (int i = 0; i < 90; i++) {
-        f->now_ms += RG_BALANCER_TICK_MS;
-        rg_balancer_tick(f->instances[0], f->now_ms);
-    }
+    tick_until(f, f->now_ms + 9000);
+    g_assert_cmpuint(send_data(f, 0, first, 0, 0, 100).token, ==, second);
+}
+
+/* Guards against an idle flow being forgotten before the end of its life: its
+ * caller keeps the token of the upstream that it did not take until it
+ * receives something else. */
+static void
+test_longest_pause_after_two_answers(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    uint32_t first = open_copy(f, 0, 0).token;
+
+    f->now_ms += FIRST_COPY_MS;
+    uint32_t second = open_copy(f, 0, 1).token;
+    f->now_ms += RTT_MS;
+    acknowledge(f, 0, second);
+    tick_until(f, START_MS + FLOW_AGE_MS - 1000);
     g_assert_cmpuint(send_data(f, 0, first, 0, 0, 100).token, ==, second);
+    /* The request stays unanswered. It no longer counts as outstanding, but
+     * the flow is still known. */
+    tick_until(f, START_MS + FLOW_AGE_MS - RG_BALANCER_TICK_MS);
+    g_assert_cmpuint(send_data(f, 0, first, 0, 0, 100).token, ==, second);
+    tick_until(f, f->now_ms + FLOW_AGE_MS);
+    g_assert_cmpuint(rg_balancer_tracked_count(f->instances[0]), ==, 0);
+}
+
+/* Guards against a request that is never answered counting as outstanding work
+ * for the whole life of its flow, which is longer if two upstreams may have
+ * it. */
+static void
+test_outstanding_after_two_answers(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    open_copy(f, 0, 0);
+    f->now_ms += FIRST_COPY_MS;
+    struct rg_decision d = open_copy(f, 0, 1);
+    f->now_ms += RTT_MS;
+    acknowledge(f, 0, d.token);
+    send_data(f, 0, d.token, 0, 0, 100);
+    struct rg_endpoint *e =
+        rg_pool_by_token(rg_balancer_pool(f->instances[0]), d.endpoint->token);
+    g_assert_cmpuint(e->open_work, ==, 1);
+    tick_until(f, f->now_ms + 5000);
+    g_assert_cmpuint(e->open_work, ==, 0);
+    g_assert_cmpuint(rg_balancer_tracked_count(f->instances[0]), ==, 1);
 }
 
 int
@@ -440,6 +494,10 @@
         {"/openings/request-with-new-acknowledgement",
          test_request_with_new_acknowledgement},
         {"/openings/pause-after-two-answers", test_pause_after_two_answers},
+        {"/openings/longest-pause-after-two-answers",
+         test_longest_pause_after_two_answers},
+        {"/openings/outstanding-after-two-answers",
+         test_outstanding_after_two_answers},
     };
 
     g_test_init(&argc, &argv, NULL);
