--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -10,12 +10,12 @@
 #define OPENINGS_GAIN 0.05
 
 struct rg_decision
-rg_bal_forward(struct rg_balancer *b, const struct rg_endpoint *endpoint)
+rg_bal_forward(struct rg_balancer *b, const struct rg_endpoint *endpoint,
+               uint32_t token)
 {
     rg_bal_count(b, RG_METRIC_FORWARDED);
-    return (struct rg_decision){.kind = RG_DECISION_FORWARD,
-                                .endpoint = endpoint,
-                                .token = endpoint->token};
+    return (struct rg_decision){
+        .kind = RG_DECISION_FORWARD, .endpoint = endpoint, .token = token};
 }
 
 bool
@@ -248,6 +248,7 @@
     b->rand.state = opts->seed;
     b->fleet =
         (struct rg_fleet){.instances = 1, .local_instances = 1, .share = 1};
+    b->flow_sync.round = RG_FLOW_FIRST_ROUND;
     b->ticked_ms = now_ms;
     b->started_ms = now_ms;
     b->now_ms = now_ms;
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -12,6 +12,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "balance/flow_records.h"
 #include "balance/metrics.h"
 #include "balance/outcome_table.h"
 #include "balance/pool.h"
@@ -70,6 +71,9 @@
     size_t instances;       /* all, this one included */
     size_t local_instances; /* in this data centre, this one included */
     double share;           /* of all new flows that this one gets, 0 to 1 */
+    /* All peers tell the tokens of openings from those of open flows. If one
+     * does not, openings get the token of open flows. */
+    bool opening_tokens;
 };
 void rg_balancer_set_fleet(struct rg_balancer *b,
                            const struct rg_fleet *fleet);
@@ -148,6 +152,30 @@
 void rg_balancer_add_reported_move(struct rg_balancer *b, uint64_t at_ms,
                                    uint64_t now_ms);
 
+/* Flows that peers have to be told of; they then count as told. Returns their
+ * number, at most `max`. */
+size_t rg_balancer_next_flow_records(struct rg_balancer *b,
+                                     struct rg_flow_record *out, size_t max);
+
+/* Peers have to be told again of all flows that they were told of. */
+void rg_balancer_tell_flows_again(struct rg_balancer *b);
+
+/* Flows that peers have to be asked for. Returns their number, at most `max`.
+ */
+size_t rg_balancer_next_flow_queries(struct rg_balancer *b,
+                                     struct rg_flow_id *out, size_t max);
+
+/* Answers a peer's question; false if the flow's endpoint is not known here.
+ */
+bool rg_balancer_find_flow_record(const struct rg_balancer *b,
+                                  const struct rg_flow_id *flow,
+                                  struct rg_flow_record *out);
+
+/* Takes over what a peer tells of a flow, unless it is known here. */
+void rg_balancer_add_flow_record(struct rg_balancer *b,
+                                 const struct rg_flow_record *record,
+                                 uint64_t now_ms);
+
 struct rg_metrics *rg_balancer_metrics(struct rg_balancer *b);
 size_t rg_balancer_tracked_count(const struct rg_balancer *b);
 
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -105,6 +105,7 @@
     struct rg_balancer *b = ctx;
 
     rg_request_tick(b, t);
+    rg_bal_collect_flow_record(b, t);
     if (b->now_ms - t->last_ms < timeout_ms(t) || is_needed(b, t)) {
         return false;
     }
@@ -122,9 +123,11 @@
     return true;
 }
 
-struct rg_tracked_flow *
-rg_flows_start(struct rg_balancer *b, struct rg_tracked_flow *earlier,
-               const struct rg_segment *opening, struct rg_endpoint *endpoint)
+/* An entry for a flow: a free one, or `earlier`, that of an ended flow with
+ * the same ports. NULL if the table is full. */
+static struct rg_tracked_flow *
+get_entry(struct rg_balancer *b, struct rg_tracked_flow *earlier,
+          const struct rg_flow_id *flow)
 {
     struct rg_tracked_flow *t = earlier;
 
@@ -132,12 +135,23 @@
         forget(earlier);
     }
     else {
-        t = rg_tracked_flows_add(b->flows, &opening->flow);
+        t = rg_tracked_flows_add(b->flows, flow);
     }
     if (!t) {
         rg_bal_count(b, RG_METRIC_UNTRACKED);
         /* Its later packets must not look like those of a moved flow. */
         rg_bal_ignore_untracked(b, b->opts.flow_age_ms);
+    }
+    return t;
+}
+
+struct rg_tracked_flow *
+rg_flows_start(struct rg_balancer *b, struct rg_tracked_flow *earlier,
+               const struct rg_segment *opening, struct rg_endpoint *endpoint)
+{
+    struct rg_tracked_flow *t = get_entry(b, earlier, &opening->flow);
+
+    if (!t) {
         return NULL;
     }
     *t = (struct rg_tracked_flow){
@@ -154,6 +168,29 @@
     return t;
 }
 
+struct rg_tracked_flow *
+rg_flows_adopt(struct rg_balancer *b, struct rg_tracked_flow *earlier,
+               const struct rg_flow_id *flow, uint32_t opening_seq,
+               struct rg_endpoint *endpoint)
+{
+    struct rg_tracked_flow *t = get_entry(b, earlier, flow);
+
+    if (!t) {
+        return NULL;
+    }
+    *t = (struct rg_tracked_flow){
+        .flow = *flow,
+        .opening_seq = opening_seq,
+        .since_ms = b->now_ms,
+        .opened_ms = b->now_ms,
+        .last_ms = b->now_ms,
+        .state = RG_TRACKED_IDLE,
+        .answer_ms = RG_TRACKED_UNANSWERED,
+    };
+    acquire(t, endpoint);
+    return t;
+}
+
 void
 rg_flows_move(struct rg_balancer *b, struct rg_tracked_flow *t,
               struct rg_endpoint *endpoint)
@@ -162,6 +199,7 @@
         rg_bal_count(b, RG_METRIC_OPENINGS_MOVED);
         release(t);
         acquire(t, endpoint);
+        t->told = RG_FLOW_NOT_TOLD;
     }
     t->last_ms = b->now_ms;
 }
--- a/balance/moved_flows.c
+++ b/balance/moved_flows.c
@@ -2,15 +2,6 @@
 
 #include "balance/priv.h"
 
-static uint32_t
-hash_of(const struct rg_flow_id *f)
-{
-    uint64_t addresses = (uint64_t)f->caller_ip << 32 | f->service_ip;
-    uint64_t ports = (uint64_t)f->caller_port << 16 | f->service_port;
-
-    return (uint32_t)(rg_mix64(rg_mix64(addresses) ^ ports) >> 32);
-}
-
 /* True for the first packet of an untracked flow. False as well if another
  * flow takes its place in the table, and it may have been seen before. */
 static bool
@@ -31,7 +22,7 @@
                       const struct rg_endpoint *endpoint)
 {
     struct rg_moved_flows *m = &b->moved;
-    bool first = note_seen(m, hash_of(&s->flow), b->now_ms);
+    bool first = note_seen(m, rg_flow_hash(&s->flow), b->now_ms);
     bool acknowledges = s->len == 0 && !s->fin && !s->reset;
 
     if (first) {
--- a/balance/open_flows.c
+++ b/balance/open_flows.c
@@ -3,6 +3,11 @@
 #include "balance/priv.h"
 #include "balance/token.h"
 
+/* What callers send before they receive anything: at most this many packets,
+ * all of this size but the last one. */
+#define CALLER_WINDOW_PACKETS 16
+#define CALLER_PACKET_BYTES 1200
+
 /* Whether a packet to this route's address may be sent to the endpoint that
  * its token names. Any endpoint is allowed while flows may exist that were
  * opened before this instance started, under a version of the routes it never
@@ -32,6 +37,79 @@
     return rg_bal_refuse(b, s, RG_METRIC_REFUSED_NO_ROUTE, "route-removed");
 }
 
+/* What the token of a packet says of its flow's endpoint. */
+enum token_kind {
+    TOKEN_UNKNOWN,
+    TOKEN_FLOW,    /* names an endpoint that got packets of the open flow */
+    TOKEN_OPENING, /* names one that answered the opening of a tracked flow;
+                      the caller may have taken another answer */
+    TOKEN_START,   /* the same for an untracked flow at its start */
+};
+
+struct named {
+    enum token_kind kind;
+    struct rg_endpoint *endpoint; /* NULL for TOKEN_UNKNOWN */
+    uint32_t opening_seq;         /* for TOKEN_START */
+};
+
+/* Reads the token of an opening of a flow that is not tracked here. The
+ * caller's initial sequence number is not known, but the first packets of a
+ * flow show it: they are full, but for the last one of a request. */
+static struct named
+read_start_token(const struct rg_balancer *b, const struct rg_segment *s)
+{
+    uint32_t packets = s->len > 0 ? CALLER_WINDOW_PACKETS : 1;
+
+    for (uint32_t i = 0; i < packets; i++) {
+        uint32_t opening_seq = s->seq - 1 - i * CALLER_PACKET_BYTES;
+        struct rg_endpoint *e = rg_pool_by_token(
+            b->pool, rg_token_of_opening(s->token, opening_seq));
+        if (e) {
+            return (struct named){TOKEN_START, e, opening_seq};
+        }
+    }
+    return (struct named){.kind = TOKEN_UNKNOWN};
+}
+
+static struct named
+read_token(const struct rg_balancer *b, const struct rg_tracked_flow *t,
+           const struct rg_segment *s)
+{
+    struct rg_endpoint *e = rg_pool_by_token(b->pool, s->token);
+
+    if (e) {
+        return (struct named){.kind = TOKEN_FLOW, .endpoint = e};
+    }
+    if (t) {
+        e = rg_pool_by_token(b->pool,
+                             rg_token_of_opening(s->token, t->opening_seq));
+    }
+    if (e) {
+        return (struct named){.kind = TOKEN_OPENING, .endpoint = e};
+    }
+    return read_start_token(b, s);
+}
+
+static bool
+is_pure_ack(const struct rg_segment *s)
+{
+    return s->len == 0 && !s->fin && !s->reset;
+}
+
+/* True if the caller can have sent the packet before it received anything but
+ * the answer to its opening. Its packets may arrive in any order. */
+static bool
+is_among_first(const struct rg_tracked_flow *t, const struct rg_segment *s)
+{
+    uint32_t position = s->seq - 1 - t->opening_seq;
+
+    if (s->len == 0) {
+        return position == 0;
+    }
+    return position % CALLER_PACKET_BYTES == 0 &&
+           position / CALLER_PACKET_BYTES < CALLER_WINDOW_PACKETS;
+}
+
 /* Two upstreams may have answered the opening of a flow, and the caller
  * repeats the last token that it received, also that of an answer it did not
  * take. Moves the flow to the endpoint that the token names, or keeps it at
@@ -53,47 +131,153 @@
     return named;
 }
 
-struct rg_decision
-rg_bal_steer_open(struct rg_balancer *b, const struct rg_segment *s)
+/* True if the packet shows that the caller took the endpoint which its token
+ * names: the endpoint has got packets of the open flow before, or the packet
+ * is the caller's acknowledgement of the answer to its opening, which is sent
+ * at once. */
+static bool
+is_proof(const struct rg_balancer *b, const struct rg_tracked_flow *t,
+         const struct rg_segment *s, const struct named *named)
 {
-    struct rg_tracked_flow *t = rg_tracked_flows_find(b->flows, &s->flow);
-    struct rg_endpoint *endpoint = rg_pool_by_token(b->pool, s->token);
-    struct rg_route *route =
-        rg_routes_find(b->routes, s->flow.service_ip, s->flow.service_port);
+    bool answers_opening = t->state == RG_TRACKED_OPENING && is_pure_ack(s) &&
+                           is_among_first(t, s);
 
-    if (s->token == RG_TOKEN_NONE) {
-        if (t && (s->fin || s->reset)) {
-            rg_flows_set_state(t, RG_TRACKED_CLOSED, b->now_ms);
-            return rg_bal_forward(b, t->endpoint);
-        }
-        return rg_bal_drop(b, s, RG_METRIC_DROPPED_NO_TOKEN, "no-token");
+    return (named->kind == TOKEN_FLOW && b->fleet.opening_tokens) ||
+           answers_opening;
+}
+
+/* Endpoint for a packet of a tracked flow, NULL if it is not known. */
+static struct rg_endpoint *
+tracked_endpoint(struct rg_balancer *b, struct rg_tracked_flow *t,
+                 const struct rg_segment *s, const struct rg_route *route,
+                 const struct named *named)
+{
+    struct rg_endpoint *endpoint = named->endpoint;
+    bool proof = is_proof(b, t, s, named);
+
+    if (named->kind == TOKEN_OPENING && t->state == RG_TRACKED_OPENING &&
+        !is_among_first(t, s))
+    {
+        /* The flow has opened elsewhere; only a late copy came here. */
+        return NULL;
     }
-    if (!endpoint) {
-        return rg_bal_drop(b, s, RG_METRIC_DROPPED_UNKNOWN_TOKEN,
-                           "unknown-token");
+    if (t->endpoint != endpoint) {
+        endpoint = correct_token(b, t, s, route, endpoint);
     }
-    if (!route) {
-        return handle_missing_route(b, s);
+    t->proven = t->proven || (proof && endpoint == named->endpoint);
+    return endpoint;
+}
+
+/* Packets without a token: the caller has had no answer to its opening. */
+static struct rg_decision
+handle_no_token(struct rg_balancer *b, struct rg_tracked_flow *t,
+                const struct rg_segment *s)
+{
+    if (t && (s->fin || s->reset)) {
+        rg_flows_set_state(t, RG_TRACKED_CLOSED, b->now_ms);
+        return rg_bal_forward(b, t->endpoint, t->endpoint->token);
     }
-    if (t && t->endpoint != endpoint) {
-        endpoint = correct_token(b, t, s, route, endpoint);
+    return rg_bal_drop(b, s, RG_METRIC_DROPPED_NO_TOKEN, "no-token");
+}
+
+/* The packet does not show where its flow is. It is dropped, and the peers are
+ * asked, so that its retransmission finds the flow. */
+static struct rg_decision
+ask_peers(struct rg_balancer *b, const struct rg_segment *s,
+          const struct named *named)
+{
+    rg_bal_ask_for_flow(b, &s->flow);
+    return named->kind == TOKEN_UNKNOWN
+               ? rg_bal_drop(b, s, RG_METRIC_DROPPED_UNKNOWN_TOKEN,
+                             "unknown-token")
+               : rg_bal_drop(b, s, RG_METRIC_DROPPED_UNPROVEN_TOKEN,
+                             "unproven-token");
+}
+
+/* Tracks a flow that was opened by way of another instance and is at its
+ * start. Its token is that of the answer that the caller took, if the packet
+ * is the acknowledgement of that answer. Before later packets, other answers
+ * may have come, and peers may know better. */
+static void
+adopt(struct rg_balancer *b, struct rg_tracked_flow *ended,
+      const struct rg_segment *s, struct rg_route *route,
+      const struct named *named)
+{
+    struct rg_tracked_flow *t = rg_flows_adopt(
+        b, ended, &s->flow, named->opening_seq, named->endpoint);
+
+    if (t) {
+        t->last_ack = s->ack;
+        rg_flows_update(b, t, s, route);
     }
-    if (!token_is_allowed(b, route, endpoint, t)) {
+    if (!is_pure_ack(s)) {
+        rg_bal_ask_for_flow(b, &s->flow);
+    }
+}
+
+/* `ended` is the entry of an earlier flow with the same ports, or NULL. */
+static struct rg_decision
+steer_untracked(struct rg_balancer *b, struct rg_tracked_flow *ended,
+                const struct rg_segment *s, struct rg_route *route,
+                const struct named *named)
+{
+    struct rg_endpoint *endpoint = named->endpoint;
+
+    if (!token_is_allowed(b, route, endpoint, NULL)) {
         return rg_bal_drop(b, s, RG_METRIC_DROPPED_WRONG_SERVICE,
                            "wrong-service");
     }
-    if (!t) {
-        rg_bal_note_untracked(b, s, endpoint);
+    rg_bal_note_untracked(b, s, endpoint);
+    if (named->kind == TOKEN_START) {
+        adopt(b, ended, s, route, named);
     }
-    if (t) {
-        rg_flows_update(b, t, s, route);
+    return rg_bal_forward(b, endpoint, endpoint->token);
+}
+
+static struct rg_decision
+steer_tracked(struct rg_balancer *b, struct rg_tracked_flow *t,
+              const struct rg_segment *s, struct rg_route *route,
+              const struct named *named)
+{
+    struct rg_endpoint *endpoint = tracked_endpoint(b, t, s, route, named);
+
+    if (!endpoint) {
+        return ask_peers(b, s, named);
+    }
+    if (!token_is_allowed(b, route, endpoint, t)) {
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_WRONG_SERVICE,
+                           "wrong-service");
     }
-    if (t && rg_request_is_lost(b, t)) {
+    rg_flows_update(b, t, s, route);
+    if (rg_request_is_lost(b, t)) {
         rg_request_log_unanswered(b, t, "reset");
         struct rg_decision refused = rg_bal_refuse(
             b, s, RG_METRIC_REFUSED_DEAD_UPSTREAM, "dead-upstream");
         rg_flows_set_state(t, RG_TRACKED_CLOSED, b->now_ms);
         return refused;
     }
-    return rg_bal_forward(b, endpoint);
+    return rg_bal_forward(b, endpoint, endpoint->token);
+}
+
+struct rg_decision
+rg_bal_steer_open(struct rg_balancer *b, const struct rg_segment *s)
+{
+    struct rg_tracked_flow *t = rg_tracked_flows_find(b->flows, &s->flow);
+    struct rg_route *route =
+        rg_routes_find(b->routes, s->flow.service_ip, s->flow.service_port);
+
+    if (s->token == RG_TOKEN_NONE) {
+        return handle_no_token(b, t, s);
+    }
+    struct named named = read_token(b, t, s);
+    if (named.kind == TOKEN_UNKNOWN) {
+        return ask_peers(b, s, &named);
+    }
+    if (!route) {
+        return handle_missing_route(b, s);
+    }
+    /* At its start, a flow with other sequence numbers is a new one. */
+    return t && named.kind != TOKEN_START
+               ? steer_tracked(b, t, s, route, &named)
+               : steer_untracked(b, t, s, route, &named);
 }
--- a/balance/openings.c
+++ b/balance/openings.c
@@ -5,6 +5,7 @@
 #include "balance/passive_health.h"
 #include "balance/pick.h"
 #include "balance/priv.h"
+#include "balance/token.h"
 
 /* An opening is overdue after this many times the mean time until openings are
  * answered, within these limits. */
@@ -28,8 +29,9 @@
                           OVERDUE_MAX_MS);
 }
 
+/* Picks the service of a split route: the same on all instances. */
 static uint64_t
-flow_hash(const struct rg_flow_id *f)
+share_hash(const struct rg_flow_id *f)
 {
     return rg_mix64((uint64_t)f->caller_ip << 32 | f->service_ip) ^
            ((uint64_t)f->caller_port << 16 | f->service_port);
@@ -179,6 +181,21 @@
     return rg_bal_refuse(b, s, RG_METRIC_REFUSED_NO_UPSTREAM, reason);
 }
 
+/* The token for an opening. It must not be taken for that of an open flow. */
+static uint32_t
+opening_token(const struct rg_balancer *b, const struct rg_endpoint *endpoint,
+              uint32_t opening_seq)
+{
+    uint32_t token = rg_token_of_opening(endpoint->token, opening_seq);
+
+    if (!b->fleet.opening_tokens || token == RG_TOKEN_NONE ||
+        rg_pool_by_token(b->pool, token))
+    {
+        return endpoint->token;
+    }
+    return token;
+}
+
 struct rg_decision
 rg_bal_steer_opening(struct rg_balancer *b, const struct rg_segment *s)
 {
@@ -199,7 +216,7 @@
     if (!route) {
         return opening_without_route(b, s, may_be_open);
     }
-    if (!rg_route_pick_service(route, flow_hash(&s->flow), &service)) {
+    if (!rg_route_pick_service(route, share_hash(&s->flow), &service)) {
         return opening_without_upstream(b, s, may_be_open, "no-service");
     }
     if (!may_be_open && !rg_bal_admits(b, route, service)) {
@@ -210,7 +227,8 @@
     if (!picked.endpoint) {
         return opening_without_upstream(b, s, may_be_open, "no-upstream");
     }
-    rg_bal_log_opening(b, s, t, &picked);
+    uint32_t token = opening_token(b, picked.endpoint, s->seq);
+    rg_bal_log_opening(b, s, t, &picked, token);
     if (copy) {
         t->repeated = true;
         rg_flows_move(b, t, picked.endpoint);
@@ -223,5 +241,5 @@
         t->probe = picked.rule == RG_PICK_PROBE;
     }
     rg_endpoint_opening_sent(picked.endpoint, b->now_ms);
-    return rg_bal_forward(b, picked.endpoint);
+    return rg_bal_forward(b, picked.endpoint, token);
 }
--- a/balance/peers.c
+++ b/balance/peers.c
@@ -19,6 +19,9 @@
 /* If the table is full, one in this many digests of unknown peers makes its
  * sender replace another peer. */
 #define REPLACE_ONE_IN 16
+/* Flows of an instance that stops go to others of its data centre, unless
+ * there are fewer than this. */
+#define FLOW_TARGETS_LOCAL_MIN 2
 /* One in this many digests contains contacts, since the members of the fleet
  * change slowly. */
 #define CONTACTS_ONE_IN 4
@@ -47,7 +50,8 @@
     uint64_t confirmed_ms; /* when the store last answered it */
     uint32_t openings_per_s;
     bool leaving;
-    bool local; /* in the local data centre */
+    bool local;          /* in the local data centre */
+    bool opening_tokens; /* tells the tokens of openings from others */
 };
 
 struct rg_peers {
@@ -219,6 +223,7 @@
     peer->confirmed_ms = time_of(d->revision, d->age_ms, now_ms);
     peer->openings_per_s = d->openings_per_s;
     peer->leaving = d->leaving;
+    peer->opening_tokens = d->opening_tokens;
     peer->local = local;
 }
 
@@ -301,6 +306,7 @@
                              : 0;
     out->openings_per_s = view->openings_per_s;
     out->leaving = view->leaving;
+    out->opening_tokens = true;
     if (rg_rand_below(&p->rand, CONTACTS_ONE_IN) == 0) {
         add_contacts(p, now_ms, out);
     }
@@ -414,6 +420,35 @@
     return count;
 }
 
+bool
+rg_peers_read_opening_tokens(const struct rg_peers *p, uint64_t now_ms)
+{
+    for (size_t i = 0; i < p->count; i++) {
+        const struct peer *peer = &p->peers[i];
+        if (is_recent(peer, now_ms) && !peer->opening_tokens) {
+            return false;
+        }
+    }
+    return true;
+}
+
+size_t
+rg_peers_flow_targets(const struct rg_peers *p, uint64_t now_ms,
+                      struct rg_addr out[RG_PEERS_MAX])
+{
+    bool local_only =
+        rg_peers_local_count(p, now_ms) >= FLOW_TARGETS_LOCAL_MIN;
+    size_t count = 0;
+
+    for (size_t i = 0; i < p->count; i++) {
+        const struct peer *peer = &p->peers[i];
+        if (is_recent(peer, now_ms) && (peer->local || !local_only)) {
+            out[count++] = peer->addr;
+        }
+    }
+    return count;
+}
+
 size_t
 rg_peers_fleet_size(struct rg_peers *p, uint64_t now_ms)
 {
--- a/balance/peers.h
+++ b/balance/peers.h
@@ -98,6 +98,16 @@
 size_t rg_peers_count(const struct rg_peers *p, uint64_t now_ms);
 size_t rg_peers_local_count(const struct rg_peers *p, uint64_t now_ms);
 
+/* True if all recently active peers tell the tokens of openings from those of
+ * open flows. */
+bool rg_peers_read_opening_tokens(const struct rg_peers *p, uint64_t now_ms);
+
+/* Recently active peers that the fabric may hand flows of this instance to, or
+ * whose flows it may hand to this one: those of the local data centre, and all
+ * if there are few. Returns their number. */
+size_t rg_peers_flow_targets(const struct rg_peers *p, uint64_t now_ms,
+                             struct rg_addr out[RG_PEERS_MAX]);
+
 /* Size of the whole fleet, this instance included; an estimate if it is larger
  * than the number of instances that can be known. */
 size_t rg_peers_fleet_size(struct rg_peers *p, uint64_t now_ms);
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -4,6 +4,7 @@
 
 #include "balance/admit.h"
 #include "balance/balancer.h"
+#include "balance/flow_records.h"
 #include "balance/moved_flows.h"
 #include "balance/outcome_table.h"
 #include "balance/outlier.h"
@@ -28,6 +29,7 @@
     struct rg_metrics metrics;
     struct rg_outcome_table *outcome_table;
     struct rg_moved_flows moved;
+    struct rg_flow_sync flow_sync;
     struct rg_bal_service *services; /* by service index */
     size_t service_count;
     struct rg_fleet fleet;
@@ -66,6 +68,16 @@
     return b->now_ms - at_ms;
 }
 
+/* Hash of a flow for small tables. */
+static inline uint32_t
+rg_flow_hash(const struct rg_flow_id *f)
+{
+    uint64_t addresses = (uint64_t)f->caller_ip << 32 | f->service_ip;
+    uint64_t ports = (uint64_t)f->caller_port << 16 | f->service_port;
+
+    return (uint32_t)(rg_mix64(rg_mix64(addresses) ^ ports) >> 32);
+}
+
 /* Buffer size for a flow as text: "address:port>address:port". */
 #define RG_FLOW_TEXT_MAX 48
 
@@ -90,11 +102,12 @@
 
 /* Updates the share of lost openings with one that was answered or lost. */
 void rg_bal_update_lost_share(struct rg_balancer *b, bool lost);
-/* `t` is the flow's entry before this opening, NULL if it is not tracked. */
+/* `t` is the flow's entry before this opening, NULL if it is not tracked;
+ * `token` is written into the packet. */
 void rg_bal_log_opening(const struct rg_balancer *b,
                         const struct rg_segment *s,
                         const struct rg_tracked_flow *t,
-                        const struct rg_pick *picked);
+                        const struct rg_pick *picked, uint32_t token);
 /* Logs that a packet of a tracked flow names another endpoint than before, and
  * whether the flow has moved there or is kept. */
 void rg_bal_log_token(const struct rg_balancer *b, const struct rg_segment *s,
@@ -109,6 +122,10 @@
 void rg_bal_log_forgotten(const struct rg_balancer *b,
                           const struct rg_tracked_flow *t);
 
+/* Logs that a peer has told the endpoint of a flow. */
+void rg_bal_log_flow_record(const struct rg_balancer *b,
+                            const struct rg_tracked_flow *t);
+
 /* Logs that admission control of a service starts or stops refusing flows. */
 void rg_bal_log_admission(const struct rg_balancer *b, uint32_t service,
                           const struct rg_admit_load *load);
@@ -120,9 +137,10 @@
 struct rg_decision rg_bal_steer_open(struct rg_balancer *b,
                                      const struct rg_segment *s);
 
-/* Counts and decides that a packet goes to `endpoint`, with its token. */
+/* Counts and decides that a packet goes to `endpoint`, with `token` in it. */
 struct rg_decision rg_bal_forward(struct rg_balancer *b,
-                                  const struct rg_endpoint *endpoint);
+                                  const struct rg_endpoint *endpoint,
+                                  uint32_t token);
 /* True if the store confirmed the view recently, so that what the view lacks
  * does not exist. */
 bool rg_bal_is_confirmed(const struct rg_balancer *b);
@@ -152,6 +170,14 @@
 /* Call every RG_BALANCER_TICK_MS. */
 void rg_bal_tick_outcomes(struct rg_balancer *b);
 
+/* Flows that peers are told of and asked for, in flow_records.c. */
+
+/* Queues a question for a flow whose packets do not show its endpoint. */
+void rg_bal_ask_for_flow(struct rg_balancer *b, const struct rg_flow_id *flow);
+/* Queues the flow for peers if they have to be told of it. */
+void rg_bal_collect_flow_record(struct rg_balancer *b,
+                                struct rg_tracked_flow *t);
+
 /* Flows that the fabric has moved to other instances, in moved_flows.c. */
 
 /* A packet of an open flow that is not in the flow table goes to `endpoint`.
@@ -194,6 +220,13 @@
                                        struct rg_tracked_flow *earlier,
                                        const struct rg_segment *opening,
                                        struct rg_endpoint *endpoint);
+/* Starts tracking a flow that was opened by way of another instance. NULL if
+ * the table is full. */
+struct rg_tracked_flow *rg_flows_adopt(struct rg_balancer *b,
+                                       struct rg_tracked_flow *earlier,
+                                       const struct rg_flow_id *flow,
+                                       uint32_t opening_seq,
+                                       struct rg_endpoint *endpoint);
 /* Moves the flow to another endpoint. */
 void rg_flows_move(struct rg_balancer *b, struct rg_tracked_flow *t,
                    struct rg_endpoint *endpoint);
--- a/balance/report.c
+++ b/balance/report.c
@@ -62,7 +62,7 @@
 void
 rg_bal_log_opening(const struct rg_balancer *b, const struct rg_segment *s,
                    const struct rg_tracked_flow *t,
-                   const struct rg_pick *picked)
+                   const struct rg_pick *picked, uint32_t token)
 {
     static const char *const rules[] = {
         [RG_PICK_NONE] = "none",     [RG_PICK_BEST] = "best",
@@ -77,8 +77,8 @@
                  "rule=\"%s\" cost=\"%.2f\" work=\"%u\" version=\"%llu\" "
                  "age_ms=\"%llu\"",
                  rg_flow_text(&s->flow, flow), s->ack, s->seq, state_text(t),
-                 upstream_text(t), picked->endpoint->id.s,
-                 picked->endpoint->token, rules[picked->rule], picked->cost,
+                 upstream_text(t), picked->endpoint->id.s, token,
+                 rules[picked->rule], picked->cost,
                  picked->endpoint->open_work,
                  (unsigned long long)rg_bal_version(b),
                  (unsigned long long)rg_bal_view_age_ms(b));
@@ -175,6 +175,20 @@
                  (unsigned long long)(b->now_ms - t->opened_ms));
 }
 
+void
+rg_bal_log_flow_record(const struct rg_balancer *b,
+                       const struct rg_tracked_flow *t)
+{
+    char flow[RG_FLOW_TEXT_MAX];
+
+    rg_log_event(b->opts.log, RG_LOG_INFO, "FLOW_TOLD",
+                 "flow=\"%s\" upstream=\"%s\" seq=\"%08x\" "
+                 "open_ms=\"%llu\"",
+                 rg_flow_text(&t->flow, flow), t->endpoint->id.s,
+                 t->opening_seq,
+                 (unsigned long long)(b->now_ms - t->opened_ms));
+}
+
 void
 rg_bal_log_admission(const struct rg_balancer *b, uint32_t service,
                      const struct rg_admit_load *load)
--- a/balance/token.h
+++ b/balance/token.h
@@ -16,4 +16,11 @@
 
 uint32_t rg_token_of(struct rg_str upstream_id, uint64_t boot_ms);
 
+/* The token that is written into an opening in place of the endpoint's own,
+ * and the reverse. It depends on the caller's initial sequence number, so that
+ * it can be told from the token of an open flow: an upstream repeats the last
+ * token that it got, hence this one only while it has had nothing but the
+ * opening. */
+uint32_t rg_token_of_opening(uint32_t token, uint32_t opening_seq);
+
 #endif
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -7,11 +7,12 @@
 #include "balance/snapshot.h"
 #include "common/clock.h"
 #include "common/mem.h"
+#include "edge/flow_gossip.h"
 #include "edge/http_client.h"
 #include "edge/http_server.h"
 #include "proto/messages.gen.h"
 
-#define DIGEST_MAX_BYTES 2048
+#define DATAGRAM_MAX_BYTES 2048
 /* Requests what is newer than a version of the routes and a revision of the
  * store. */
 #define SNAPSHOT_PATH "/view/%llu/%llu"
@@ -36,6 +37,7 @@
 struct rg_gossip {
     struct rg_gossip_opts opts;
     struct rg_peers *peers;
+    struct rg_flow_gossip *flows;
     uv_udp_t udp;
     struct rg_http_server *server;
     struct rg_http_client *client;
@@ -44,8 +46,8 @@
     bool leaving;
     enum pace pace;
     uint64_t ticks;
-    struct rg_msg in;            /* received; too large for the stack */
-    char data[DIGEST_MAX_BYTES]; /* datagram being received */
+    struct rg_msg in;              /* received; too large for the stack */
+    char data[DATAGRAM_MAX_BYTES]; /* datagram being received */
 };
 
 static uint64_t *
@@ -66,6 +68,23 @@
     };
 }
 
+/* Packs and sends a datagram. */
+static void
+send_message(void *ctx, const struct rg_msg *m, const struct rg_addr *to)
+{
+    struct rg_gossip *g = ctx;
+    uint8_t out[DATAGRAM_MAX_BYTES];
+    struct sockaddr_storage sa;
+    size_t len = rg_msg_pack(m, out, sizeof(out));
+    uv_buf_t buf = uv_buf_init((char *)out, (unsigned)len);
+
+    rg_addr_to_sock(to, &sa);
+    counters(g)[RG_METRIC_CONTROL_SENT_BYTES] += len;
+    if (uv_udp_try_send(&g->udp, &buf, 1, (const struct sockaddr *)&sa) < 0) {
+        counters(g)[RG_METRIC_SEND_FAILED]++;
+    }
+}
+
 /* --- digests ------------------------------------------------------------- */
 
 static void
@@ -169,8 +188,6 @@
 {
     struct rg_msg m = {.kind = RG_MSG_DIGEST};
     struct rg_peers_target to;
-    struct sockaddr_storage sa;
-    uint8_t out[DIGEST_MAX_BYTES];
     uint64_t now = rg_clock_boottime_ms();
 
     if (!rg_peers_next_digest(g->peers, view, scope, now, &m.u.digest, &to)) {
@@ -181,14 +198,8 @@
         add_outcomes(g, &m.u.digest, now);
         add_flows_moved(g, &m.u.digest, now);
     }
-    size_t len = rg_msg_pack(&m, out, sizeof(out));
-    uv_buf_t buf = uv_buf_init((char *)out, (unsigned)len);
-    rg_addr_to_sock(&to.addr, &sa);
     counters(g)[RG_METRIC_DIGESTS_SENT]++;
-    counters(g)[RG_METRIC_CONTROL_SENT_BYTES] += len;
-    if (uv_udp_try_send(&g->udp, &buf, 1, (const struct sockaddr *)&sa) < 0) {
-        counters(g)[RG_METRIC_SEND_FAILED]++;
-    }
+    send_message(g, &m, &to.addr);
 }
 
 static void
@@ -211,6 +222,25 @@
     }
 }
 
+static void
+handle_message(struct rg_gossip *g, const struct rg_msg *m)
+{
+    switch (m->kind) {
+    case RG_MSG_DIGEST:
+        handle_digest(g, &m->u.digest);
+        break;
+    case RG_MSG_FLOW_QUERY:
+        rg_flow_gossip_query(g->flows, &m->u.flow_query);
+        break;
+    case RG_MSG_FLOW_RECORDS:
+        rg_flow_gossip_records(g->flows, &m->u.flow_records,
+                               rg_clock_boottime_ms());
+        break;
+    default:
+        counters(g)[RG_METRIC_MALFORMED]++;
+    }
+}
+
 static void
 on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
 {
@@ -231,13 +261,11 @@
         return;
     }
     counters(g)[RG_METRIC_CONTROL_RECEIVED_BYTES] += (size_t)len;
-    if (!rg_msg_unpack(&g->in, (const uint8_t *)buf->base, (size_t)len) ||
-        g->in.kind != RG_MSG_DIGEST)
-    {
+    if (!rg_msg_unpack(&g->in, (const uint8_t *)buf->base, (size_t)len)) {
         counters(g)[RG_METRIC_MALFORMED]++;
         return;
     }
-    handle_digest(g, &g->in.u.digest);
+    handle_message(g, &g->in);
 }
 
 /* --- snapshots ----------------------------------------------------------- */
@@ -357,6 +385,7 @@
         .instances = rg_peers_fleet_size(g->peers, now),
         .local_instances = rg_peers_local_count(g->peers, now) + 1,
         .share = rg_peers_flow_share(g->peers, view->openings_per_s, now),
+        .opening_tokens = rg_peers_read_opening_tokens(g->peers, now),
     };
     rg_balancer_set_fleet(g->opts.balancer, &fleet);
     if (!reader || rg_store_client_failing(g->opts.store_client)) {
@@ -377,6 +406,7 @@
     struct rg_peers_view view = own_view(g);
 
     send_digests(g, &view);
+    rg_flow_gossip_tick(g->flows, rg_clock_boottime_ms());
     if (++g->ticks % (RG_PEERS_PERIOD_MS / RG_BALANCER_TICK_MS) == 0) {
         sync_with_peers(g, &view);
     }
@@ -387,6 +417,7 @@
 {
     struct rg_gossip *g = handle->data;
 
+    rg_flow_gossip_destroy(g->flows);
     rg_peers_destroy(g->peers);
     free(g);
 }
@@ -425,6 +456,15 @@
 
     g->opts = *opts;
     g->peers = rg_peers_create(&opts->peers);
+    struct rg_flow_gossip_opts flows = {
+        .name = opts->peers.name,
+        .addr = opts->peers.addr,
+        .balancer = opts->balancer,
+        .peers = g->peers,
+        .send = send_message,
+        .ctx = g,
+    };
+    g->flows = rg_flow_gossip_create(&flows);
     uv_udp_init(opts->loop, &g->udp);
     g->udp.data = g;
     g->client = rg_http_client_create(&client);
@@ -453,6 +493,7 @@
 rg_gossip_leave(struct rg_gossip *g)
 {
     g->leaving = true;
+    rg_flow_gossip_leave(g->flows);
 }
 
 const struct rg_peers *
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -419,6 +419,84 @@
     return true;
 }
 
+static void
+pack_flow_id(msgpack_packer *pk, const struct rg_msg_flow_id *m)
+{
+    rg_pack_list(pk, 4);
+    rg_pack_u64(pk, m->caller_ip);
+    rg_pack_u64(pk, m->service_ip);
+    rg_pack_u64(pk, m->caller_port);
+    rg_pack_u64(pk, m->service_port);
+}
+
+static bool
+unpack_flow_id(const msgpack_object *o, struct rg_msg_flow_id *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 4)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[0], 4294967295U, &value)) {
+        return false;
+    }
+    m->caller_ip = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[1], 4294967295U, &value)) {
+        return false;
+    }
+    m->service_ip = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[2], 65535U, &value)) {
+        return false;
+    }
+    m->caller_port = (uint16_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[3], 65535U, &value)) {
+        return false;
+    }
+    m->service_port = (uint16_t)value;
+    return true;
+}
+
+static void
+pack_flow_record(msgpack_packer *pk, const struct rg_msg_flow_record *m)
+{
+    rg_pack_list(pk, 5);
+    pack_flow_id(pk, &m->flow);
+    rg_pack_u64(pk, m->token);
+    rg_pack_u64(pk, m->opening_seq);
+    rg_pack_u64(pk, m->ack);
+    rg_pack_u64(pk, m->age_ms);
+}
+
+static bool
+unpack_flow_record(const msgpack_object *o, struct rg_msg_flow_record *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 5)) {
+        return false;
+    }
+    if (!unpack_flow_id(&o->via.array.ptr[0], &m->flow)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[1], 4294967295U, &value)) {
+        return false;
+    }
+    m->token = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[2], 4294967295U, &value)) {
+        return false;
+    }
+    m->opening_seq = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[3], 4294967295U, &value)) {
+        return false;
+    }
+    m->ack = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[4], 4294967295U, &value)) {
+        return false;
+    }
+    m->age_ms = (uint32_t)value;
+    return true;
+}
+
 static void
 pack_ping(msgpack_packer *pk, const struct rg_msg_ping *m)
 {
@@ -825,6 +903,7 @@
         pack_outcomes(pk, &m->outcomes[i]);
     }
     rg_pack_u64(pk, m->flows_moved_age_ms);
+    rg_pack_u64(pk, m->opening_tokens);
 }
 
 static bool
@@ -922,6 +1001,12 @@
         }
         m->flows_moved_age_ms = (uint32_t)value;
     }
+    if (o->via.array.size > 18) {
+        if (!rg_unpack_u64(&o->via.array.ptr[18], 255U, &value)) {
+            return false;
+        }
+        m->opening_tokens = (uint8_t)value;
+    }
     return true;
 }
 
@@ -1016,6 +1101,68 @@
     return true;
 }
 
+static void
+pack_flow_records(msgpack_packer *pk, const struct rg_msg_flow_records *m)
+{
+    rg_pack_name(pk, &m->from);
+    rg_pack_list(pk, m->records_count);
+    for (uint16_t i = 0; i < m->records_count; i++) {
+        pack_flow_record(pk, &m->records[i]);
+    }
+}
+
+static bool
+unpack_flow_records(const msgpack_object *o, struct rg_msg_flow_records *m)
+{
+    if (!rg_unpack_shape(o, 4)) {
+        return false;
+    }
+    if (!rg_unpack_name(&o->via.array.ptr[2], &m->from)) {
+        return false;
+    }
+    if (!rg_unpack_list(&o->via.array.ptr[3], 16, &m->records_count)) {
+        return false;
+    }
+    for (uint16_t i = 0; i < m->records_count; i++) {
+        if (!unpack_flow_record(&o->via.array.ptr[3].via.array.ptr[i],
+                                &m->records[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+pack_flow_query(msgpack_packer *pk, const struct rg_msg_flow_query *m)
+{
+    rg_pack_addr(pk, &m->addr);
+    rg_pack_list(pk, m->flows_count);
+    for (uint16_t i = 0; i < m->flows_count; i++) {
+        pack_flow_id(pk, &m->flows[i]);
+    }
+}
+
+static bool
+unpack_flow_query(const msgpack_object *o, struct rg_msg_flow_query *m)
+{
+    if (!rg_unpack_shape(o, 4)) {
+        return false;
+    }
+    if (!rg_unpack_addr(&o->via.array.ptr[2], &m->addr)) {
+        return false;
+    }
+    if (!rg_unpack_list(&o->via.array.ptr[3], 16, &m->flows_count)) {
+        return false;
+    }
+    for (uint16_t i = 0; i < m->flows_count; i++) {
+        if (!unpack_flow_id(&o->via.array.ptr[3].via.array.ptr[i],
+                            &m->flows[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
 size_t
 rg_msg_pack(const struct rg_msg *m, uint8_t *out, size_t size)
 {
@@ -1097,7 +1244,7 @@
         pack_content(&pk, &m->u.content);
         break;
     case RG_MSG_DIGEST:
-        rg_pack_list(&pk, 18);
+        rg_pack_list(&pk, 19);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_digest(&pk, &m->u.digest);
@@ -1114,6 +1261,18 @@
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_boots_part(&pk, &m->u.boots_part);
         break;
+    case RG_MSG_FLOW_RECORDS:
+        rg_pack_list(&pk, 4);
+        rg_pack_u64(&pk, RG_MSG_VERSION);
+        rg_pack_u64(&pk, (uint64_t)m->kind);
+        pack_flow_records(&pk, &m->u.flow_records);
+        break;
+    case RG_MSG_FLOW_QUERY:
+        rg_pack_list(&pk, 4);
+        rg_pack_u64(&pk, RG_MSG_VERSION);
+        rg_pack_u64(&pk, (uint64_t)m->kind);
+        pack_flow_query(&pk, &m->u.flow_query);
+        break;
     }
     return buf.overflow ? 0 : buf.len;
 }
@@ -1152,6 +1311,10 @@
         return unpack_routes_part(o, &m->u.routes_part);
     case RG_MSG_BOOTS_PART:
         return unpack_boots_part(o, &m->u.boots_part);
+    case RG_MSG_FLOW_RECORDS:
+        return unpack_flow_records(o, &m->u.flow_records);
+    case RG_MSG_FLOW_QUERY:
+        return unpack_flow_query(o, &m->u.flow_query);
     }
     return false;
 }
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -156,6 +156,32 @@
     uint64_t revision;
 };
 
+/* Both ends of a flow. */
+struct rg_msg_flow_id {
+    /* IPv4 address of the caller, host byte order */
+    uint32_t caller_ip;
+    /* IPv4 address that it uses, host byte order */
+    uint32_t service_ip;
+    /* port of the caller */
+    uint16_t caller_port;
+    /* port that it uses */
+    uint16_t service_port;
+};
+
+/* An open flow and the endpoint that its caller took. */
+struct rg_msg_flow_record {
+    /* both ends */
+    struct rg_msg_flow_id flow;
+    /* routing token of the endpoint */
+    uint32_t token;
+    /* initial sequence number of the caller */
+    uint32_t opening_seq;
+    /* last acknowledgement of the caller that the sender saw */
+    uint32_t ack;
+    /* time since the flow was opened */
+    uint32_t age_ms;
+};
+
 /* Probe of a member. */
 struct rg_msg_ping {
     /* repeated in the ack */
@@ -321,6 +347,8 @@
     /* only to the sender's own data centre: time since the fabric last moved
      * flows there, as far as the sender knows, 1 at least; 0: not known */
     uint32_t flows_moved_age_ms;
+    /* 1: the sender tells the tokens of openings from those of open flows */
+    uint8_t opening_tokens;
 };
 
 /* HTTP: part of a snapshot, with routes of the configuration in force. */
@@ -350,6 +378,25 @@
     struct rg_msg_boot boots[16];
 };
 
+/* Open flows that two upstreams may have, or that the receiver asked for. */
+struct rg_msg_flow_records {
+    /* name of the sender */
+    struct rg_name from;
+    /* the flows */
+    uint16_t records_count;
+    struct rg_msg_flow_record records[16];
+};
+
+/* Asks for flows of which the sender got packets that do not show their
+ * endpoint. */
+struct rg_msg_flow_query {
+    /* peer address of the sender */
+    struct rg_addr addr;
+    /* the flows */
+    uint16_t flows_count;
+    struct rg_msg_flow_id flows[16];
+};
+
 enum rg_msg_kind {
     RG_MSG_PING = 1,
     RG_MSG_ACK = 2,
@@ -366,6 +413,8 @@
     RG_MSG_DIGEST = 13,
     RG_MSG_ROUTES_PART = 14,
     RG_MSG_BOOTS_PART = 15,
+    RG_MSG_FLOW_RECORDS = 16,
+    RG_MSG_FLOW_QUERY = 17,
 };
 
 /* Any message. */
@@ -387,6 +436,8 @@
         struct rg_msg_digest digest;
         struct rg_msg_routes_part routes_part;
         struct rg_msg_boots_part boots_part;
+        struct rg_msg_flow_records flow_records;
+        struct rg_msg_flow_query flow_query;
     } u;
 };
 
--- /dev/null
+++ b/test/test_flow_records.c
@@ -0,0 +1,330 @@
+/* What instances tell each other of single flows: an instance that did not see
+ * a flow open must not follow the token of an upstream that its caller did not
+ * take, and finds the right one with its peers' help. */
+#include "balance/flow_records.h"
+#include "balance/token.h"
+#include "test/fake_instances.h"
+
+/* Time after which peers have been told of a flow. */
+#define TOLD_MS 700
+#define RECORDS_MAX 128
+#define FLOWS 100
+
+/* The fixture of a flow that two upstreams have answered; its caller took the
+ * second. */
+struct two_answers {
+    struct tokens taken;
+    struct tokens other;
+};
+
+/* Opens a flow by way of instance 0: the answer to the first copy is late,
+ * that to the second is taken, and a first request is answered. */
+static struct two_answers
+open_with_two_answers(struct fixture *f)
+{
+    struct two_answers a;
+
+    a.other = open_at(f, 0, 0);
+    f->now_ms += FIRST_COPY_MS;
+    a.taken = open_at(f, 0, 1);
+    g_assert_cmpuint(a.other.flow, !=, a.taken.flow);
+    f->now_ms += RTT_MS;
+    acknowledge(f, 0, a.taken.opening);
+    send_data(f, 0, a.taken.opening, 0, 0, 100);
+    f->now_ms += RTT_MS;
+    send_data(f, 0, a.taken.flow, 100, 1000, 0);
+    return a;
+}
+
+/* Passes what one instance has to tell to another; returns the number of
+ * flows.
+ */
+static size_t
+pass_records(struct fixture *f, int from, int to)
+{
+    struct rg_flow_record records[RECORDS_MAX];
+    size_t count = rg_balancer_next_flow_records(f->instances[from], records,
+                                                 RECORDS_MAX);
+
+    for (size_t i = 0; i < count; i++) {
+        rg_balancer_add_flow_record(f->instances[to], &records[i], f->now_ms);
+    }
+    return count;
+}
+
+/* Passes the questions of one instance to another, and its answers back.
+ * Returns the number of questions. */
+static size_t
+pass_queries(struct fixture *f, int from, int to)
+{
+    struct rg_flow_id flows[RECORDS_MAX];
+    struct rg_flow_record record;
+    size_t count =
+        rg_balancer_next_flow_queries(f->instances[from], flows, RECORDS_MAX);
+
+    for (size_t i = 0; i < count; i++) {
+        if (rg_balancer_find_flow_record(f->instances[to], &flows[i], &record))
+        {
+            rg_balancer_add_flow_record(f->instances[from], &record,
+                                        f->now_ms);
+        }
+    }
+    return count;
+}
+
+/* The second request of the flow, after the other upstream has repeated its
+ * answer to the opening. */
+static struct rg_decision
+send_second_request(struct fixture *f, int instance, struct two_answers a)
+{
+    return send_data(f, instance, a.other.opening, 100, 1000, 100);
+}
+
+/* Guards against an order that reaches the wrong upstream after the instance
+ * that saw its flow open was stopped as planned: the caller still has the
+ * token of the upstream that it did not take. */
+static void
+test_planned_stop(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    struct two_answers a = open_with_two_answers(f);
+
+    rg_balancer_tell_flows_again(f->instances[0]); /* the stop begins */
+    tick_until(f, f->now_ms + RG_BALANCER_TICK_MS);
+    g_assert_cmpuint(pass_records(f, 0, 1), ==, 1);
+    tick_until(f, f->now_ms + 6000);
+    g_assert_cmpuint(send_second_request(f, 1, a).token, ==, a.taken.flow);
+}
+
+/* The same where the flow goes to the process that is started in its place.
+ * That one knows nothing, so it must not follow the token; it asks the
+ * instance that was told, and the retransmission of the order is forwarded. */
+static void
+test_restarted_instance(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    struct two_answers a = open_with_two_answers(f);
+
+    tick_until(f, f->now_ms + TOLD_MS);
+    g_assert_cmpuint(pass_records(f, 0, 1), ==, 1);
+    restart_instance(f, 0, 77);
+    tick_until(f, f->now_ms + 6000);
+    g_assert_cmpint(send_second_request(f, 0, a).kind, ==, RG_DECISION_DROP);
+    g_assert_cmpuint(pass_queries(f, 0, 1), ==, 1);
+    f->now_ms += FIRST_COPY_MS;
+    g_assert_cmpuint(send_second_request(f, 0, a).token, ==, a.taken.flow);
+}
+
+/* Guards against an order that reaches the wrong upstream if no peer can be
+ * asked: no answer is better than one from an upstream that resets the flow.
+ */
+static void
+test_no_peer_left(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    struct two_answers a = open_with_two_answers(f);
+
+    restart_instance(f, 0, 77);
+    for (int i = 0; i < 4; i++) {
+        g_assert_cmpint(send_second_request(f, 0, a).kind, ==,
+                        RG_DECISION_DROP);
+        pass_queries(f, 0, 1);
+        tick_until(f, f->now_ms + 200);
+    }
+    /* Its own upstream has sent something: the token is proof. */
+    g_assert_cmpuint(send_data(f, 0, a.taken.flow, 100, 1000, 100).token, ==,
+                     a.taken.flow);
+}
+
+/* Guards against a flow staying at the wrong upstream whose first request came
+ * to an instance that did not see it open: the token alone does not show that
+ * the caller took the answer. */
+static void
+test_no_request_yet(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    struct tokens other = open_at(f, 0, 0);
+
+    f->now_ms += FIRST_COPY_MS;
+    struct tokens taken = open_at(f, 0, 1);
+    f->now_ms += RTT_MS;
+    acknowledge(f, 0, taken.opening);
+    tick_until(f, f->now_ms + TOLD_MS);
+    send_data(f, 2, other.opening, 0, 0, 100);
+    g_assert_cmpuint(pass_queries(f, 2, 0), ==, 1);
+    f->now_ms += 200;
+    g_assert_cmpuint(send_data(f, 2, other.opening, 0, 0, 100).token, ==,
+                     taken.flow);
+}
+
+/* Guards against flows that are lost or delayed when they move in the first
+ * moments: the token of the opening is enough at the start of a flow. */
+static void
+test_moved_at_start(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    struct tokens token = open_at(f, 0, 0);
+
+    f->now_ms += RTT_MS;
+    g_assert_cmpuint(acknowledge(f, 1, token.opening).token, ==, token.flow);
+    g_assert_cmpuint(pass_queries(f, 1, 0), ==, 0);
+    g_assert_cmpuint(send_data(f, 1, token.opening, 0, 0, 1200).token, ==,
+                     token.flow);
+    /* The second packet of a long request, without the first. */
+    g_assert_cmpuint(send_data(f, 2, token.opening, 1200, 0, 1200).token, ==,
+                     token.flow);
+}
+
+/* Guards against the packets of a long request being dropped if they arrive in
+ * another order than they were sent in. */
+static void
+test_packets_out_of_order(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    struct tokens token = open_at(f, 0, 0);
+
+    f->now_ms += RTT_MS;
+    for (uint32_t sent = 1200 * 15; sent > 0; sent -= 1200) {
+        g_assert_cmpuint(send_data(f, 0, token.opening, sent, 0, 1200).token,
+                         ==, token.flow);
+    }
+    g_assert_cmpuint(acknowledge(f, 0, token.opening).token, ==, token.flow);
+}
+
+/* Guards against an upstream that got a late copy of the opening being taken
+ * for the flow's: the instance that forwarded that copy sees the flow again
+ * later. */
+static void
+test_late_copy_before_flow(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    struct tokens own = open_at(f, 0, 0);
+    struct tokens late = own;
+
+    f->now_ms += RTT_MS;
+    acknowledge(f, 0, own.opening);
+    send_data(f, 0, own.opening, 0, 0, 100);
+    f->now_ms += FIRST_COPY_MS;
+    for (uint16_t i = 0; late.flow == own.flow && i < 64; i++) {
+        restart_instance(f, 1, 100 + i);
+        late = open_at(f, 1, 1);
+    }
+    g_assert_cmpuint(late.flow, !=, own.flow);
+    g_assert_cmpint(send_data(f, 1, late.opening, 100, 1000, 100).kind, ==,
+                    RG_DECISION_DROP);
+    g_assert_cmpuint(pass_queries(f, 1, 0), ==, 1);
+    f->now_ms += 200;
+    g_assert_cmpuint(send_data(f, 1, late.opening, 100, 1000, 100).token, ==,
+                     own.flow);
+}
+
+/* Guards against a peer's word of an earlier flow being used for a new one
+ * with the same ports. */
+static void
+test_record_of_earlier_flow(struct fixture *f, gconstpointer unused)
+{
+    struct rg_flow_record record = {.flow = segment_from(CALLER_PORT).flow,
+                                    .opening_seq = OPENING_SEQ - 5000};
+    struct rg_flow_record found;
+
+    (void)unused;
+    struct tokens token = open_at(f, 0, 0);
+    f->now_ms += RTT_MS;
+    send_data(f, 0, token.opening, 0, 0, 100); /* not proven */
+    for (int i = 0; i < UPSTREAMS; i++) {
+        g_autofree char *id = g_strdup_printf("u-%d", i);
+        record.token = rg_token_of(rg_str_of(id), 5);
+        rg_balancer_add_flow_record(f->instances[0], &record, f->now_ms);
+    }
+    g_assert_cmpuint(send_data(f, 0, token.opening, 0, 0, 100).token, ==,
+                     token.flow);
+    /* A new flow at an instance that knows only the earlier one. */
+    rg_balancer_add_flow_record(f->instances[1], &record, f->now_ms);
+    g_assert_true(
+        rg_balancer_find_flow_record(f->instances[1], &record.flow, &found));
+    g_assert_cmpuint(acknowledge(f, 1, token.opening).token, ==, token.flow);
+    g_assert_false(
+        rg_balancer_find_flow_record(f->instances[1], &record.flow, &found));
+}
+
+/* Guards against unbounded memory and datagrams: many flows at once are told
+ * in parts, and none is left out. */
+static void
+test_many_flows(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    for (uint16_t i = 0; i < FLOWS; i++) {
+        struct rg_segment s = segment_from(i + 1);
+        s.opening = true;
+        s.ack = 1; /* the first copy passed another instance */
+        s.seq = i;
+        struct rg_decision d =
+            rg_balancer_packet(f->instances[0], &s, f->now_ms);
+        s = (struct rg_segment){.flow = s.flow,
+                                .seq = i + 1U,
+                                .ack = UPSTREAM_SEQ + 1,
+                                .token = d.token};
+        rg_balancer_packet(f->instances[0], &s, f->now_ms);
+    }
+    size_t told = 0;
+    for (int i = 0; i < 8; i++) {
+        tick_until(f, f->now_ms + RG_BALANCER_TICK_MS);
+        size_t count = pass_records(f, 0, 1);
+        g_assert_cmpuint(count, <=, RG_FLOW_RECORDS_MAX);
+        told += count;
+    }
+    g_assert_cmpuint(told, ==, FLOWS);
+    g_assert_cmpuint(rg_balancer_tracked_count(f->instances[1]), ==, FLOWS);
+    /* Questions beyond the limit are left out; retransmissions ask again. */
+    for (uint16_t i = 0; i < FLOWS; i++) {
+        struct rg_segment s = segment_from(i + 1);
+        s.token = 12345;
+        rg_balancer_packet(f->instances[2], &s, f->now_ms);
+    }
+    g_assert_cmpuint(pass_queries(f, 2, 1), ==, RG_FLOW_QUERIES_MAX);
+    g_assert_cmpuint(counter(f, 2, RG_METRIC_FLOW_QUERIES_OMITTED), ==,
+                     FLOWS - RG_FLOW_QUERIES_MAX);
+}
+
+/* Guards against instances of older builds dropping packets with a token that
+ * they do not know: openings get the token of open flows while there are any.
+ */
+static void
+test_older_peers(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    struct tokens token = open_at(f, 0, 0);
+
+    g_assert_cmpuint(token.opening, ==, token.flow);
+    f->now_ms += RTT_MS;
+    g_assert_cmpuint(send_data(f, 1, token.opening, 0, 0, 100).token, ==,
+                     token.flow);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct {
+        const char *path;
+        void (*run)(struct fixture *f, gconstpointer unused);
+    } tests[] = {
+        {"/flow-records/planned-stop", test_planned_stop},
+        {"/flow-records/restarted-instance", test_restarted_instance},
+        {"/flow-records/no-peer-left", test_no_peer_left},
+        {"/flow-records/no-request-yet", test_no_request_yet},
+        {"/flow-records/moved-at-start", test_moved_at_start},
+        {"/flow-records/packets-out-of-order", test_packets_out_of_order},
+        {"/flow-records/late-copy-before-flow", test_late_copy_before_flow},
+        {"/flow-records/record-of-earlier-flow", test_record_of_earlier_flow},
+        {"/flow-records/many-flows", test_many_flows},
+    };
+
+    g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(tests); i++) {
+        g_test_add(tests[i].path, struct fixture, NULL, setup, tests[i].run,
+                   teardown);
+    }
+    g_test_add("/flow-records/older-peers", struct fixture, "older peers",
+               setup, test_older_peers, teardown);
+    return g_test_run();
+}
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -416,7 +416,7 @@
 }
 
 /* Guards against instances of two builds that do not understand each other's
- * digests: an older one lacks the last field, a newer one has more. */
+ * digests: an older one lacks the last fields, a newer one has more. */
 static void
 test_digest_of_other_build(void)
 {
@@ -425,25 +425,96 @@
 
     m.u.digest.version = 7;
     m.u.digest.flows_moved_age_ms = 90;
+    m.u.digest.opening_tokens = 1;
     g_assert_true(rg_name_set(&m.u.digest.from, rg_str_of("edge-1")));
     g_assert_true(rg_name_set(&m.u.digest.data_centre, rg_str_of("dc1")));
     m.u.digest.addr = addr_of(1);
     size_t len = rg_msg_pack(&m, data, sizeof(data) - 1);
     g_assert_true(rg_msg_unpack(&m, data, len));
     g_assert_cmpuint(m.u.digest.flows_moved_age_ms, ==, 90);
-    /* An array with a length of two bytes; its last element has one byte. */
+    g_assert_cmpuint(m.u.digest.opening_tokens, ==, 1);
+    /* An array with a length of two bytes; its last elements have one byte. */
     g_assert_cmphex(data[0], ==, 0xdc);
-    g_assert_cmphex(data[len - 1], ==, 90);
+    g_assert_cmphex(data[len - 2], ==, 90);
+    g_assert_cmphex(data[len - 1], ==, 1);
     data[len] = 0;
     data[2]++;
     g_assert_true(rg_msg_unpack(&m, data, len + 1));
     g_assert_cmpuint(m.u.digest.flows_moved_age_ms, ==, 90);
+    g_assert_cmpuint(m.u.digest.opening_tokens, ==, 1);
     data[2] -= 2;
     g_assert_true(rg_msg_unpack(&m, data, len - 1));
+    g_assert_cmpuint(m.u.digest.flows_moved_age_ms, ==, 90);
+    g_assert_cmpuint(m.u.digest.opening_tokens, ==, 0);
+    data[2]--;
+    g_assert_true(rg_msg_unpack(&m, data, len - 2));
     g_assert_cmpuint(m.u.digest.version, ==, 7);
     g_assert_cmpuint(m.u.digest.flows_moved_age_ms, ==, 0);
     data[2]--;
-    g_assert_false(rg_msg_unpack(&m, data, len - 2));
+    g_assert_false(rg_msg_unpack(&m, data, len - 3));
+}
+
+static void
+receive_from(struct rg_peers *p, int i, const struct rg_name *data_centre,
+             bool opening_tokens, uint64_t now_ms)
+{
+    struct rg_msg_digest d = {.addr = addr_of(i),
+                              .data_centre = *data_centre,
+                              .opening_tokens = opening_tokens};
+
+    rg_peers_digest_received(p, &d, now_ms);
+}
+
+/* Guards against openings with tokens that an active instance of an older
+ * build would drop. */
+static void
+test_opening_tokens(void)
+{
+    struct rg_peers *p = create_peers(0);
+    struct rg_name own = {0};
+    struct rg_peers_view view = {0};
+    struct rg_msg_digest digest;
+    struct rg_peers_target to;
+
+    g_assert_true(rg_peers_read_opening_tokens(p, 1000));
+    receive_from(p, 1, &own, true, 1000);
+    g_assert_true(rg_peers_read_opening_tokens(p, 1000));
+    receive_from(p, 2, &own, false, 1000);
+    g_assert_false(rg_peers_read_opening_tokens(p, 1000));
+    /* It is replaced by a newer build, or gone. */
+    receive_from(p, 2, &own, true, 2000);
+    g_assert_true(rg_peers_read_opening_tokens(p, 2000));
+    receive_from(p, 2, &own, false, 2000);
+    g_assert_true(rg_peers_read_opening_tokens(p, 20000));
+    g_assert_true(
+        rg_peers_next_digest(p, &view, RG_PEERS_ANY, 2000, &digest, &to));
+    g_assert_cmpuint(digest.opening_tokens, ==, 1);
+    rg_peers_destroy(p);
+}
+
+/* Guards against flows that no instance is told of which the fabric may hand
+ * them to: those of the data centre, and all if there are hardly any. */
+static void
+test_flow_targets(void)
+{
+    struct rg_peers *p = create_peers(0);
+    struct rg_name own = {0};
+    struct rg_name other;
+    struct rg_addr to[RG_PEERS_MAX];
+
+    g_assert_true(rg_name_set(&other, rg_str_of("dc2")));
+    g_assert_cmpuint(rg_peers_flow_targets(p, 1000, to), ==, 0);
+    receive_from(p, 1, &own, true, 1000);
+    receive_from(p, 2, &other, true, 1000);
+    g_assert_cmpuint(rg_peers_flow_targets(p, 1000, to), ==, 2);
+    receive_from(p, 3, &own, true, 1000);
+    g_assert_cmpuint(rg_peers_flow_targets(p, 1000, to), ==, 2);
+    for (int i = 0; i < 2; i++) {
+        struct rg_addr remote = addr_of(2);
+        g_assert_false(rg_addr_eq(&to[i], &remote));
+    }
+    g_assert_cmpuint(rg_peers_flow_targets(p, 20000, to), ==, 0);
+    rg_peers_destroy(p);
 }
 
 int
@@ -463,5 +534,7 @@
     g_test_add_func("/peers/bounded", test_bounded);
     g_test_add_func("/peers/digest-of-other-build",
                     test_digest_of_other_build);
+    g_test_add_func("/peers/opening-tokens", test_opening_tokens);
+    g_test_add_func("/peers/flow-targets", test_flow_targets);
     return g_test_run();
 }
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -94,6 +94,21 @@
     rg_pool_destroy(p);
 }
 
+/* Guards against the token of an opening being taken for that of an open flow,
+ * or for the opening of another flow. */
+static void
+test_opening_tokens(void)
+{
+    uint32_t own = token("u-1", 5);
+
+    for (uint32_t seq = 0; seq < 1000; seq++) {
+        uint32_t opening = rg_token_of_opening(own, seq);
+        g_assert_cmpuint(opening, !=, own);
+        g_assert_cmpuint(rg_token_of_opening(opening, seq), ==, own);
+        g_assert_cmpuint(rg_token_of_opening(opening, seq + 1), !=, own);
+    }
+}
+
 /* A token is kept after its entry has gone for the maximum lifetime of a flow,
  * then it is removed. */
 static void
@@ -316,6 +331,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/pool/tokens", test_tokens);
+    g_test_add_func("/pool/opening-tokens", test_opening_tokens);
     g_test_add_func("/pool/restart", test_restart);
     g_test_add_func("/pool/token-outlives-entry", test_token_outlives_entry);
     g_test_add_func("/pool/references", test_references);
