balance: no acknowledgement proves which upstream a caller took

Cause: a pure acknowledgement of new bytes moved the flow to the upstream that its token names, as it is sent when the bytes arrive. Callers delay every second one. If the other upstream repeats its answer to the opening meanwhile, the acknowledgement carries that token. The flow could not come back, as its own upstream got nothing and so sent nothing new.

Evidence: of a lost flow, the answer at 11.21 s, the repeated answer of the other upstream at 11.241, the delayed acknowledgement at 11.247 with its token, the line MOVED named=u5 len=0, and eight packets at u5.

Fix: the token of an opening says only that its upstream has answered the opening; it moves a flow until the caller has acknowledged one of the answers. The token of an open flow, which only an upstream with the flow sends, always does. The earlier rule is left for fleets with older instances.

Red before: test_openings /openings/delayed-acknowledgement, /openings/lost-acknowledgement.

--- a/balance/open_flows.c
+++ b/balance/open_flows.c
@@ -110,6 +110,23 @@
            position / CALLER_PACKET_BYTES < CALLER_WINDOW_PACKETS;
 }
 
+/* True if a flow is at the endpoint that the token names rather than at the
+ * one in its entry. */
+static bool
+shows_move(const struct rg_balancer *b, const struct rg_tracked_flow *t,
+           const struct rg_segment *s, const struct named *named)
+{
+    if (t->state == RG_TRACKED_OPENING) {
+        return true;
+    }
+    if (named->kind == TOKEN_OPENING) {
+        /* Answers to the opening come for a while after one was taken. They
+         * count only until the caller has shown which. */
+        return !t->proven && is_among_first(t, s);
+    }
+    return b->fleet.opening_tokens || rg_flows_confirms_token(t, s);
+}
+
 /* Two upstreams may have answered the opening of a flow, and the caller
  * repeats the last token that it received, also that of an answer it did not
  * take. Moves the flow to the endpoint that the token names, or keeps it at
@@ -117,18 +134,19 @@
 static struct rg_endpoint *
 correct_token(struct rg_balancer *b, struct rg_tracked_flow *t,
               const struct rg_segment *s, const struct rg_route *route,
-              struct rg_endpoint *named)
+              const struct named *named)
 {
     t->repeated = true;
-    if (!rg_flows_confirms_token(t, s) ||
-        !token_is_allowed(b, route, named, t)) {
+    if (!shows_move(b, t, s, named) ||
+        !token_is_allowed(b, route, named->endpoint, t))
+    {
         rg_bal_count(b, RG_METRIC_TOKENS_CORRECTED);
-        rg_bal_log_token(b, s, t, named, "KEPT");
+        rg_bal_log_token(b, s, t, named->endpoint, "KEPT");
         return t->endpoint;
     }
-    rg_bal_log_token(b, s, t, named, "MOVED");
-    rg_flows_move(b, t, named);
-    return named;
+    rg_bal_log_token(b, s, t, named->endpoint, "MOVED");
+    rg_flows_move(b, t, named->endpoint);
+    return named->endpoint;
 }
 
 /* True if the packet shows that the caller took the endpoint which its token
@@ -162,7 +180,7 @@
         return NULL;
     }
     if (t->endpoint != endpoint) {
-        endpoint = correct_token(b, t, s, route, endpoint);
+        endpoint = correct_token(b, t, s, route, named);
     }
     t->proven = t->proven || (proof && endpoint == named->endpoint);
     return endpoint;
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -232,11 +232,12 @@
                    struct rg_endpoint *endpoint);
 void rg_flows_set_state(struct rg_tracked_flow *t,
                         enum rg_tracked_flow_state state, uint64_t now_ms);
-/* True if the packet's token is that of the upstream which the caller took:
- * the packet is the first after the opening, or a pure acknowledgement of new
- * bytes, which is sent as soon as they arrive. Data and closes are sent later,
- * after other answers to the opening may have come. Also true for a packet of
- * another flow with the same ports. */
+/* For fleets with instances that write the same token into openings and other
+ * packets: true if the packet's token is probably that of the upstream which
+ * the caller took. The packet is the first after the opening, or a pure
+ * acknowledgement of new bytes, which is mostly sent as soon as they arrive.
+ * Data and closes are sent later, after other answers to the opening may have
+ * come. Also true for a packet of another flow with the same ports. */
 bool rg_flows_confirms_token(const struct rg_tracked_flow *t,
                              const struct rg_segment *s);
 /* Updates the state of the flow, and that of its endpoint, from a packet of an
--- a/test/test_openings.c
+++ b/test/test_openings.c
@@ -329,6 +329,64 @@
     g_assert_cmpuint(rg_balancer_tracked_count(f->instances[0]), ==, 1);
 }
 
+/* Guards against a flow being moved to the wrong upstream by an
+ * acknowledgement of new bytes: callers may delay it, and an answer to the
+ * opening that they did not take comes in between. */
+static void
+test_delayed_acknowledgement(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    struct tokens other = open_at(f, 0, 0);
+
+    f->now_ms += FIRST_COPY_MS;
+    struct tokens taken = open_at(f, 0, 1);
+    f->now_ms += RTT_MS;
+    acknowledge(f, 0, taken.opening);
+    send_data(f, 0, taken.opening, 0, 0, 100);
+    for (uint32_t received = 1000; received < 20000; received += 1000) {
+        f->now_ms += 40;
+        g_assert_cmpuint(
+            send_data(f, 0, other.opening, 100, received, 0).token, ==,
+            taken.flow);
+        /* Also the end of a flow, and its reset by the caller. */
+        struct rg_segment s = segment_from(CALLER_PORT);
+        s.token = other.opening;
+        s.seq = OPENING_SEQ + 101;
+        s.ack = UPSTREAM_SEQ + 501 + received;
+        s.fin = received >= 10000;
+        s.reset = received >= 15000;
+        g_assert_cmpuint(
+            rg_balancer_packet(f->instances[0], &s, f->now_ms).token, ==,
+            taken.flow);
+    }
+    g_assert_cmpuint(counter(f, 0, RG_METRIC_OPENINGS_MOVED), ==, 1);
+}
+
+/* Guards against a flow staying at an upstream that the caller's first data
+ * named by mistake, since its acknowledgement was lost: that upstream does not
+ * answer, and the next copy of the data names another one. */
+static void
+test_lost_acknowledgement(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    struct tokens other = open_at(f, 0, 0);
+
+    f->now_ms += FIRST_COPY_MS;
+    struct tokens taken = open_at(f, 0, 1);
+    f->now_ms += RTT_MS;
+    g_assert_cmpuint(send_data(f, 0, other.opening, 0, 0, 100).token, ==,
+                     other.flow);
+    f->now_ms += 200;
+    g_assert_cmpuint(send_data(f, 0, taken.opening, 0, 0, 100).token, ==,
+                     taken.flow);
+    f->now_ms += RTT_MS;
+    g_assert_cmpuint(send_data(f, 0, taken.flow, 100, 1000, 0).token, ==,
+                     taken.flow);
+    /* From here on it is known. */
+    g_assert_cmpuint(send_data(f, 0, other.opening, 0, 1000, 100).token, ==,
+                     taken.flow);
+}
+
 struct test {
     const char *path;
     void (*run)(struct fixture *f, gconstpointer unused);
@@ -377,5 +435,9 @@
     for (size_t i = 0; i < G_N_ELEMENTS(tests); i++) {
         add_test(&tests[i]);
     }
+    g_test_add("/openings/delayed-acknowledgement", struct fixture, NULL,
+               setup, test_delayed_acknowledgement, teardown);
+    g_test_add("/openings/lost-acknowledgement", struct fixture, NULL, setup,
+               test_lost_acknowledgement, teardown);
     return g_test_run();
 }
