platform: an entry with an odd field names no upstream

But an entry that was valid except for a number too large in the time until it is warm, the number of heartbeats or the start time was taken for a usable upstream, and got openings.

Cause: these fields were optional. number_of() wrote its result before it checked the bound, and nobody looked at what it returned for them; the parser turns integers that are too large into the largest one. In the same way a configuration with too large a version would have been the last one ever applied. Ports were read by strtoul(), which takes signs and spaces.

Red before: test_kv /odd-fields, /invalid-routes. New and green on the old code: /deeply-nested-entry, test_peers /deeply-nested-datagram.

--- a/common/addr.c
+++ b/common/addr.c
@@ -5,16 +5,22 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define PORT_DIGITS_MAX 5
+
 static const uint8_t v4_mapped[12] = {0, 0, 0, 0, 0,    0,
                                       0, 0, 0, 0, 0xff, 0xff};
 
 static bool
 parse_port(uint16_t *port, const char *text)
 {
-    char *end;
-    unsigned long value = strtoul(text, &end, 10);
+    size_t digits = strspn(text, "0123456789");
 
-    if (end == text || *end != '\0' || value == 0 || value > UINT16_MAX) {
+    /* strtoul() alone would accept a sign and spaces. */
+    if (digits == 0 || digits > PORT_DIGITS_MAX || text[digits] != '\0') {
+        return false;
+    }
+    unsigned long value = strtoul(text, NULL, 10);
+    if (value == 0 || value > UINT16_MAX) {
         return false;
     }
     *port = (uint16_t)value;
--- a/standin/soak/main.c
+++ b/standin/soak/main.c
@@ -139,6 +139,7 @@
         }
         if (s->now_ms - s->start_ms > WARM_UP_MS) {
             soak_faults_tick(s);
+            soak_odd_entries_tick(s);
         }
     }
     soak_edges_tick(s);
@@ -207,6 +208,7 @@
 start_all(struct soak *s, const struct arguments *a)
 {
     s->rand.state = (uint64_t)a->seed;
+    s->odd_rand.state = (uint64_t)a->seed;
     s->net = a->net;
     s->binary = a->binary;
     s->dir = a->dir;
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -112,7 +112,9 @@
     uv_loop_t loop;
     uv_timer_t tick;
     struct rg_rand rand;
-    int net; /* second byte of all addresses */
+    struct rg_rand odd_rand; /* of odd entries, so that they leave the faults
+                                of a seed as they are */
+    int net;                 /* second byte of all addresses */
     const char *binary;
     const char *dir;
     uint64_t start_ms;
@@ -199,6 +201,11 @@
                               const struct soak_packet *p,
                               struct soak_edge *edge, bool accepted);
 
+/* odd_entries.c */
+void soak_odd_entries_tick(struct soak *s);
+/* True if a packet is meant for an entry that names no upstream. */
+bool soak_is_odd_entry(uint64_t id);
+
 /* faults.c */
 void soak_faults_tick(struct soak *s);
 /* Writes the next version of the configuration to the store. */
--- a/standin/soak/upstreams.c
+++ b/standin/soak/upstreams.c
@@ -243,6 +243,10 @@
     for (int i = 0; i < SOAK_PREFIX_LEN; i++) {
         wanted_id = wanted_id << 8 | in[i];
     }
+    if (soak_is_odd_entry(wanted_id)) {
+        soak_fail(s, "a packet was sent to the odd entry i-%lx", wanted_id);
+        return;
+    }
     if (wanted_id != 0 && wanted_id != u->id) {
         return;
     }
--- a/test/test_kv.c
+++ b/test/test_kv.c
@@ -164,6 +164,121 @@
     g_assert_cmpint(seen.last.kind, ==, RG_KV_INVALID_UPSTREAM);
 }
 
+/* Replaces the value of a field of valid_entry; NULL leaves the field out. */
+static char *
+change_field(const char *key, const char *value)
+{
+    g_autofree char *pattern = g_strdup_printf("\"%s\":[^,}]*,?", key);
+    g_autofree char *field =
+        value ? g_strdup_printf("\"%s\":%s,", key, value) : g_strdup("");
+    g_autoptr(GRegex) regex = g_regex_new(pattern, 0, 0, NULL);
+    g_autoptr(GString) text = g_string_new(NULL);
+    g_autofree char *rest =
+        g_regex_replace_literal(regex, valid_entry, -1, 0, "", 0, NULL);
+
+    g_string_append_printf(text, "{%s%s", field, rest + 1);
+    g_string_replace(text, ",}", "}", 0);
+    return g_string_free(g_steal_pointer(&text), FALSE);
+}
+
+/* Guards against an entry of another writer being taken for a usable upstream:
+ * each is valid except for one field. */
+static void
+test_odd_fields(void)
+{
+    static const char *const numbers[] = {"ColdLeftMs", "Seq", "born",
+                                          "Slots"};
+    static const char *const odd_numbers[] = {"1e400",
+                                              "-1e400",
+                                              "-1",
+                                              "9007199254740992",
+                                              "18446744073709551616",
+                                              "99999999999999999999999999",
+                                              "1.5",
+                                              "NaN",
+                                              "Infinity",
+                                              "true",
+                                              "\"4\"",
+                                              "null",
+                                              "[4]",
+                                              "{}"};
+    static const char *const addresses[] = {
+        "\"10.128.0.9:65536\"",
+        "\"10.128.0.9:99999999999999999999\"",
+        "\"10.128.0.9:0\"",
+        "\"10.128.0.9:-8080\"",
+        "\"10.128.0.9:+8080\"",
+        "\"10.128.0.9: 8080\"",
+        "\"10.128.0.9:\"",
+        "\"10.128.0.9\"",
+        "\"10.128.0.999:80\"",
+        "\"10.128.0.9:80\\u0000\"",
+        "8080"};
+    static const char *const required[] = {"Service", "Address",   "Zone",
+                                           "Version", "Slots",     "State",
+                                           "Seq",     "ColdLeftMs"};
+    struct seen seen;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+        for (size_t n = 0; n < G_N_ELEMENTS(odd_numbers); n++) {
+            g_autofree char *entry = change_field(numbers[i], odd_numbers[n]);
+            decode_value("servers/i-1", entry, &seen);
+            g_assert_cmpint(seen.last.kind, ==, RG_KV_INVALID_UPSTREAM);
+        }
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
+        g_autofree char *entry = change_field("Address", addresses[i]);
+        decode_value("servers/i-1", entry, &seen);
+        g_assert_cmpint(seen.last.kind, ==, RG_KV_INVALID_UPSTREAM);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(required); i++) {
+        g_autofree char *missing = change_field(required[i], NULL);
+        decode_value("servers/i-1", missing, &seen);
+        g_assert_cmpint(seen.last.kind, ==, RG_KV_INVALID_UPSTREAM);
+        g_autofree char *other_type = change_field(required[i], "[]");
+        decode_value("servers/i-1", other_type, &seen);
+        g_assert_cmpint(seen.last.kind, ==, RG_KV_INVALID_UPSTREAM);
+    }
+    /* Not all upstreams tell their start. */
+    g_autofree char *no_start = change_field("born", NULL);
+    decode_value("servers/i-1", no_start, &seen);
+    g_assert_cmpint(seen.last.kind, ==, RG_KV_UPSTREAM);
+}
+
+/* Guards against an entry that ends the process, or hides the others: it is
+ * nested so deeply that a recursive parser runs out of stack. */
+static void
+test_deeply_nested_entry(void)
+{
+    static const size_t depth = 200000;
+    g_autofree char *nested = g_malloc0(depth + 1);
+    static const char *const openings[] = {"[", "{\"a\":"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(openings); i++) {
+        size_t unit = strlen(openings[i]);
+        for (size_t at = 0; at + unit <= depth; at += unit) {
+            memcpy(nested + at, openings[i], unit);
+        }
+        g_autofree char *entry = change_field("Seq", nested);
+        g_autofree char *odd =
+            g_base64_encode((const guchar *)entry, strlen(entry));
+        g_autofree char *valid =
+            g_base64_encode((const guchar *)valid_entry, strlen(valid_entry));
+        g_autofree char *body = g_strdup_printf(
+            "{\"items\":[{\"Key\":\"servers/i-1\",\"Value\":\"%s\"},"
+            "{\"Key\":\"servers/i-2\",\"Value\":\"%s\"},"
+            "{\"Key\":\"op/config\",\"Value\":\"%s\"}],"
+            "\"HasMore\":false,\"StoreRevision\":6}",
+            odd, valid, odd);
+        struct seen seen;
+        struct rg_kv_response response;
+        g_assert_true(decode(body, &seen, &response));
+        g_assert_cmpint(seen.counts[RG_KV_UPSTREAM], ==, 1);
+        g_assert_cmpint(seen.counts[RG_KV_INVALID_UPSTREAM], ==, 1);
+        g_assert_cmpint(seen.counts[RG_KV_INVALID_ROUTES], ==, 1);
+    }
+}
+
 static void
 test_removed_upstream(void)
 {
@@ -248,7 +363,10 @@
                                          "{}",
                                          "{\"Version\":0,\"Routes\":[]}",
                                          "{\"Version\":\"7\",\"Routes\":[]}",
-                                         "{\"Version\":7,\"Routes\":3}"};
+                                         "{\"Version\":7,\"Routes\":3}",
+                                         "{\"Version\":1e400,\"Routes\":[]}",
+                                         "{\"Version\":99999999999999999999,"
+                                         "\"Routes\":[]}"};
     struct seen seen;
 
     for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
@@ -389,6 +507,8 @@
     g_test_add_func("/kv/paths", test_paths);
     g_test_add_func("/kv/valid-upstream", test_valid_upstream);
     g_test_add_func("/kv/invalid-upstreams", test_invalid_upstreams);
+    g_test_add_func("/kv/odd-fields", test_odd_fields);
+    g_test_add_func("/kv/deeply-nested-entry", test_deeply_nested_entry);
     g_test_add_func("/kv/removed-upstream", test_removed_upstream);
     g_test_add_func("/kv/instance-registration", test_instance_registration);
     g_test_add_func("/kv/routes", test_routes);
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -454,6 +454,21 @@
     g_assert_false(rg_msg_unpack(&m, data, len - 3));
 }
 
+/* Guards against a datagram that ends the process: nested so deeply that a
+ * recursive decoder runs out of stack. */
+static void
+test_deeply_nested_datagram(void)
+{
+    static uint8_t data[200000];
+    static const uint8_t kinds[] = {0x91, 0x81}; /* an array, a map of one */
+    struct rg_msg m;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+        memset(data, kinds[i], sizeof(data));
+        g_assert_false(rg_msg_unpack(&m, data, sizeof(data)));
+    }
+}
+
 static void
 receive_from(struct rg_peers *p, int i, const struct rg_name *data_centre,
              bool opening_tokens, uint64_t now_ms)
@@ -534,6 +549,8 @@
     g_test_add_func("/peers/bounded", test_bounded);
     g_test_add_func("/peers/digest-of-other-build",
                     test_digest_of_other_build);
+    g_test_add_func("/peers/deeply-nested-datagram",
+                    test_deeply_nested_datagram);
     g_test_add_func("/peers/opening-tokens", test_opening_tokens);
     g_test_add_func("/peers/flow-targets", test_flow_targets);
     return g_test_run();
