balance: drop late copies of openings of flows that have passed here

Cause: copies were known by the flow's entry alone. The instance had seen that the flow is open and kept only a hash of it, as evidence of flows that have moved.

That table now keeps the sequence number of the flow's last packet as well. An opening whose number lies less than 1 MB before it, within 5 s, is a copy and dropped; a new flow with the same ports begins elsewhere.

Ruled out: tracking all moved flows, which would pass requests that were sent elsewhere to the passive health checks.

Also: with a clock below 5 s (tests) free places of that table counted as taken. Red before, in both kinds of fleet: test_openings /late-copy-elsewhere.

--- a/balance/moved_flows.c
+++ b/balance/moved_flows.c
@@ -2,27 +2,62 @@
 
 #include "balance/priv.h"
 
+/* A copy of an opening is at most this many bytes before the packets of its
+ * flow. */
+#define COPY_DISTANCE_MAX (1 << 20)
+
+static struct rg_moved_seen *
+slot_of(struct rg_moved_flows *m, const struct rg_flow_id *flow)
+{
+    return &m->seen[rg_flow_hash(flow) % RG_MOVED_SEEN_MAX];
+}
+
+static bool
+is_live(const struct rg_moved_seen *seen, uint64_t now_ms)
+{
+    return seen->at_ms != 0 &&
+           (uint32_t)now_ms - seen->at_ms < RG_TRACKED_IDLE_TIMEOUT_MS;
+}
+
 /* True for the first packet of an untracked flow. False as well if another
  * flow takes its place in the table, and it may have been seen before. */
 static bool
-note_seen(struct rg_moved_flows *m, uint32_t hash, uint64_t now_ms)
+note_seen(struct rg_balancer *b, const struct rg_segment *s)
 {
-    struct rg_moved_seen *seen = &m->seen[hash % RG_MOVED_SEEN_MAX];
-    uint32_t at_ms = (uint32_t)now_ms;
-    bool live = at_ms - seen->at_ms < RG_TRACKED_IDLE_TIMEOUT_MS;
+    struct rg_moved_seen *seen = slot_of(&b->moved, &s->flow);
+    uint32_t hash = rg_flow_hash(&s->flow);
+    bool live = is_live(seen, b->now_ms);
 
     if (!live || seen->hash == hash) {
-        *seen = (struct rg_moved_seen){.hash = hash, .at_ms = at_ms};
+        *seen = (struct rg_moved_seen){
+            .hash = hash, .at_ms = (uint32_t)b->now_ms, .seq = s->seq};
     }
     return !live;
 }
 
+void
+rg_bal_note_open(struct rg_balancer *b, const struct rg_segment *s)
+{
+    note_seen(b, s);
+}
+
+bool
+rg_bal_was_seen_open(struct rg_balancer *b, const struct rg_segment *opening)
+{
+    const struct rg_moved_seen *seen = slot_of(&b->moved, &opening->flow);
+    uint32_t distance = seen->seq - opening->seq;
+
+    return seen->hash == rg_flow_hash(&opening->flow) &&
+           is_live(seen, b->now_ms) && distance > 0 &&
+           distance <= COPY_DISTANCE_MAX;
+}
+
 void
 rg_bal_note_untracked(struct rg_balancer *b, const struct rg_segment *s,
                       const struct rg_endpoint *endpoint)
 {
     struct rg_moved_flows *m = &b->moved;
-    bool first = note_seen(m, rg_flow_hash(&s->flow), b->now_ms);
+    bool first = note_seen(b, s);
     bool acknowledges = s->len == 0 && !s->fin && !s->reset;
 
     if (first) {
--- a/balance/moved_flows.h
+++ b/balance/moved_flows.h
@@ -20,7 +20,8 @@
 
 struct rg_moved_seen {
     uint32_t hash;
-    uint32_t at_ms; /* low bits of the time of its last packet */
+    uint32_t at_ms; /* low bits of the time of its last packet, 0: free */
+    uint32_t seq;   /* of that packet */
 };
 
 /* Zero-initialise it. */
--- a/balance/open_flows.c
+++ b/balance/open_flows.c
@@ -205,6 +205,7 @@
           const struct named *named)
 {
     rg_bal_ask_for_flow(b, &s->flow);
+    rg_bal_note_open(b, s);
     return named->kind == TOKEN_UNKNOWN
                ? rg_bal_drop(b, s, RG_METRIC_DROPPED_UNKNOWN_TOKEN,
                              "unknown-token")
--- a/balance/openings.c
+++ b/balance/openings.c
@@ -208,7 +208,9 @@
     uint32_t service;
 
     rg_bal_count(b, RG_METRIC_OPENINGS);
-    if (copy && t->state != RG_TRACKED_OPENING) {
+    if ((copy && t->state != RG_TRACKED_OPENING) ||
+        (!copy && rg_bal_was_seen_open(b, s)))
+    {
         /* It was late on its way: the flow has opened since. */
         return rg_bal_drop(b, s, RG_METRIC_DROPPED_LATE_OPENING,
                            "late-opening");
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -184,6 +184,12 @@
  */
 void rg_bal_note_untracked(struct rg_balancer *b, const struct rg_segment *s,
                            const struct rg_endpoint *endpoint);
+/* A packet of an open flow whose endpoint is not known here. */
+void rg_bal_note_open(struct rg_balancer *b, const struct rg_segment *s);
+/* True if packets of the flow, open by way of another instance, have come here
+ * lately, so that the opening is a late copy. */
+bool rg_bal_was_seen_open(struct rg_balancer *b,
+                          const struct rg_segment *opening);
 /* For this long, flows may be missing from the flow table for other reasons
  * than a move. */
 void rg_bal_ignore_untracked(struct rg_balancer *b, uint64_t ms);
