balance: the first packet after an opening decides, also if it is data

Since such a flow counted as not proven until its upstream had answered, and the token of another answer to the opening moved it meanwhile. A slow first request, retransmitted after 200 ms with that token, went to the other upstream.

Nothing in the packet tells a lost acknowledgement from a slow request. In the first case the flow is not open at its upstream, in the second it is, so the second is the one to protect: the token of an opening no longer moves a flow after its first packet. The caller's first packet is proof, unless it is data and the first copy of the opening passed another instance; then peers are asked.

Red before: test_openings /slow-first-request. It replaces /lost-acknowledgement, which asked for the contrary.

--- a/balance/flows.c
+++ b/balance/flows.c
@@ -163,6 +163,7 @@
         .state = RG_TRACKED_OPENING,
         .answer_ms = RG_TRACKED_UNANSWERED,
         .repeated = opening->ack != 0,
+        .has_first_copy = opening->ack == 0,
     };
     acquire(t, endpoint);
     return t;
--- a/balance/open_flows.c
+++ b/balance/open_flows.c
@@ -120,9 +120,9 @@
         return true;
     }
     if (named->kind == TOKEN_OPENING) {
-        /* Answers to the opening come for a while after one was taken. They
-         * count only until the caller has shown which. */
-        return !t->proven && is_among_first(t, s);
+        /* Answers to the opening come for a while after one was taken. The
+         * first packet carried the token of that one. */
+        return false;
     }
     return b->fleet.opening_tokens || rg_flows_confirms_token(t, s);
 }
@@ -151,17 +151,18 @@
 
 /* True if the packet shows that the caller took the endpoint which its token
  * names: the endpoint has got packets of the open flow before, or the packet
- * is the caller's acknowledgement of the answer to its opening, which is sent
- * at once. */
+ * is the caller's first after the answer to its opening. If that is data, and
+ * the first copy of the opening passed another instance, the flow may have
+ * been open there before. */
 static bool
 is_proof(const struct rg_balancer *b, const struct rg_tracked_flow *t,
          const struct rg_segment *s, const struct named *named)
 {
-    bool answers_opening = t->state == RG_TRACKED_OPENING && is_pure_ack(s) &&
-                           is_among_first(t, s);
+    bool follows_opening =
+        t->state == RG_TRACKED_OPENING && is_among_first(t, s);
 
     return (named->kind == TOKEN_FLOW && b->fleet.opening_tokens) ||
-           answers_opening;
+           (follows_opening && (is_pure_ack(s) || t->has_first_copy));
 }
 
 /* Endpoint for a packet of a tracked flow, NULL if it is not known. */
@@ -179,6 +180,9 @@
         /* The flow has opened elsewhere; only a late copy came here. */
         return NULL;
     }
+    if (t->state == RG_TRACKED_OPENING && !proof) {
+        rg_bal_ask_for_flow(b, &s->flow);
+    }
     if (t->endpoint != endpoint) {
         endpoint = correct_token(b, t, s, route, named);
     }
--- a/balance/tracked_flows.h
+++ b/balance/tracked_flows.h
@@ -49,6 +49,7 @@
     bool overdue;            /* request counted as failed */
     bool repeated;           /* its opening was: two upstreams may have it */
     bool probe;              /* tests whether an outlier has recovered */
+    bool has_first_copy;     /* the first copy of its opening passed here */
     bool proven;  /* the caller is known to have taken this endpoint */
     uint8_t told; /* round in which peers were told of it, or
                      RG_FLOW_NOT_TOLD */
