soak: lose datagrams, pause long, acknowledge late

The soak lost no datagram on a sound link, and its flows paused for 1.5 s at most, so that it showed the review's three cases by late copies alone. One datagram in 100 between callers and upstreams is lost until the faults end, one pause in five lasts up to 9 s, every second answer is acknowledged 40 ms late. These are drawn from a generator of their own, as the odd entries are: the faults of a seed stay as they were.

--- a/standin/soak/callers.c
+++ b/standin/soak/callers.c
@@ -19,6 +19,12 @@
 #define LONG_FLOW_REQUESTS 6
 #define PAUSE_MIN_MS 100
 #define PAUSE_MAX_MS 1500
+/* Every so many pauses one is much longer. */
+#define LONG_PAUSE_EVERY 5
+#define LONG_PAUSE_MAX_MS 9000
+/* Every so many answers one is acknowledged late. */
+#define LATE_ACK_EVERY 2
+#define LATE_ACK_MS 40
 /* Every so many requests one takes long without any fault. */
 #define SLOW_EVERY 40
 #define SLOW_MAX_MS 1000
@@ -47,7 +53,8 @@
     uint32_t slow_ms;             /* the upstream takes so much longer */
     int left;                     /* further requests on this flow */
     uint64_t opened_ms;           /* first SYN of the current flow */
-    uint64_t next_ms;             /* next retransmission */
+    uint64_t next_ms;             /* next retransmission, or end of a pause */
+    uint64_t late_ack_ms;         /* when to acknowledge, 0: nothing is due */
     uint32_t syn_retransmissions; /* in the current flow */
     uint32_t retransmit_ms;       /* between retransmissions of the request */
     int attempts;
@@ -170,6 +177,9 @@
     struct sockaddr_in to;
     char ip[32];
 
+    if (soak_loses_datagram(s)) {
+        return;
+    }
     soak_ip(s, SOAK_EDGE_SUBNET, edge->index + 1, ip);
     uv_ip4_addr(ip, SOAK_PACKET_PORT, &to);
     uv_udp_try_send(&s->callers->udp[caller], &buf, 1,
@@ -210,6 +220,7 @@
     snprintf(p.data, sizeof(p.data), "%s", data);
     size_t len = soak_pack(&p, out);
     r->last_edge = pick_edge(s, r);
+    r->late_ack_ms = 0; /* this packet acknowledges, too */
     if (opening && rg_rand_below(&s->rand, LATE_EVERY) == 0) {
         note(s, r, "syn%u>e%d,late", ack, r->last_edge->index);
         deliver_late(s, r, out);
@@ -304,6 +315,7 @@
     r->misroute_reported = false;
     g_string_truncate(r->history, 0);
     r->syn_retransmissions = 0;
+    r->late_ack_ms = 0;
     r->next_ms = s->now_ms + 200;
     r->attempts++;
     send_packet(s, r, SOAK_SYN, r->first_seq, 0, "");
@@ -431,6 +443,26 @@
     }
 }
 
+/* Between two requests of a flow. */
+static void
+begin_pause(struct soak *s, struct request *r)
+{
+    uint32_t pause_ms =
+        PAUSE_MIN_MS + rg_rand_below(&s->rand, PAUSE_MAX_MS - PAUSE_MIN_MS);
+
+    if (rg_rand_below(&s->noise_rand, LONG_PAUSE_EVERY) == 0) {
+        pause_ms = rg_rand_below(&s->noise_rand, LONG_PAUSE_MAX_MS);
+    }
+    r->left--;
+    r->phase = PAUSE;
+    r->next_ms = s->now_ms + pause_ms;
+    if (rg_rand_below(&s->noise_rand, LATE_ACK_EVERY) == 0) {
+        r->late_ack_ms = s->now_ms + LATE_ACK_MS;
+        return;
+    }
+    send_packet(s, r, SOAK_ACK, r->seq, r->ack, "");
+}
+
 static void
 take_answer(struct soak *s, struct request *r, const struct soak_packet *p)
 {
@@ -461,11 +493,7 @@
         end_flow(s, r);
         return;
     }
-    r->left--;
-    r->phase = PAUSE;
-    r->next_ms = s->now_ms + PAUSE_MIN_MS +
-                 rg_rand_below(&s->rand, PAUSE_MAX_MS - PAUSE_MIN_MS);
-    send_packet(s, r, SOAK_ACK, r->seq, r->ack, "");
+    begin_pause(s, r);
 }
 
 static void
@@ -556,6 +584,9 @@
 static void
 step_request(struct soak *s, struct request *r)
 {
+    if (r->late_ack_ms != 0 && s->now_ms >= r->late_ack_ms) {
+        send_packet(s, r, SOAK_ACK, r->seq, r->ack, "");
+    }
     if (r->phase == PAUSE) {
         if (s->now_ms >= r->next_ms) {
             count_request(s, r);
--- a/standin/soak/common.c
+++ b/standin/soak/common.c
@@ -6,6 +6,9 @@
 #include "common/clock.h"
 #include "standin/soak/soak.h"
 
+/* One in so many datagrams is lost on a sound link. */
+#define LOST_EVERY 100
+
 #define FINDINGS_SHOWN 20
 
 static void
@@ -78,3 +81,10 @@
 
     return index < 0 ? NULL : &s->upstreams[index];
 }
+
+bool
+soak_loses_datagram(struct soak *s)
+{
+    return s->now_ms < s->faults_end_ms &&
+           rg_rand_below(&s->noise_rand, LOST_EVERY) == 0;
+}
--- a/standin/soak/odd_entries.c
+++ b/standin/soak/odd_entries.c
@@ -37,7 +37,7 @@
 put_odd_value(struct soak *s, const char *key, uint32_t which)
 {
     const struct soak_upstream *u = &s->upstreams[rg_rand_below(
-        &s->odd_rand, (uint32_t)s->upstream_count)];
+        &s->noise_rand, (uint32_t)s->upstream_count)];
     char ip[32];
 
     soak_ip(s, SOAK_UPSTREAM_SUBNET, u->index + 1, ip);
@@ -65,12 +65,12 @@
 {
     uint32_t count = G_N_ELEMENTS(odd_values);
 
-    if (rg_rand_below(&s->odd_rand, PERIOD_MS / TICK_MS) != 0) {
+    if (rg_rand_below(&s->noise_rand, PERIOD_MS / TICK_MS) != 0) {
         return;
     }
-    uint64_t id = FIRST_ID + rg_rand_below(&s->odd_rand, ENTRIES_MAX);
+    uint64_t id = FIRST_ID + rg_rand_below(&s->noise_rand, ENTRIES_MAX);
     g_autofree char *key = g_strdup_printf("servers/i-%lx", id);
-    uint32_t which = rg_rand_below(&s->odd_rand, count + 2);
+    uint32_t which = rg_rand_below(&s->noise_rand, count + 2);
 
     soak_log(s, "odd entry %u as %s", which, key);
     if (which < count) {
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -112,9 +112,9 @@
     uv_loop_t loop;
     uv_timer_t tick;
     struct rg_rand rand;
-    struct rg_rand odd_rand; /* of odd entries, so that they leave the faults
-                                of a seed as they are */
-    int net;                 /* second byte of all addresses */
+    struct rg_rand noise_rand; /* of odd entries, losses and long pauses, so
+                                  that they leave the faults of a seed alone */
+    int net;                   /* second byte of all addresses */
     const char *binary;
     const char *dir;
     uint64_t start_ms;
@@ -152,6 +152,8 @@
     __attribute__((format(printf, 2, 3)));
 /* True if `disturbed_ms` is 0 or more than SOAK_SETTLE_MS ago. */
 bool soak_is_settled(const struct soak *s, uint64_t disturbed_ms);
+/* True if the next datagram between callers and upstreams is lost. */
+bool soak_loses_datagram(struct soak *s);
 /* Writes "127.NET.subnet.index". */
 void soak_ip(const struct soak *s, int subnet, int index, char out[32]);
 /* Edge that has the address; NULL if none. */
--- a/standin/soak/upstreams.c
+++ b/standin/soak/upstreams.c
@@ -52,13 +52,16 @@
     uint8_t out[SOAK_HEADER_LEN + SOAK_DATA_MAX];
     size_t len = soak_pack(p, out);
     uv_buf_t buf = uv_buf_init((char *)out, (unsigned)len);
+    struct soak *s = u->udp.loop->data;
     struct sockaddr_in to = {
         .sin_family = AF_INET,
         .sin_port = htons(SOAK_PACKET_PORT),
         .sin_addr.s_addr = htonl(p->dst),
     };
 
-    uv_udp_try_send(&u->udp, &buf, 1, (const struct sockaddr *)&to);
+    if (!soak_loses_datagram(s)) {
+        uv_udp_try_send(&u->udp, &buf, 1, (const struct sockaddr *)&to);
+    }
 }
 
 static void
