balance: one retransmission does not make an upstream unreachable

Cause: the requests of two flows that were each retransmitted once, 250 ms without an answer and a wait of six times the usual counted as proof that the upstream cannot be reached. One whose slots are taken leaves a request unacknowledged until its answer, and acknowledges the copy.

Evidence: UNANSWERED repeats=1 done=reset for each, with alive_ms_ago equal to the wait. Ruled out: the resets at outliers (1.6 s here).

Fix: the request must have been retransmitted twice, which the acknowledgement of the first copy prevents at a sound upstream. An upstream that is gone is noticed with the second copy, 600 ms after the request, or by its wait.

Red before: test_requests /retransmitted-request, case BUSY.

--- a/balance/requests.c
+++ b/balance/requests.c
@@ -115,14 +115,13 @@
 }
 
 /* True if the upstream cannot be reached: it is silent, and the request was
- * retransmitted. A sound upstream may not acknowledge a request before its
- * answer, and an answer may be known elsewhere only. So the request must have
- * failed by its wait as well, or have been retransmitted repeatedly. */
+ * retransmitted more than once. A sound upstream that is busy need not
+ * acknowledge a request before its answer, but it acknowledges a copy, so that
+ * there is no further one. */
 static bool
 is_unreachable(const struct rg_balancer *b, const struct rg_tracked_flow *t)
 {
-    return t->retransmissions > 0 &&
-           (t->overdue || t->retransmissions >= UNREACHABLE_REPEATS) &&
+    return t->retransmissions >= UNREACHABLE_REPEATS &&
            rg_endpoint_is_unreachable(t->endpoint, b->now_ms) &&
            rg_endpoint_no_answer_since(t->endpoint, t->since_ms, b->now_ms) &&
            !was_overloaded(b, t->endpoint);
--- a/test/test_requests.c
+++ b/test/test_requests.c
@@ -463,20 +463,31 @@
     }
 }
 
+/* Resets are counted. */
+static void
+retransmit(struct fixture *f, const struct flow flows[2])
+{
+    for (int i = 0; i < 2; i++) {
+        struct rg_segment data = {
+            .token = flows[i].token, .seq = 1, .ack = 1, .len = 100};
+        if (send_packet(f, &flows[i], data).kind == RG_DECISION_REFUSE) {
+            f->resets++;
+        }
+    }
+}
+
 /* The callers retransmit their requests after the usual time, and others are
- * served, until `ms` after the requests were sent. */
+ * served, until `ms` after the requests were sent. `flows` may be NULL. */
 static void
 retransmit_and_serve(struct fixture *f, const struct flow flows[2],
                      uint64_t sent_ms, uint32_t ms, uint32_t work_ms)
 {
-    struct rg_segment data = {
-        .token = flows[0].token, .seq = 1, .ack = 1, .len = 100};
-
-    while (f->now_ms < sent_ms + 200) {
+    while (flows && f->now_ms < sent_ms + 200) {
         serve_requests_in(f, 1, work_ms);
     }
-    send_packet(f, &flows[0], data);
-    send_packet(f, &flows[1], data);
+    if (flows) {
+        retransmit(f, flows);
+    }
     while (f->now_ms < sent_ms + ms) {
         serve_requests_in(f, 1, work_ms);
     }
@@ -503,13 +514,16 @@
     destroy_fixture(f);
 }
 
-/* Guards against resets at an upstream that answers another instance, or while
- * queues explain the silence; without these the requests are reset soon. */
+/* Requests at an upstream that acknowledges nothing are reset with their
+ * second retransmission. Guards against resets at one that is only busy: a
+ * copy is acknowledged, so that there is no second one; at one that answers
+ * another instance; and while queues explain the silence. */
 static void
 test_retransmitted_request(void)
 {
     enum {
         SILENT,
+        BUSY,
         ANSWERS_ELSEWHERE,
         OVERLOADED,
         CASES
@@ -527,9 +541,14 @@
         if (i == OVERLOADED) {
             f->balancer->services[0].overloaded_ms = f->now_ms;
         }
+        retransmit_and_serve(f, hanging, sent_ms, 500, WORK_MS);
+        g_assert_cmpuint(f->resets, ==, 0);
+        if (i != BUSY) {
+            retransmit(f, hanging);
+        }
         /* Requests at an outlier are not reset for their wait by then. */
-        retransmit_and_serve(f, hanging, sent_ms, 560, WORK_MS);
-        g_assert_cmpuint(f->resets, ==, i == SILENT ? 2 : 0);
+        retransmit_and_serve(f, NULL, sent_ms, 560, WORK_MS);
+        g_assert_cmpuint(f->resets, ==, (i == SILENT ? 2 : 0));
         destroy_fixture(f);
     }
 }
