balance: no reset for waiting on a route without a deadline

Cause: the limits for a request that waits are shares of its deadline. The soak's routes have none, and then the usual answer time alone decided, 16 or 32 times 10 to 35 ms. How long callers wait is not known there, and so not what they lose by waiting.

Such a route has no reset for waiting any more; an upstream that cannot be reached is still noticed by retransmissions. Red before: test_requests /no-deadline.

soak: routes say how long callers wait at most (2,500 ms), so that the resets with a deadline are tried as well.

test_moved_flows, test_requests, test_balancer, fake_service: packets of open flows carry the token of the endpoint rather than that of the opening. The same-flow case of /no-evidence sent its later packets without a token, as its second opening was dropped; it opens the flow once now.

--- a/balance/requests.c
+++ b/balance/requests.c
@@ -52,10 +52,8 @@
 {
     double limit = fmax(LOST_FACTOR * route->median_ms, LOST_MIN_MS);
 
-    if (route->timeout_ms != 0) {
-        limit = fmax(limit, LOST_DEADLINE_SHARE * route->timeout_ms);
-        limit = fmin(limit, LOST_DEADLINE_SHARE_MAX * route->timeout_ms);
-    }
+    limit = fmax(limit, LOST_DEADLINE_SHARE * route->timeout_ms);
+    limit = fmin(limit, LOST_DEADLINE_SHARE_MAX * route->timeout_ms);
     return fmax(limit, overdue_after_ms(route, t));
 }
 
@@ -147,7 +145,9 @@
     if (is_unreachable(b, t)) {
         return true;
     }
-    if (!t->overdue || b->now_ms < t->endpoint->cold_until_ms ||
+    /* Without a deadline nobody knows how long callers would have waited. */
+    if (route->timeout_ms == 0 || !t->overdue ||
+        b->now_ms < t->endpoint->cold_until_ms ||
         !others_respond(b, t, route) || !wait_proves_failure(b, t, route))
     {
         return false;
--- a/standin/soak/callers.c
+++ b/standin/soak/callers.c
@@ -27,7 +27,6 @@
 #define LATE_ACK_MS 40
 /* Every so many requests one takes long without any fault. */
 #define SLOW_EVERY 40
-#define SLOW_MAX_MS 1000
 /* The fabric delivers every so many openings late. */
 #define LATE_EVERY 25
 #define LATE_MAX_MS 700
@@ -262,7 +261,7 @@
     r->attempts = 0;
     r->slow_ms = rg_rand_below(&s->rand, SLOW_EVERY)
                      ? 0
-                     : rg_rand_below(&s->rand, SLOW_MAX_MS);
+                     : rg_rand_below(&s->rand, SOAK_SLOW_MAX_MS);
     if (r->route != SOAK_TOGGLED) {
         s->asked++;
         s->calm_asked += r->after_faults;
@@ -443,6 +442,15 @@
     }
 }
 
+/* The caller has got this before: its acknowledgement was lost. */
+static void
+acknowledge_again(struct soak *s, struct request *r)
+{
+    uint32_t seq = r->phase == REQUEST ? seq_after(r) : r->seq;
+
+    send_packet(s, r, SOAK_ACK, seq, r->ack, "");
+}
+
 /* Between two requests of a flow. */
 static void
 begin_pause(struct soak *s, struct request *r)
@@ -579,6 +587,10 @@
     else if (p.len > 0 && r->phase == REQUEST && p.seq == r->ack) {
         take_answer(s, r, &p);
     }
+    else if (p.len > 0 && r->phase != OPENING && (int32_t)(p.seq - r->ack) < 0)
+    {
+        acknowledge_again(s, r);
+    }
 }
 
 static void
--- a/standin/soak/faults.c
+++ b/standin/soak/faults.c
@@ -7,31 +7,38 @@
 #define FAULT_PERIOD_MS 350   /* mean time between two */
 #define REHASH_PERIOD_MS 1500 /* the same, until the fabric hashes anew */
 
+/* The deadline is the longest that callers wait. */
+static void
+add_route(GString *doc, const char *ip, int port, const char *type,
+          const char *service)
+{
+    bool first = doc->str[doc->len - 1] == '[';
+
+    g_string_append_printf(
+        doc,
+        "%s{\"Host\":\"%s\",\"Prefix\":\"/%d/\",\"RouteType\":\"%s\","
+        "\"TimeoutMs\":%d,\"Service\":\"%s\"}",
+        first ? "" : ",", ip, port, type, SOAK_DEADLINE_MS + SOAK_SLOW_MAX_MS,
+        service);
+}
+
 void
 soak_config_put(struct soak *s)
 {
     g_autoptr(GString) doc = g_string_new(NULL);
 
     s->version += 1 + rg_rand_below(&s->rand, 3);
-    g_string_append_printf(
-        doc,
-        "{\"Version\":%lu,\"Routes\":["
-        "{\"Host\":\"198.18.0.1\",\"Prefix\":\"/443/\",\"RouteType\":\"safe\","
-        "\"Service\":\"s0\"},"
-        "{\"Host\":\"198.18.0.1\",\"Prefix\":\"/444/\",\"RouteType\":"
-        "\"unsafe\",\"Service\":\"s0\"},"
-        "{\"Host\":\"198.18.0.2\",\"Prefix\":\"/443/\",\"RouteType\":\"safe\","
-        "\"Service\":\"s1\"}",
-        s->version);
+    g_string_append_printf(doc, "{\"Version\":%lu,\"Routes\":[", s->version);
+    add_route(doc, "198.18.0.1", 443, "safe", "s0");
+    add_route(doc, "198.18.0.1", 444, "unsafe", "s0");
+    add_route(doc, "198.18.0.2", 443, "safe", "s1");
     if (s->has_toggled_route) {
-        g_string_append(doc, ",{\"Host\":\"198.18.0.1\",\"Prefix\":\"/1000/\","
-                             "\"RouteType\":\"safe\",\"Service\":\"s0\"}");
+        add_route(doc, "198.18.0.1", 1000, "safe", "s0");
     }
     for (int i = 0; s->large && i < SOAK_IDLE_ROUTES; i++) {
-        g_string_append_printf(doc,
-                               ",{\"Host\":\"198.18.%d.%d\",\"Prefix\":"
-                               "\"/443/\",\"Service\":\"s1\"}",
-                               1 + i / 250, i % 250);
+        g_autofree char *ip =
+            g_strdup_printf("198.18.%d.%d", 1 + i / 250, i % 250);
+        add_route(doc, ip, 443, "unsafe", "s1");
     }
     g_string_append(doc, "],\"Services\":[]}");
     soak_store_put(s, "op/config", doc->str);
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -31,6 +31,8 @@
 /* For this long after a fault, violations at what it affected are ignored. */
 #define SOAK_SETTLE_MS 4000
 #define SOAK_DEADLINE_MS 1500
+/* Some requests take up to so much longer, and their callers wait for that. */
+#define SOAK_SLOW_MAX_MS 1000
 /* So long three packets of an open flow may reach other upstreams only. */
 #define SOAK_MISROUTE_MS 2000
 #define SOAK_PACKET_PORT 5300
--- a/standin/soak/upstreams.c
+++ b/standin/soak/upstreams.c
@@ -11,7 +11,7 @@
 
 #define UPSTREAM_PORT 8080
 #define REPORT_MS 400
-/* Retransmission of a SYN+ACK that is not acknowledged. */
+/* Retransmission of a SYN+ACK or an answer that is not acknowledged. */
 #define RETRANSMIT_MS 200
 #define RETRANSMIT_MAX_MS 1600
 #define RETRANSMISSIONS_MAX 8
@@ -28,9 +28,10 @@
     uint32_t caller_seq; /* of the opening */
     uint32_t seq;        /* of the SYN+ACK */
     uint32_t sent;       /* bytes sent after it */
+    uint32_t acked;      /* of these, acknowledged by the caller */
     uint32_t next_seq;   /* next sequence number expected of the caller */
     bool open;           /* the caller has acknowledged the SYN+ACK */
-    uint64_t retransmit_at_ms; /* of the SYN+ACK */
+    uint64_t retransmit_at_ms; /* of the SYN+ACK or the answer */
     uint32_t retransmit_ms;
     int retransmissions;
     uint64_t request;
@@ -143,6 +144,8 @@
         return;
     }
     f->request = request;
+    f->retransmissions = 0;
+    f->retransmit_ms = RETRANSMIT_MS;
     f->answer_at = f->sent;
     f->part = 0;
     f->parts = rg_rand_below(&s->rand, LONG_ANSWER_EVERY)
@@ -210,6 +213,7 @@
     }
     f->open = true;
     f->token = p->token;
+    f->acked = MAX(f->acked, p->ack - (f->seq + 1));
     if (p->len > 0) {
         f->next_seq = p->seq + p->len;
         execute_request(s, u, f, p);
@@ -351,18 +355,31 @@
     soak_upstream_put_entry(s, u);
 }
 
-/* Sends a SYN+ACK again that the caller has not acknowledged. Returns true if
- * the upstream gives the flow up. */
+/* True if all has been sent and the caller has acknowledged all. */
 static bool
-retransmit_opening(struct soak *s, struct soak_upstream *u, struct flow *f)
+is_acknowledged(const struct flow *f)
 {
-    if (f->open || s->now_ms < f->retransmit_at_ms) {
+    return f->open && (f->due_ms != 0 || f->acked == f->sent);
+}
+
+/* Sends a SYN+ACK or an answer again that the caller has not acknowledged.
+ * Returns true if the upstream gives the flow up. */
+static bool
+retransmit(struct soak *s, struct soak_upstream *u, struct flow *f)
+{
+    if (is_acknowledged(f) || s->now_ms < f->retransmit_at_ms) {
         return false;
     }
     if (f->retransmissions++ == RETRANSMISSIONS_MAX) {
         return true;
     }
-    reply(u, f, SOAK_SYN | SOAK_ACK, f->seq, "");
+    if (f->open) {
+        f->part = 0;
+        f->due_ms = s->now_ms;
+    }
+    else {
+        reply(u, f, SOAK_SYN | SOAK_ACK, f->seq, "");
+    }
     f->retransmit_ms = MIN(f->retransmit_ms * 2, RETRANSMIT_MAX_MS);
     f->retransmit_at_ms = s->now_ms + f->retransmit_ms;
     return false;
@@ -384,6 +401,7 @@
     f->sent = MAX(f->sent, offset + (uint32_t)len);
     f->part++;
     f->due_ms = f->part < f->parts ? s->now_ms + 1 : 0;
+    f->retransmit_at_ms = s->now_ms + f->retransmit_ms;
 }
 
 void
@@ -399,7 +417,7 @@
         }
         g_hash_table_iter_init(&iter, u->flows);
         while (g_hash_table_iter_next(&iter, NULL, &value)) {
-            if (retransmit_opening(s, u, value)) {
+            if (retransmit(s, u, value)) {
                 g_hash_table_iter_remove(&iter);
                 continue;
             }
--- a/test/fake_service.h
+++ b/test/fake_service.h
@@ -304,7 +304,7 @@
             !fake_is_partitioned(s, f)) {
             f->upstream = i;
             s->upstreams[i].opened++;
-            f->token = decision.token;
+            f->token = decision.endpoint->token;
             f->phase = FAKE_QUEUED;
             f->next_ms = s->now_ms + FAKE_RTT_MS;
             return;
--- a/test/test_balancer.c
+++ b/test/test_balancer.c
@@ -110,6 +110,8 @@
     };
 }
 
+/* The token of the decision is that of what the upstream sends once the flow
+ * is open. */
 static struct rg_decision
 opening(struct rg_balancer *b, uint16_t caller_port, uint16_t service_port,
         uint32_t retransmission, uint64_t now_ms)
@@ -118,7 +120,11 @@
 
     s.opening = true;
     s.ack = retransmission;
-    return rg_balancer_packet(b, &s, now_ms);
+    struct rg_decision d = rg_balancer_packet(b, &s, now_ms);
+    if (d.kind == RG_DECISION_FORWARD) {
+        d.token = d.endpoint->token;
+    }
+    return d;
 }
 
 static struct rg_decision
--- a/test/test_moved_flows.c
+++ b/test/test_moved_flows.c
@@ -33,7 +33,7 @@
 
 struct flow {
     struct rg_flow_id id;
-    uint32_t token;
+    uint32_t token; /* of what its upstream sends once it is open */
 };
 
 static struct rg_name
@@ -179,7 +179,8 @@
     struct flow flow = new_flow(f);
 
     flow.token =
-        send_packet(f, to, &flow, (struct rg_segment){.opening = true}).token;
+        send_packet(f, to, &flow, (struct rg_segment){.opening = true})
+            .endpoint->token;
     return flow;
 }
 
@@ -365,11 +366,11 @@
     g_assert_false(sends_evidence(f, 10, 300, NULL));
     /* The same flow again and again. */
     f->next_port = 30000;
+    struct flow open = send_request(f, 0);
     for (int i = 0; i < 10; i++) {
         struct flow flow = new_flow(f);
         f->next_port--;
-        flow.token = send_request(f, 0).token;
-        f->next_port--;
+        flow.token = open.token;
         send_packet(f, 1, &flow,
                     (struct rg_segment){.seq = 101, .ack = 900 + (uint32_t)i});
     }
--- a/test/test_requests.c
+++ b/test/test_requests.c
@@ -30,7 +30,7 @@
 
 struct flow {
     struct rg_flow_id id;
-    uint32_t token;
+    uint32_t token; /* of what its upstream sends once it is open */
 };
 
 static struct rg_name
@@ -152,7 +152,7 @@
         send_packet(f, &flow, (struct rg_segment){.opening = true});
 
     g_assert_cmpint(d.kind, ==, RG_DECISION_FORWARD);
-    flow.token = d.token;
+    flow.token = d.endpoint->token;
     run(f, RTT_MS);
     send_packet(f, &flow,
                 (struct rg_segment){
@@ -553,6 +553,24 @@
     }
 }
 
+/* Guards against a reset of a slow request whose route has no deadline: its
+ * caller may wait for as long as it takes. */
+static void
+test_no_deadline(void)
+{
+    struct fixture *f = create_fixture();
+    struct flow slow[2];
+
+    for (size_t i = 0; i < 2; i++) {
+        rg_routes_at(rg_balancer_routes(f->balancer), i)->timeout_ms = 0;
+    }
+    serve_requests(f, 60);
+    uint64_t sent_ms = f->now_ms + RTT_MS;
+    send_two_hanging(f, slow, 0);
+    g_assert_cmpuint(reset_after_ms(f, sent_ms), ==, 0);
+    destroy_fixture(f);
+}
+
 /* Nothing is received at all: the fault is in this instance, or everywhere. */
 static void
 test_no_responses(void)
@@ -667,7 +685,8 @@
                                        .caller_port = ++f->next_port,
                                        .service_port = SAFE_PORT};
         probe.token =
-            send_packet(f, &probe, (struct rg_segment){.opening = true}).token;
+            send_packet(f, &probe, (struct rg_segment){.opening = true})
+                .endpoint->token;
         run(f, RTT_MS);
         if (probe.token == token) {
             return probe;
@@ -814,7 +833,8 @@
                                        .caller_port = ++f->next_port,
                                        .service_port = SAFE_PORT};
         probe.token =
-            send_packet(f, &probe, (struct rg_segment){.opening = true}).token;
+            send_packet(f, &probe, (struct rg_segment){.opening = true})
+                .endpoint->token;
     }
     g_assert_cmpuint(probe.token, ==, flow.token);
     run(f, 200);
@@ -862,6 +882,7 @@
     g_test_add_func("/requests/slow-unacknowledged", test_slow_unacknowledged);
     g_test_add_func("/requests/retransmitted-request",
                     test_retransmitted_request);
+    g_test_add_func("/requests/no-deadline", test_no_deadline);
     g_test_add_func("/requests/no-responses", test_no_responses);
     g_test_add_func("/requests/process-suspended", test_process_suspended);
     g_test_add_func("/requests/no-reset-after-pause",
