balance: openings carry tokens of their own from the start

Ruled out: the exchange of flows (the instance had the right upstream until that packet).

Tokens of openings are used until a peer's digest shows an older build, and not the other way round. In a fleet with older builds a new instance sends them for the first 200 ms: such a flow is lost only if the fabric moves it to an older instance before its first answer. Tests of the balancer now run with them unless they say otherwise.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -249,8 +249,10 @@
     b->flows = rg_tracked_flows_create(opts->tracked_flows);
     b->outcome_table = rg_outcome_table_create((uint32_t)rg_mix64(opts->seed));
     b->rand.state = opts->seed;
-    b->fleet =
-        (struct rg_fleet){.instances = 1, .local_instances = 1, .share = 1};
+    b->fleet = (struct rg_fleet){.instances = 1,
+                                 .local_instances = 1,
+                                 .share = 1,
+                                 .opening_tokens = true};
     b->flow_sync.round = RG_FLOW_FIRST_ROUND;
     b->ticked_ms = now_ms;
     b->started_ms = now_ms;
--- a/edge/main.c
+++ b/edge/main.c
@@ -402,13 +402,7 @@
         .store_client = e->store_client,
         .log = &e->log,
     };
-    struct rg_fleet alone = {.instances = 1,
-                             .local_instances = 1,
-                             .share = 1,
-                             .opening_tokens = true};
-
     if (settings->peer_address.port == 0) {
-        rg_balancer_set_fleet(e->balancer, &alone);
         return;
     }
     e->gossip = rg_gossip_create(&opts, err);
