balance, edge: ask peers before a request counts as hung

Cause: an instance takes it as evidence that a request gets no answer if it sees no acknowledgement. When the fabric has moved the flow, the answer is acknowledged elsewhere. Three flows that arrive untracked within 500 ms at a peer are evidence of that; one or two are not, and said nothing.

Evidence: in the flow's history, the request by way of e1, three acknowledgements by way of e3 within 101 ms, the reset by e1 at 1,253 ms of a deadline of 2,500. Ruled out: lost acknowledgements (upstreams repeat their answers by now), slow upstreams (answered at 30 ms).

Peers are asked for the flow once its request has waited a fifth of its deadline, and every 500 ms. One that has got packets of it since says when, and the request ends without an outcome. Resets for waiting come 150 ms after the first question at the earliest.

Red before: test_moved_flows /two-flows-moved, whose other half loses the questions and has the two resets of the earlier code.

--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -171,6 +171,17 @@
                                   const struct rg_flow_id *flow,
                                   struct rg_flow_record *out);
 
+/* Answers a peer's question: when the last packet of the flow came here, 0 if
+ * none has lately. */
+uint64_t rg_balancer_flow_seen_ms(const struct rg_balancer *b,
+                                  const struct rg_flow_id *flow);
+
+/* A peer got a packet of the flow at `at_ms`. If that was after the last one
+ * here, the flow has moved, and its request is none of this instance. */
+void rg_balancer_add_flow_sighting(struct rg_balancer *b,
+                                   const struct rg_flow_id *flow,
+                                   uint64_t at_ms, uint64_t now_ms);
+
 /* Takes over what a peer tells of a flow, unless it is known here. */
 void rg_balancer_add_flow_record(struct rg_balancer *b,
                                  const struct rg_flow_record *record,
--- a/balance/flow_records.c
+++ b/balance/flow_records.c
@@ -177,3 +177,28 @@
     t->told = b->flow_sync.round; /* its sender has told the others */
     rg_bal_log_flow_record(b, t);
 }
+
+uint64_t
+rg_balancer_flow_seen_ms(const struct rg_balancer *b,
+                         const struct rg_flow_id *flow)
+{
+    const struct rg_tracked_flow *t = rg_tracked_flows_find(b->flows, flow);
+    uint64_t untracked_ms = rg_bal_untracked_seen_ms(b, flow);
+
+    return t && t->last_ms > untracked_ms ? t->last_ms : untracked_ms;
+}
+
+void
+rg_balancer_add_flow_sighting(struct rg_balancer *b,
+                              const struct rg_flow_id *flow, uint64_t at_ms,
+                              uint64_t now_ms)
+{
+    struct rg_tracked_flow *t = rg_tracked_flows_find(b->flows, flow);
+
+    b->now_ms = now_ms;
+    if (!t || t->state != RG_TRACKED_REQUEST || at_ms <= t->last_ms) {
+        return;
+    }
+    rg_request_log_unanswered(b, t, "moved");
+    rg_flows_set_state(t, RG_TRACKED_IDLE, now_ms);
+}
--- a/balance/flow_records.h
+++ b/balance/flow_records.h
@@ -5,7 +5,11 @@
  * that of the one which it did not take, and only an instance that saw the
  * flow open knows the right one. It tells its peers once the flow has been
  * open for a while, and again before a planned stop. An instance that gets a
- * packet which does not show its endpoint asks. Bounded; no I/O. */
+ * packet which does not show its endpoint asks.
+ *
+ * An instance that is about to reset a flow, as its request seems to hang,
+ * asks as well: if a peer has got packets of the flow since, the fabric has
+ * moved it, and the answer went by way of that peer. Bounded; no I/O. */
 #ifndef RG_BALANCE_FLOW_RECORDS_H
 #define RG_BALANCE_FLOW_RECORDS_H
 
--- a/balance/moved_flows.c
+++ b/balance/moved_flows.c
@@ -41,6 +41,20 @@
     note_seen(b, s);
 }
 
+uint64_t
+rg_bal_untracked_seen_ms(const struct rg_balancer *b,
+                         const struct rg_flow_id *flow)
+{
+    uint32_t hash = rg_flow_hash(flow);
+    const struct rg_moved_seen *seen =
+        &b->moved.seen[hash % RG_MOVED_SEEN_MAX];
+
+    if (seen->hash != hash || !is_live(seen, b->now_ms)) {
+        return 0;
+    }
+    return b->now_ms - ((uint32_t)b->now_ms - seen->at_ms);
+}
+
 bool
 rg_bal_was_seen_open(struct rg_balancer *b, const struct rg_segment *opening)
 {
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -173,7 +173,7 @@
 
 /* Flows that peers are told of and asked for, in flow_records.c. */
 
-/* Queues a question for a flow whose packets do not show its endpoint. */
+/* Queues a question for a flow: where it is, and who got packets of it. */
 void rg_bal_ask_for_flow(struct rg_balancer *b, const struct rg_flow_id *flow);
 /* Queues the flow for peers if they have to be told of it. */
 void rg_bal_collect_flow_record(struct rg_balancer *b,
@@ -191,6 +191,10 @@
  * lately, so that the opening is a late copy. */
 bool rg_bal_was_seen_open(struct rg_balancer *b,
                           const struct rg_segment *opening);
+/* When the last packet of a flow that is not tracked came here, 0 if none has
+ * lately. */
+uint64_t rg_bal_untracked_seen_ms(const struct rg_balancer *b,
+                                  const struct rg_flow_id *flow);
 /* For this long, flows may be missing from the flow table for other reasons
  * than a move. */
 void rg_bal_ignore_untracked(struct rg_balancer *b, uint64_t ms);
@@ -212,7 +216,8 @@
 
 /* Requests waiting for an answer, in requests.c. */
 
-/* True if the flow's request will not be answered and is safe to retry. */
+/* True if the flow's request will not be answered and is safe to retry. For
+ * use when a packet of the flow has come: it has not moved. */
 bool rg_request_is_lost(const struct rg_balancer *b,
                         const struct rg_tracked_flow *t);
 /* Checks the deadlines of a waiting request. */
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -29,6 +29,11 @@
 #define UNREACHABLE_REPEATS 2
 /* Queues may remain for this long after a service was overloaded. */
 #define OVERLOAD_EXPIRY_MS 3000
+/* From this share of its deadline on, peers are asked at intervals whether the
+ * flow of a waiting request has moved, and get this long to answer. */
+#define ASK_DEADLINE_SHARE 0.2
+#define ASK_INTERVAL_MS 500
+#define ASK_TIMEOUT_MS 150
 /* The last response of any upstream may be this many mean intervals old; if it
  * is older, the fault may be in this instance. */
 #define RESPONSE_GAP_FACTOR 4
@@ -164,13 +169,44 @@
                                            b->now_ms);
 }
 
+/* Asks peers whether the flow of a waiting request has moved. Its answer may
+ * have gone by way of one of them. */
+static void
+ask_if_waiting(struct rg_balancer *b, struct rg_tracked_flow *t)
+{
+    const struct rg_route *route = route_of(b, t);
+    double waited_ms = (double)(b->now_ms - t->since_ms);
+
+    if (t->state != RG_TRACKED_REQUEST || !route ||
+        route->repeat != RG_REPEAT_SAFE || route->timeout_ms == 0 ||
+        waited_ms < ASK_DEADLINE_SHARE * route->timeout_ms)
+    {
+        return;
+    }
+    if (t->asked_ms <= t->since_ms) {
+        t->asked_ms = b->now_ms;
+    }
+    if ((b->now_ms - t->asked_ms) % ASK_INTERVAL_MS < RG_BALANCER_TICK_MS) {
+        rg_bal_ask_for_flow(b, &t->flow);
+    }
+}
+
+/* True if no peer has got packets of the flow since its request came here.
+ * Retransmissions show by themselves that it has not moved. */
+static bool
+has_not_moved(const struct rg_balancer *b, const struct rg_tracked_flow *t)
+{
+    return is_unreachable(b, t) || (t->asked_ms > t->since_ms &&
+                                    b->now_ms - t->asked_ms >= ASK_TIMEOUT_MS);
+}
+
 /* Resets the flow of a lost request without waiting for its next packet. */
 static void
 reset_lost(struct rg_balancer *b, struct rg_tracked_flow *t)
 {
     struct rg_segment last = {.flow = t->flow, .ack = t->last_ack};
 
-    if (!b->opts.refuse || !rg_request_is_lost(b, t)) {
+    if (!b->opts.refuse || !rg_request_is_lost(b, t) || !has_not_moved(b, t)) {
         return;
     }
     rg_request_log_unanswered(b, t, "reset");
@@ -209,6 +245,7 @@
         return;
     }
     note_overdue(b, t);
+    ask_if_waiting(b, t);
     reset_lost(b, t);
 }
 
--- a/balance/tracked_flows.h
+++ b/balance/tracked_flows.h
@@ -39,6 +39,8 @@
     uint64_t opened_ms;   /* first copy of its opening */
     uint64_t since_ms;    /* start of the current state */
     uint64_t last_ms;     /* last packet */
+    uint64_t asked_ms;    /* when peers were first asked whether the flow has
+                             moved since its request */
     uint32_t opening_seq; /* initial sequence number of the caller */
     uint32_t last_seq;    /* of the last data */
     uint32_t last_ack;
--- a/edge/flow_gossip.c
+++ b/edge/flow_gossip.c
@@ -128,9 +128,9 @@
     ask_peers(g, now_ms);
 }
 
-void
-rg_flow_gossip_query(struct rg_flow_gossip *g,
-                     const struct rg_msg_flow_query *query)
+static void
+answer_with_records(struct rg_flow_gossip *g,
+                    const struct rg_msg_flow_query *query)
 {
     struct rg_msg m = {.kind = RG_MSG_FLOW_RECORDS};
     struct rg_msg_flow_records *out = &m.u.flow_records;
@@ -149,6 +149,53 @@
     }
 }
 
+static void
+answer_with_sightings(struct rg_flow_gossip *g,
+                      const struct rg_msg_flow_query *query, uint64_t now_ms)
+{
+    struct rg_msg m = {.kind = RG_MSG_FLOW_SIGHTINGS};
+    struct rg_msg_flow_sightings *out = &m.u.flow_sightings;
+
+    out->from = g->opts.name;
+    for (uint16_t i = 0; i < query->flows_count; i++) {
+        struct rg_flow_id flow = decode_flow(&query->flows[i]);
+        uint64_t at_ms = rg_balancer_flow_seen_ms(g->opts.balancer, &flow);
+        if (at_ms != 0 && at_ms <= now_ms) {
+            out->sightings[out->sightings_count++] =
+                (struct rg_msg_flow_sighting){
+                    .flow = query->flows[i],
+                    .age_ms = (uint32_t)(now_ms - at_ms),
+                };
+        }
+    }
+    if (out->sightings_count > 0) {
+        g->opts.send(g->opts.ctx, &m, &query->addr);
+    }
+}
+
+void
+rg_flow_gossip_query(struct rg_flow_gossip *g,
+                     const struct rg_msg_flow_query *query, uint64_t now_ms)
+{
+    answer_with_records(g, query);
+    answer_with_sightings(g, query, now_ms);
+}
+
+void
+rg_flow_gossip_sightings(struct rg_flow_gossip *g,
+                         const struct rg_msg_flow_sightings *sightings,
+                         uint64_t now_ms)
+{
+    for (uint16_t i = 0; i < sightings->sightings_count; i++) {
+        const struct rg_msg_flow_sighting *s = &sightings->sightings[i];
+        struct rg_flow_id flow = decode_flow(&s->flow);
+        if (s->age_ms <= now_ms) {
+            rg_balancer_add_flow_sighting(g->opts.balancer, &flow,
+                                          now_ms - s->age_ms, now_ms);
+        }
+    }
+}
+
 void
 rg_flow_gossip_records(struct rg_flow_gossip *g,
                        const struct rg_msg_flow_records *records,
--- a/edge/flow_gossip.h
+++ b/edge/flow_gossip.h
@@ -29,11 +29,16 @@
 
 /* Handle the messages of peers. */
 void rg_flow_gossip_query(struct rg_flow_gossip *g,
-                          const struct rg_msg_flow_query *query);
+                          const struct rg_msg_flow_query *query,
+                          uint64_t now_ms);
 void rg_flow_gossip_records(struct rg_flow_gossip *g,
                             const struct rg_msg_flow_records *records,
                             uint64_t now_ms);
 
+void rg_flow_gossip_sightings(struct rg_flow_gossip *g,
+                              const struct rg_msg_flow_sightings *sightings,
+                              uint64_t now_ms);
+
 /* This instance is about to stop: tells its peers of all flows again. */
 void rg_flow_gossip_leave(struct rg_flow_gossip *g);
 
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -230,7 +230,12 @@
         handle_digest(g, &m->u.digest);
         break;
     case RG_MSG_FLOW_QUERY:
-        rg_flow_gossip_query(g->flows, &m->u.flow_query);
+        rg_flow_gossip_query(g->flows, &m->u.flow_query,
+                             rg_clock_boottime_ms());
+        break;
+    case RG_MSG_FLOW_SIGHTINGS:
+        rg_flow_gossip_sightings(g->flows, &m->u.flow_sightings,
+                                 rg_clock_boottime_ms());
         break;
     case RG_MSG_FLOW_RECORDS:
         rg_flow_gossip_records(g->flows, &m->u.flow_records,
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -497,6 +497,32 @@
     return true;
 }
 
+static void
+pack_flow_sighting(msgpack_packer *pk, const struct rg_msg_flow_sighting *m)
+{
+    rg_pack_list(pk, 2);
+    pack_flow_id(pk, &m->flow);
+    rg_pack_u64(pk, m->age_ms);
+}
+
+static bool
+unpack_flow_sighting(const msgpack_object *o, struct rg_msg_flow_sighting *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 2)) {
+        return false;
+    }
+    if (!unpack_flow_id(&o->via.array.ptr[0], &m->flow)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[1], 4294967295U, &value)) {
+        return false;
+    }
+    m->age_ms = (uint32_t)value;
+    return true;
+}
+
 static void
 pack_ping(msgpack_packer *pk, const struct rg_msg_ping *m)
 {
@@ -1163,6 +1189,38 @@
     return true;
 }
 
+static void
+pack_flow_sightings(msgpack_packer *pk, const struct rg_msg_flow_sightings *m)
+{
+    rg_pack_name(pk, &m->from);
+    rg_pack_list(pk, m->sightings_count);
+    for (uint16_t i = 0; i < m->sightings_count; i++) {
+        pack_flow_sighting(pk, &m->sightings[i]);
+    }
+}
+
+static bool
+unpack_flow_sightings(const msgpack_object *o, struct rg_msg_flow_sightings *m)
+{
+    if (!rg_unpack_shape(o, 4)) {
+        return false;
+    }
+    if (!rg_unpack_name(&o->via.array.ptr[2], &m->from)) {
+        return false;
+    }
+    if (!rg_unpack_list(&o->via.array.ptr[3], 16, &m->sightings_count)) {
+        return false;
+    }
+    for (uint16_t i = 0; i < m->sightings_count; i++) {
+        if (!unpack_flow_sighting(&o->via.array.ptr[3].via.array.ptr[i],
+                                  &m->sightings[i]))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 size_t
 rg_msg_pack(const struct rg_msg *m, uint8_t *out, size_t size)
 {
@@ -1273,6 +1331,12 @@
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_flow_query(&pk, &m->u.flow_query);
         break;
+    case RG_MSG_FLOW_SIGHTINGS:
+        rg_pack_list(&pk, 4);
+        rg_pack_u64(&pk, RG_MSG_VERSION);
+        rg_pack_u64(&pk, (uint64_t)m->kind);
+        pack_flow_sightings(&pk, &m->u.flow_sightings);
+        break;
     }
     return buf.overflow ? 0 : buf.len;
 }
@@ -1315,6 +1379,8 @@
         return unpack_flow_records(o, &m->u.flow_records);
     case RG_MSG_FLOW_QUERY:
         return unpack_flow_query(o, &m->u.flow_query);
+    case RG_MSG_FLOW_SIGHTINGS:
+        return unpack_flow_sightings(o, &m->u.flow_sightings);
     }
     return false;
 }
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -182,6 +182,14 @@
     uint32_t age_ms;
 };
 
+/* When an instance last got a packet of a flow. */
+struct rg_msg_flow_sighting {
+    /* both ends */
+    struct rg_msg_flow_id flow;
+    /* time since then */
+    uint32_t age_ms;
+};
+
 /* Probe of a member. */
 struct rg_msg_ping {
     /* repeated in the ack */
@@ -388,7 +396,7 @@
 };
 
 /* Asks for flows of which the sender got packets that do not show their
- * endpoint. */
+ * endpoint, or whose request seems to hang. */
 struct rg_msg_flow_query {
     /* peer address of the sender */
     struct rg_addr addr;
@@ -397,6 +405,15 @@
     struct rg_msg_flow_id flows[16];
 };
 
+/* Answer to a query: flows of which the sender got packets lately. */
+struct rg_msg_flow_sightings {
+    /* name of the sender */
+    struct rg_name from;
+    /* the flows */
+    uint16_t sightings_count;
+    struct rg_msg_flow_sighting sightings[16];
+};
+
 enum rg_msg_kind {
     RG_MSG_PING = 1,
     RG_MSG_ACK = 2,
@@ -415,6 +432,7 @@
     RG_MSG_BOOTS_PART = 15,
     RG_MSG_FLOW_RECORDS = 16,
     RG_MSG_FLOW_QUERY = 17,
+    RG_MSG_FLOW_SIGHTINGS = 18,
 };
 
 /* Any message. */
@@ -438,6 +456,7 @@
         struct rg_msg_boots_part boots_part;
         struct rg_msg_flow_records flow_records;
         struct rg_msg_flow_query flow_query;
+        struct rg_msg_flow_sightings flow_sightings;
     } u;
 };
 
--- a/test/test_moved_flows.c
+++ b/test/test_moved_flows.c
@@ -29,6 +29,7 @@
     uint32_t resets;
     uint32_t hung_token; /* of an upstream that answers nothing, 0: none */
     uint32_t hung;       /* requests sent there by serve_requests() */
+    bool no_answers;     /* questions for flows are lost */
 };
 
 struct flow {
@@ -134,6 +135,24 @@
     }
 }
 
+/* Questions of one balancer for flows, and the answers of the other. */
+static void
+ask_peer(struct fleet *f, int from)
+{
+    struct rg_flow_id flows[RG_FLOW_QUERIES_MAX];
+    size_t count = rg_balancer_next_flow_queries(f->balancers[from], flows,
+                                                 G_N_ELEMENTS(flows));
+
+    for (size_t i = 0; i < count && !f->no_answers; i++) {
+        uint64_t at_ms =
+            rg_balancer_flow_seen_ms(f->balancers[1 - from], &flows[i]);
+        if (at_ms != 0) {
+            rg_balancer_add_flow_sighting(f->balancers[from], &flows[i], at_ms,
+                                          f->now_ms);
+        }
+    }
+}
+
 static void
 run(struct fleet *f, uint32_t ms)
 {
@@ -144,6 +163,7 @@
             rg_balancer_set_confirmed(f->balancers[i], f->now_ms);
             rg_balancer_tick(f->balancers[i], f->now_ms);
             send_digest(f, i);
+            ask_peer(f, i);
         }
     }
 }
@@ -322,6 +342,32 @@
     destroy_fleet(f);
 }
 
+/* Guards against resets of single flows that have moved: they are too few to
+ * be evidence, and their answers were acknowledged at the other balancer. If
+ * that one cannot be asked, they look like hung requests. */
+static void
+test_two_flows_moved(void)
+{
+    for (int asked = 0; asked < 2; asked++) {
+        struct fleet *f = create_busy_fleet();
+        struct flow flows[MOVED_FLOWS];
+        uint32_t moved = 0;
+
+        f->no_answers = !asked;
+        send_together(f, flows);
+        for (int i = 0; i < MOVED_FLOWS; i++) {
+            bool moves = flows[i].token == flows[0].token;
+            acknowledge(f, moves ? 1 : 0, &flows[i]);
+            moved += moves;
+        }
+        g_assert_cmpuint(moved, ==, 2);
+        run(f, DEADLINE_MS / 4);
+        serve_requests(f, 25);
+        g_assert_cmpuint(f->resets, ==, (asked ? 0 : moved));
+        destroy_fleet(f);
+    }
+}
+
 /* Packets of flows that are not tracked: acknowledgements, after `first` or by
  * themselves, one every `interval_ms`. Returns whether they count as moved. */
 static bool
@@ -428,6 +474,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/moved-flows/acknowledged-elsewhere",
                     test_acknowledged_elsewhere);
+    g_test_add_func("/moved-flows/two-flows-moved", test_two_flows_moved);
     g_test_add_func("/moved-flows/retransmitted-here",
                     test_retransmitted_here);
     g_test_add_func("/moved-flows/no-evidence", test_no_evidence);
