balance, edge: an answer of the store does not become younger on its way

Cause: digests carry the time since the store last answered anyone, and it was dated by their arrival. The delayed instance dated it 0.6 s too late, told the others, and heard it back 0.6 s late again: the answer stayed young while nobody asked the store.

Fix: an answer is identified by the instance that got it and a number; the earliest time heard of it counts. Eight instances are remembered. The two fields are appended to the digest; without them (older builds) it is dated as before. Digests that have waited through a suspension are discarded.

Red before: test_peers /delayed-digests, with the numbers left out.

--- a/balance/peers.c
+++ b/balance/peers.c
@@ -40,6 +40,9 @@
 #define BEHIND_PERCENT 23
 #define BEHIND_MIN_MS 500
 
+/* Instances whose answers of the store are known; few read it at a time. */
+#define ANSWERS_MAX 8
+
 struct peer {
     struct rg_addr addr;
     struct rg_name name; /* empty: no digest yet */
@@ -54,10 +57,21 @@
     bool opening_tokens; /* tells the tokens of openings from others */
 };
 
+/* An answer of the store to any instance. Digests that tell of it may wait on
+ * their way, so that it seems to be more recent than it is. The same answer
+ * arrives by many ways; the earliest time is the best. */
+struct answer {
+    uint32_t source; /* instance and its start, 0: an older build's digest */
+    uint32_t serial; /* a higher one of the same source is later */
+    uint64_t at_ms;  /* 0: the entry is free */
+};
+
 struct rg_peers {
     struct rg_peers_opts opts;
     struct rg_rand rand;
     uint64_t rank;
+    uint32_t source;                    /* of this instance's answers */
+    struct answer answers[ANSWERS_MAX]; /* one for each source */
     struct rg_peers_view latest;   /* newest state reported by any instance */
     struct rg_peers_view required; /* state known at required_ms */
     uint64_t required_ms;
@@ -175,17 +189,68 @@
 }
 
 static void
-raise_latest(struct rg_peers *p, uint64_t version, uint64_t revision,
-             uint64_t confirmed_ms)
+raise_latest(struct rg_peers *p, uint64_t version, uint64_t revision)
 {
     struct rg_peers_view *latest = &p->latest;
 
     latest->version = version > latest->version ? version : latest->version;
     latest->revision =
         revision > latest->revision ? revision : latest->revision;
-    latest->confirmed_ms = confirmed_ms > latest->confirmed_ms
-                               ? confirmed_ms
-                               : latest->confirmed_ms;
+}
+
+static const struct answer *
+latest_answer(const struct rg_peers *p)
+{
+    const struct answer *latest = &p->answers[0];
+
+    for (size_t i = 1; i < ANSWERS_MAX; i++) {
+        if (p->answers[i].at_ms > latest->at_ms) {
+            latest = &p->answers[i];
+        }
+    }
+    return latest;
+}
+
+/* The entry of a source; if it has none, the one that is replaced. */
+static struct answer *
+answer_of(struct rg_peers *p, uint32_t source)
+{
+    struct answer *oldest = &p->answers[0];
+
+    for (size_t i = 0; i < ANSWERS_MAX; i++) {
+        struct answer *a = &p->answers[i];
+        if (a->at_ms != 0 && a->source == source) {
+            return a;
+        }
+        if (a->at_ms < oldest->at_ms) {
+            oldest = a;
+        }
+    }
+    return oldest;
+}
+
+static bool
+is_better(const struct answer *known, const struct answer *a)
+{
+    if (known->at_ms == 0 || known->source != a->source || a->source == 0) {
+        return a->at_ms > known->at_ms;
+    }
+    if (known->serial == a->serial) {
+        return a->at_ms < known->at_ms;
+    }
+    return (int32_t)(a->serial - known->serial) > 0;
+}
+
+/* Takes note of an answer of the store to any instance. */
+static void
+note_answer(struct rg_peers *p, const struct answer *a)
+{
+    struct answer *known = answer_of(p, a->source);
+
+    if (a->at_ms != 0 && is_better(known, a)) {
+        *known = *a;
+        p->latest.confirmed_ms = latest_answer(p)->at_ms;
+    }
 }
 
 void
@@ -210,8 +275,13 @@
         uint64_t active_ms = m->age_ms > now_ms ? 0 : now_ms - m->age_ms;
         rg_fleet_size_add(&p->fleet_size, m->hash, active_ms, now_ms);
     }
-    raise_latest(p, d->latest_version, d->latest_revision,
-                 time_of(d->latest_revision, d->latest_age_ms, now_ms));
+    raise_latest(p, d->latest_version, d->latest_revision);
+    struct answer answer = {
+        .source = d->latest_source,
+        .serial = d->latest_serial,
+        .at_ms = time_of(d->latest_revision, d->latest_age_ms, now_ms),
+    };
+    note_answer(p, &answer);
     if (!peer) {
         return;
     }
@@ -298,7 +368,14 @@
     out->revision = view->confirmed_ms ? view->revision : 0;
     out->age_ms =
         view->confirmed_ms ? (uint32_t)(now_ms - view->confirmed_ms) : 0;
-    raise_latest(p, view->version, view->revision, view->confirmed_ms);
+    raise_latest(p, view->version, view->revision);
+    struct answer own = {.source = p->source,
+                         .serial = view->answers,
+                         .at_ms = view->answered_ms};
+    note_answer(p, &own);
+    const struct answer *latest = latest_answer(p);
+    out->latest_source = latest->source;
+    out->latest_serial = latest->serial;
     out->latest_version = p->latest.version;
     out->latest_revision = p->latest.confirmed_ms ? p->latest.revision : 0;
     out->latest_age_ms = p->latest.confirmed_ms
@@ -485,6 +562,7 @@
     p->opts = *opts;
     p->rand.state = opts->seed;
     p->rank = rank_of(&opts->name);
+    p->source = (uint32_t)(rg_mix64(p->rank ^ opts->seed) >> 32);
     return p;
 }
 
--- a/balance/peers.h
+++ b/balance/peers.h
@@ -34,7 +34,10 @@
 struct rg_peers_view {
     uint64_t version;
     uint64_t revision;
-    uint64_t confirmed_ms;   /* when the store last confirmed it, 0: never */
+    uint64_t confirmed_ms; /* when the store last confirmed it, 0: never */
+    uint64_t answered_ms; /* when the store last answered this instance itself,
+                             0: never */
+    uint32_t answers;     /* number of its answers */
     uint32_t openings_per_s; /* new flows this instance gets */
     bool leaving;
 };
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "balance/snapshot.h"
 #include "common/clock.h"
@@ -20,6 +21,8 @@
 #define SNAPSHOT_MAX_BYTES (16 * 1024 * 1024)
 #define SNAPSHOT_CONNECT_MS 150
 #define SNAPSHOT_CALL_MS 1000
+/* Datagrams that are discarded at most after a suspension. */
+#define DISCARDED_MAX 4096
 /* Age in a digest that stands for "never". */
 #define AGE_NEVER UINT32_MAX
 /* An older move of flows is not reported: no request waits that long. */
@@ -63,6 +66,8 @@
         .version = rg_balancer_version(g->opts.balancer),
         .revision = rg_store_client_revision(g->opts.store_client),
         .confirmed_ms = rg_store_client_confirmed_ms(g->opts.store_client),
+        .answered_ms = rg_store_client_answered_ms(g->opts.store_client),
+        .answers = rg_store_client_answers(g->opts.store_client),
         .openings_per_s = rg_balancer_openings_per_s(g->opts.balancer),
         .leaving = g->leaving,
     };
@@ -494,6 +499,22 @@
     rg_peers_add_seed(g->peers, addr);
 }
 
+void
+rg_gossip_paused(struct rg_gossip *g)
+{
+    uv_os_fd_t fd;
+
+    if (uv_fileno((const uv_handle_t *)&g->udp, &fd) < 0) {
+        return;
+    }
+    /* Bounded, since datagrams may arrive as fast as they are discarded. */
+    for (int i = 0; i < DISCARDED_MAX; i++) {
+        if (recv(fd, g->data, sizeof(g->data), MSG_DONTWAIT) < 0) {
+            return;
+        }
+    }
+}
+
 void
 rg_gossip_leave(struct rg_gossip *g)
 {
--- a/edge/gossip.h
+++ b/edge/gossip.h
@@ -34,6 +34,10 @@
 /* Call it every RG_BALANCER_TICK_MS, after rg_balancer_tick(). */
 void rg_gossip_tick(struct rg_gossip *g);
 
+/* The process was suspended for a while: discards the datagrams that have
+ * waited since, as what they say of ages no longer holds. */
+void rg_gossip_paused(struct rg_gossip *g);
+
 /* Says in all further digests that this instance is about to stop. */
 void rg_gossip_leave(struct rg_gossip *g);
 
--- a/edge/main.c
+++ b/edge/main.c
@@ -262,6 +262,9 @@
     rg_packet_socket_discard(e->packets);
     rg_balancer_paused(e->balancer, now);
     rg_store_client_paused(e->store_client);
+    if (e->gossip) {
+        rg_gossip_paused(e->gossip);
+    }
 }
 
 static void
--- a/edge/store_client.c
+++ b/edge/store_client.c
@@ -28,6 +28,8 @@
     bool reachable;        /* the last call succeeded */
     uint64_t response_ms;  /* when the response being decoded arrived */
     uint64_t confirmed_ms; /* last confirmation of the view, 0: never */
+    uint64_t answered_ms;  /* the same by the store itself, not by peers */
+    uint32_t answers;      /* number of these */
 };
 
 static void make_next_call(struct rg_store_client *s);
@@ -177,6 +179,8 @@
         /* The response holds the store's state when the call arrived there, or
          * a later one. */
         rg_store_client_confirm(s, now);
+        s->answered_ms = now;
+        s->answers++;
     }
 }
 
@@ -320,6 +324,18 @@
     return s->confirmed_ms;
 }
 
+uint64_t
+rg_store_client_answered_ms(const struct rg_store_client *s)
+{
+    return s->answered_ms;
+}
+
+uint32_t
+rg_store_client_answers(const struct rg_store_client *s)
+{
+    return s->answers;
+}
+
 bool
 rg_store_client_failing(const struct rg_store_client *s)
 {
--- a/edge/store_client.h
+++ b/edge/store_client.h
@@ -54,6 +54,11 @@
  * held, 0 for never. */
 uint64_t rg_store_client_confirmed_ms(const struct rg_store_client *s);
 
+/* When the store last answered this instance with its complete state, 0 for
+ * never, and the number of such answers. */
+uint64_t rg_store_client_answered_ms(const struct rg_store_client *s);
+uint32_t rg_store_client_answers(const struct rg_store_client *s);
+
 /* True if the last call of the store failed. */
 bool rg_store_client_failing(const struct rg_store_client *s);
 
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -930,6 +930,8 @@
     }
     rg_pack_u64(pk, m->flows_moved_age_ms);
     rg_pack_u64(pk, m->opening_tokens);
+    rg_pack_u64(pk, m->latest_source);
+    rg_pack_u64(pk, m->latest_serial);
 }
 
 static bool
@@ -1033,6 +1035,18 @@
         }
         m->opening_tokens = (uint8_t)value;
     }
+    if (o->via.array.size > 19) {
+        if (!rg_unpack_u64(&o->via.array.ptr[19], 4294967295U, &value)) {
+            return false;
+        }
+        m->latest_source = (uint32_t)value;
+    }
+    if (o->via.array.size > 20) {
+        if (!rg_unpack_u64(&o->via.array.ptr[20], 4294967295U, &value)) {
+            return false;
+        }
+        m->latest_serial = (uint32_t)value;
+    }
     return true;
 }
 
@@ -1302,7 +1316,7 @@
         pack_content(&pk, &m->u.content);
         break;
     case RG_MSG_DIGEST:
-        rg_pack_list(&pk, 19);
+        rg_pack_list(&pk, 21);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_digest(&pk, &m->u.digest);
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -357,6 +357,11 @@
     uint32_t flows_moved_age_ms;
     /* 1: the sender tells the tokens of openings from those of open flows */
     uint8_t opening_tokens;
+    /* identifies the instance, and its start, that got the latest answer of
+     * the store; 0: not known */
+    uint32_t latest_source;
+    /* number of that answer there */
+    uint32_t latest_serial;
 };
 
 /* HTTP: part of a snapshot, with routes of the configuration in force. */
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -18,6 +18,13 @@
     bool store_reachable;
 };
 
+/* A digest on its way. */
+struct delayed_digest {
+    struct rg_msg_digest digest;
+    int to;
+    uint64_t due_ms;
+};
+
 struct fleet {
     struct instance all[FLEET_MAX];
     struct rg_addr addrs[FLEET_MAX];
@@ -25,6 +32,9 @@
     uint64_t now_ms;
     uint64_t revision; /* of the store */
     struct rg_rand rand;
+    int delayed;        /* digests to this instance wait, -1: to none */
+    uint32_t delay_ms;  /* so long */
+    GPtrArray *waiting; /* struct delayed_digest */
     int partitioned; /* instances below this number cannot reach the others, 0:
                         no partition */
 };
@@ -63,6 +73,8 @@
     f->now_ms = 100000;
     f->revision = 10;
     f->rand.state = SEED;
+    f->delayed = -1;
+    f->waiting = g_ptr_array_new_with_free_func(g_free);
     for (int i = 0; i < count; i++) {
         f->all[i].peers = create_peers(i);
         f->addrs[i] = addr_of(i);
@@ -79,6 +91,7 @@
     for (int i = 0; i < f->count; i++) {
         rg_peers_destroy(f->all[i].peers);
     }
+    g_ptr_array_unref(f->waiting);
     g_free(f);
 }
 
@@ -99,6 +112,8 @@
     n->view.revision = f->revision;
     n->view.version = f->revision;
     n->view.confirmed_ms = f->now_ms;
+    n->view.answered_ms = f->now_ms;
+    n->view.answers++;
 }
 
 static void
@@ -114,11 +129,30 @@
     }
     int i = index_of(f, &to.addr);
     bool partitioned = (from < f->partitioned) != (i < f->partitioned);
+    if (i >= 0 && i == f->delayed) {
+        struct delayed_digest *d = g_new(struct delayed_digest, 1);
+        *d = (struct delayed_digest){digest, i, f->now_ms + f->delay_ms};
+        g_ptr_array_add(f->waiting, d);
+        return;
+    }
     if (i >= 0 && f->all[i].running && !partitioned) {
         rg_peers_digest_received(f->all[i].peers, &digest, f->now_ms);
     }
 }
 
+static void
+deliver_delayed(struct fleet *f)
+{
+    while (f->waiting->len > 0) {
+        const struct delayed_digest *d = f->waiting->pdata[0];
+        if (f->now_ms < d->due_ms) {
+            return;
+        }
+        rg_peers_digest_received(f->all[d->to].peers, &d->digest, f->now_ms);
+        g_ptr_array_remove_index(f->waiting, 0);
+    }
+}
+
 /* One period: the instances that poll the store read it, and all send digests.
  * Returns the number of those that poll. */
 static int
@@ -127,6 +161,7 @@
     int reader_count = 0;
 
     f->now_ms += RG_PEERS_PERIOD_MS;
+    deliver_delayed(f);
     for (int i = 0; i < f->count; i++) {
         struct instance *n = &f->all[i];
         if (!n->running) {
@@ -294,6 +329,44 @@
     destroy_fleet(f);
 }
 
+/* Guards against a stale view that counts as current: the instance that polls
+ * the store gets no more answers, and digests to it wait on their way. What it
+ * passes on then seems younger than it is, and comes back to it. The others
+ * must poll in time for the bound. */
+static void
+test_delayed_digests(void)
+{
+    static const uint32_t delays_ms[] = {600, 1000, 1400};
+
+    for (size_t n = 0; n < G_N_ELEMENTS(delays_ms); n++) {
+        struct fleet *f = create_fleet(4);
+        run(f, 100);
+        for (int i = 0; i < f->count; i++) {
+            read_store(f, &f->all[i]);
+        }
+        run(f, 20);
+        for (int i = 0; i < f->count; i++) {
+            if (rg_peers_is_store_reader(f->all[i].peers, f->now_ms)) {
+                f->delayed = i;
+            }
+        }
+        f->delay_ms = delays_ms[n];
+        f->all[f->delayed].store_reachable = false;
+        run(f, 3);
+        f->revision++;
+        uint64_t changed_ms = f->now_ms;
+        int have = 0;
+        while (have == 0) {
+            run_period(f);
+            for (int i = 0; i < f->count; i++) {
+                have += f->all[i].view.revision == f->revision;
+            }
+            g_assert_cmpuint(f->now_ms - changed_ms, <, BOUND_MS - 500);
+        }
+        destroy_fleet(f);
+    }
+}
+
 /* Fleet size and share of the load, which admission control needs. Each
  * instance knows at most 48 others and estimates both nevertheless. */
 static void
@@ -420,38 +493,40 @@
 static void
 test_digest_of_other_build(void)
 {
+    static const uint8_t appended[] = {90, 1, 77, 78};
     struct rg_msg m = {.kind = RG_MSG_DIGEST};
+    struct rg_msg_digest *d = &m.u.digest;
     uint8_t data[2048];
 
-    m.u.digest.version = 7;
-    m.u.digest.flows_moved_age_ms = 90;
-    m.u.digest.opening_tokens = 1;
-    g_assert_true(rg_name_set(&m.u.digest.from, rg_str_of("edge-1")));
-    g_assert_true(rg_name_set(&m.u.digest.data_centre, rg_str_of("dc1")));
-    m.u.digest.addr = addr_of(1);
+    d->version = 7;
+    d->flows_moved_age_ms = appended[0];
+    d->opening_tokens = appended[1];
+    d->latest_source = appended[2];
+    d->latest_serial = appended[3];
+    g_assert_true(rg_name_set(&d->from, rg_str_of("edge-1")));
+    g_assert_true(rg_name_set(&d->data_centre, rg_str_of("dc1")));
+    d->addr = addr_of(1);
     size_t len = rg_msg_pack(&m, data, sizeof(data) - 1);
-    g_assert_true(rg_msg_unpack(&m, data, len));
-    g_assert_cmpuint(m.u.digest.flows_moved_age_ms, ==, 90);
-    g_assert_cmpuint(m.u.digest.opening_tokens, ==, 1);
     /* An array with a length of two bytes; its last elements have one byte. */
     g_assert_cmphex(data[0], ==, 0xdc);
-    g_assert_cmphex(data[len - 2], ==, 90);
-    g_assert_cmphex(data[len - 1], ==, 1);
+    g_assert_cmpmem(data + len - sizeof(appended), sizeof(appended), appended,
+                    sizeof(appended));
     data[len] = 0;
     data[2]++;
     g_assert_true(rg_msg_unpack(&m, data, len + 1));
-    g_assert_cmpuint(m.u.digest.flows_moved_age_ms, ==, 90);
-    g_assert_cmpuint(m.u.digest.opening_tokens, ==, 1);
-    data[2] -= 2;
-    g_assert_true(rg_msg_unpack(&m, data, len - 1));
-    g_assert_cmpuint(m.u.digest.flows_moved_age_ms, ==, 90);
-    g_assert_cmpuint(m.u.digest.opening_tokens, ==, 0);
-    data[2]--;
-    g_assert_true(rg_msg_unpack(&m, data, len - 2));
-    g_assert_cmpuint(m.u.digest.version, ==, 7);
-    g_assert_cmpuint(m.u.digest.flows_moved_age_ms, ==, 0);
+    g_assert_cmpuint(d->latest_serial, ==, appended[3]);
+    for (size_t lacks = 0; lacks <= sizeof(appended); lacks++) {
+        data[2]--;
+        g_assert_true(rg_msg_unpack(&m, data, len - lacks));
+        g_assert_cmpuint(d->version, ==, 7);
+        g_assert_cmpuint(d->flows_moved_age_ms, ==,
+                         (lacks < 4 ? appended[0] : 0));
+        g_assert_cmpuint(d->opening_tokens, ==, (lacks < 3 ? appended[1] : 0));
+        g_assert_cmpuint(d->latest_source, ==, (lacks < 2 ? appended[2] : 0));
+        g_assert_cmpuint(d->latest_serial, ==, (lacks < 1 ? appended[3] : 0));
+    }
     data[2]--;
-    g_assert_false(rg_msg_unpack(&m, data, len - 3));
+    g_assert_false(rg_msg_unpack(&m, data, len - sizeof(appended) - 1));
 }
 
 /* Guards against a datagram that ends the process: nested so deeply that a
@@ -540,6 +615,7 @@
     g_test_add_func("/peers/change-spreads", test_change_spreads);
     g_test_add_func("/peers/lag-during-constant-changes",
                     test_lag_during_constant_changes);
+    g_test_add_func("/peers/delayed-digests", test_delayed_digests);
     g_test_add_func("/peers/reader-dies", test_reader_dies);
     g_test_add_func("/peers/partition", test_partition);
     g_test_add_func("/peers/fleet-size", test_fleet_size);
