--- a/test/fake_instances.h
+++ b/test/fake_instances.h
@@ -186,6 +186,26 @@
     return (struct tokens){.opening = d.token, .flow = d.endpoint->token};
 }
 
+/* Upstreams that have both got the opening of one flow. */
+struct two_answers {
+    struct tokens other;
+    struct tokens taken; /* its answer is the one that the caller takes */
+};
+
+/* Opens a flow by way of instance 0: the answer to the first copy is late, and
+ * that to the second is on its way when this returns. */
+static inline struct two_answers
+open_at_two(struct fixture *f)
+{
+    struct two_answers a = {.other = open_at(f, 0, 0)};
+
+    f->now_ms += FIRST_COPY_MS;
+    a.taken = open_at(f, 0, 1);
+    g_assert_cmpuint(a.other.flow, !=, a.taken.flow);
+    f->now_ms += RTT_MS;
+    return a;
+}
+
 /* Lets time pass for all instances. */
 static inline void
 tick_until(struct fixture *f, uint64_t until_ms)
--- a/test/test_flow_records.c
+++ b/test/test_flow_records.c
@@ -10,25 +10,12 @@
 #define RECORDS_MAX 128
 #define FLOWS 100
 
-/* The fixture of a flow that two upstreams have answered; its caller took the
- * second. */
-struct two_answers {
-    struct tokens taken;
-    struct tokens other;
-};
-
-/* Opens a flow by way of instance 0: the answer to the first copy is late,
- * that to the second is taken, and a first request is answered. */
+/* Opens a flow that two upstreams answer; its first request is answered. */
 static struct two_answers
 open_with_two_answers(struct fixture *f)
 {
-    struct two_answers a;
+    struct two_answers a = open_at_two(f);
 
-    a.other = open_at(f, 0, 0);
-    f->now_ms += FIRST_COPY_MS;
-    a.taken = open_at(f, 0, 1);
-    g_assert_cmpuint(a.other.flow, !=, a.taken.flow);
-    f->now_ms += RTT_MS;
     acknowledge(f, 0, a.taken.opening);
     send_data(f, 0, a.taken.opening, 0, 0, 100);
     f->now_ms += RTT_MS;
@@ -142,19 +129,16 @@
 static void
 test_no_request_yet(struct fixture *f, gconstpointer unused)
 {
-    (void)unused;
-    struct tokens other = open_at(f, 0, 0);
+    struct two_answers a = open_at_two(f);
 
-    f->now_ms += FIRST_COPY_MS;
-    struct tokens taken = open_at(f, 0, 1);
-    f->now_ms += RTT_MS;
-    acknowledge(f, 0, taken.opening);
+    (void)unused;
+    acknowledge(f, 0, a.taken.opening);
     tick_until(f, f->now_ms + TOLD_MS);
-    send_data(f, 2, other.opening, 0, 0, 100);
+    send_data(f, 2, a.other.opening, 0, 0, 100);
     g_assert_cmpuint(pass_queries(f, 2, 0), ==, 1);
     f->now_ms += 200;
-    g_assert_cmpuint(send_data(f, 2, other.opening, 0, 0, 100).token, ==,
-                     taken.flow);
+    g_assert_cmpuint(send_data(f, 2, a.other.opening, 0, 0, 100).token, ==,
+                     a.taken.flow);
 }
 
 /* Guards against flows that are lost or delayed when they move in the first
--- a/test/test_openings.c
+++ b/test/test_openings.c
@@ -173,26 +173,23 @@
 static void
 test_late_answer_of_other_upstream(struct fixture *f, gconstpointer unused)
 {
-    (void)unused;
-    struct tokens first = open_at(f, 0, 0);
+    struct two_answers a = open_at_two(f);
 
-    f->now_ms += FIRST_COPY_MS;
-    struct tokens second = open_at(f, 0, 1);
-    g_assert_cmpuint(first.flow, !=, second.flow);
-    f->now_ms += RTT_MS;
-    g_assert_cmpuint(acknowledge(f, 0, second.opening).token, ==, second.flow);
+    (void)unused;
+    g_assert_cmpuint(acknowledge(f, 0, a.taken.opening).token, ==,
+                     a.taken.flow);
     /* The first one answers now; the caller sends its request. */
-    g_assert_cmpuint(send_data(f, 0, first.opening, 0, 0, 100).token, ==,
-                     second.flow);
+    g_assert_cmpuint(send_data(f, 0, a.other.opening, 0, 0, 100).token, ==,
+                     a.taken.flow);
     /* Its repetitions of that answer come between the packets of the flow. */
     for (uint32_t received = 0; received < 5000; received += 1000) {
         f->now_ms += 20;
-        g_assert_cmpuint(send_data(f, 0, second.flow, 100, received, 0).token,
-                         ==, second.flow);
+        g_assert_cmpuint(send_data(f, 0, a.taken.flow, 100, received, 0).token,
+                         ==, a.taken.flow);
         f->now_ms += 20;
         g_assert_cmpuint(
-            send_data(f, 0, first.opening, 100, received, 100).token, ==,
-            second.flow);
+            send_data(f, 0, a.other.opening, 100, received, 100).token, ==,
+            a.taken.flow);
     }
 }
 
@@ -232,19 +229,16 @@
 static void
 test_acknowledged_bytes_decide(struct fixture *f, gconstpointer unused)
 {
-    (void)unused;
-    struct tokens first = open_at(f, 0, 0);
+    struct two_answers a = open_at_two(f);
 
-    f->now_ms += FIRST_COPY_MS;
-    struct tokens second = open_at(f, 0, 1);
-    f->now_ms += RTT_MS;
-    g_assert_cmpuint(send_data(f, 0, first.opening, 0, 0, 100).token, ==,
-                     first.flow);
+    (void)unused;
+    g_assert_cmpuint(send_data(f, 0, a.other.opening, 0, 0, 100).token, ==,
+                     a.other.flow);
     f->now_ms += RTT_MS;
-    g_assert_cmpuint(send_data(f, 0, second.flow, 100, 1000, 0).token, ==,
-                     second.flow);
-    g_assert_cmpuint(send_data(f, 0, first.opening, 100, 1000, 100).token, ==,
-                     second.flow);
+    g_assert_cmpuint(send_data(f, 0, a.taken.flow, 100, 1000, 0).token, ==,
+                     a.taken.flow);
+    g_assert_cmpuint(send_data(f, 0, a.other.opening, 100, 1000, 100).token,
+                     ==, a.taken.flow);
 }
 
 /* Guards against a request taken for an acknowledgement: it acknowledges the
@@ -253,17 +247,14 @@
 static void
 test_request_with_new_acknowledgement(struct fixture *f, gconstpointer unused)
 {
-    (void)unused;
-    struct tokens first = open_at(f, 0, 0);
+    struct two_answers a = open_at_two(f);
 
-    f->now_ms += FIRST_COPY_MS;
-    struct tokens second = open_at(f, 0, 1);
-    f->now_ms += RTT_MS;
-    acknowledge(f, 0, second.opening);
-    send_data(f, 0, second.opening, 0, 0, 100);
+    (void)unused;
+    acknowledge(f, 0, a.taken.opening);
+    send_data(f, 0, a.taken.opening, 0, 0, 100);
     f->now_ms += RTT_MS;
-    g_assert_cmpuint(send_data(f, 0, first.opening, 100, 1000, 100).token, ==,
-                     second.flow);
+    g_assert_cmpuint(send_data(f, 0, a.other.opening, 100, 1000, 100).token,
+                     ==, a.taken.flow);
 }
 
 /* Guards against a flow with long pauses being forgotten while an upstream
@@ -271,16 +262,13 @@
 static void
 test_pause_after_two_answers(struct fixture *f, gconstpointer unused)
 {
-    (void)unused;
-    struct tokens first = open_at(f, 0, 0);
+    struct two_answers a = open_at_two(f);
 
-    f->now_ms += FIRST_COPY_MS;
-    struct tokens second = open_at(f, 0, 1);
-    f->now_ms += RTT_MS;
-    acknowledge(f, 0, second.opening);
+    (void)unused;
+    acknowledge(f, 0, a.taken.opening);
     tick_until(f, f->now_ms + 9000);
-    g_assert_cmpuint(send_data(f, 0, first.opening, 0, 0, 100).token, ==,
-                     second.flow);
+    g_assert_cmpuint(send_data(f, 0, a.other.opening, 0, 0, 100).token, ==,
+                     a.taken.flow);
 }
 
 /* Guards against an idle flow being forgotten before the end of its life: its
@@ -289,21 +277,18 @@
 static void
 test_longest_pause_after_two_answers(struct fixture *f, gconstpointer unused)
 {
-    (void)unused;
-    struct tokens first = open_at(f, 0, 0);
+    struct two_answers a = open_at_two(f);
 
-    f->now_ms += FIRST_COPY_MS;
-    struct tokens second = open_at(f, 0, 1);
-    f->now_ms += RTT_MS;
-    acknowledge(f, 0, second.opening);
+    (void)unused;
+    acknowledge(f, 0, a.taken.opening);
     tick_until(f, START_MS + FLOW_AGE_MS - 1000);
-    g_assert_cmpuint(send_data(f, 0, first.opening, 0, 0, 100).token, ==,
-                     second.flow);
+    g_assert_cmpuint(send_data(f, 0, a.other.opening, 0, 0, 100).token, ==,
+                     a.taken.flow);
     /* The request stays unanswered. It no longer counts as outstanding, but
      * the flow is still known. */
     tick_until(f, START_MS + FLOW_AGE_MS - RG_BALANCER_TICK_MS);
-    g_assert_cmpuint(send_data(f, 0, first.opening, 0, 0, 100).token, ==,
-                     second.flow);
+    g_assert_cmpuint(send_data(f, 0, a.other.opening, 0, 0, 100).token, ==,
+                     a.taken.flow);
     tick_until(f, f->now_ms + FLOW_AGE_MS);
     g_assert_cmpuint(rg_balancer_tracked_count(f->instances[0]), ==, 0);
 }
@@ -335,29 +320,26 @@
 static void
 test_delayed_acknowledgement(struct fixture *f, gconstpointer unused)
 {
-    (void)unused;
-    struct tokens other = open_at(f, 0, 0);
+    struct two_answers a = open_at_two(f);
 
-    f->now_ms += FIRST_COPY_MS;
-    struct tokens taken = open_at(f, 0, 1);
-    f->now_ms += RTT_MS;
-    acknowledge(f, 0, taken.opening);
-    send_data(f, 0, taken.opening, 0, 0, 100);
+    (void)unused;
+    acknowledge(f, 0, a.taken.opening);
+    send_data(f, 0, a.taken.opening, 0, 0, 100);
     for (uint32_t received = 1000; received < 20000; received += 1000) {
         f->now_ms += 40;
         g_assert_cmpuint(
-            send_data(f, 0, other.opening, 100, received, 0).token, ==,
-            taken.flow);
+            send_data(f, 0, a.other.opening, 100, received, 0).token, ==,
+            a.taken.flow);
         /* Also the end of a flow, and its reset by the caller. */
         struct rg_segment s = segment_from(CALLER_PORT);
-        s.token = other.opening;
+        s.token = a.other.opening;
         s.seq = OPENING_SEQ + 101;
         s.ack = UPSTREAM_SEQ + 501 + received;
         s.fin = received >= 10000;
         s.reset = received >= 15000;
         g_assert_cmpuint(
             rg_balancer_packet(f->instances[0], &s, f->now_ms).token, ==,
-            taken.flow);
+            a.taken.flow);
     }
     g_assert_cmpuint(counter(f, 0, RG_METRIC_OPENINGS_MOVED), ==, 1);
 }
@@ -368,19 +350,16 @@
 static void
 test_slow_first_request(struct fixture *f, gconstpointer unused)
 {
-    (void)unused;
-    struct tokens other = open_at(f, 0, 0);
+    struct two_answers a = open_at_two(f);
 
-    f->now_ms += FIRST_COPY_MS;
-    struct tokens taken = open_at(f, 0, 1);
-    f->now_ms += RTT_MS;
+    (void)unused;
     /* Callers may leave out the acknowledgement that precedes the data. */
-    g_assert_cmpuint(send_data(f, 0, taken.opening, 0, 0, 100).token, ==,
-                     taken.flow);
+    g_assert_cmpuint(send_data(f, 0, a.taken.opening, 0, 0, 100).token, ==,
+                     a.taken.flow);
     for (int i = 0; i < 4; i++) {
         f->now_ms += 200;
-        g_assert_cmpuint(send_data(f, 0, other.opening, 0, 0, 100).token, ==,
-                         taken.flow);
+        g_assert_cmpuint(send_data(f, 0, a.other.opening, 0, 0, 100).token, ==,
+                         a.taken.flow);
     }
 }
 
