--- a/balance/peers.c
+++ b/balance/peers.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "balance/fleet_size.h"
+#include "balance/store_answers.h"
 #include "common/mem.h"
 #include "common/rand.h"
 
@@ -40,9 +41,6 @@
 #define BEHIND_PERCENT 23
 #define BEHIND_MIN_MS 500
 
-/* Instances whose answers of the store are known; few read it at a time. */
-#define ANSWERS_MAX 8
-
 struct peer {
     struct rg_addr addr;
     struct rg_name name; /* empty: no digest yet */
@@ -57,21 +55,12 @@
     bool opening_tokens; /* tells the tokens of openings from others */
 };
 
-/* An answer of the store to any instance. Digests that tell of it may wait on
- * their way, so that it seems to be more recent than it is. The same answer
- * arrives by many ways; the earliest time is the best. */
-struct answer {
-    uint32_t source; /* instance and its start, 0: an older build's digest */
-    uint32_t serial; /* a higher one of the same source is later */
-    uint64_t at_ms;  /* 0: the entry is free */
-};
-
 struct rg_peers {
     struct rg_peers_opts opts;
     struct rg_rand rand;
     uint64_t rank;
-    uint32_t source;                    /* of this instance's answers */
-    struct answer answers[ANSWERS_MAX]; /* one for each source */
+    uint32_t source; /* of this instance's answers */
+    struct rg_store_answers answers;
     struct rg_peers_view latest;   /* newest state reported by any instance */
     struct rg_peers_view required; /* state known at required_ms */
     uint64_t required_ms;
@@ -198,59 +187,11 @@
         revision > latest->revision ? revision : latest->revision;
 }
 
-static const struct answer *
-latest_answer(const struct rg_peers *p)
-{
-    const struct answer *latest = &p->answers[0];
-
-    for (size_t i = 1; i < ANSWERS_MAX; i++) {
-        if (p->answers[i].at_ms > latest->at_ms) {
-            latest = &p->answers[i];
-        }
-    }
-    return latest;
-}
-
-/* The entry of a source; if it has none, the one that is replaced. */
-static struct answer *
-answer_of(struct rg_peers *p, uint32_t source)
-{
-    struct answer *oldest = &p->answers[0];
-
-    for (size_t i = 0; i < ANSWERS_MAX; i++) {
-        struct answer *a = &p->answers[i];
-        if (a->at_ms != 0 && a->source == source) {
-            return a;
-        }
-        if (a->at_ms < oldest->at_ms) {
-            oldest = a;
-        }
-    }
-    return oldest;
-}
-
-static bool
-is_better(const struct answer *known, const struct answer *a)
-{
-    if (known->at_ms == 0 || known->source != a->source || a->source == 0) {
-        return a->at_ms > known->at_ms;
-    }
-    if (known->serial == a->serial) {
-        return a->at_ms < known->at_ms;
-    }
-    return (int32_t)(a->serial - known->serial) > 0;
-}
-
-/* Takes note of an answer of the store to any instance. */
 static void
-note_answer(struct rg_peers *p, const struct answer *a)
+note_answer(struct rg_peers *p, const struct rg_store_answer *a)
 {
-    struct answer *known = answer_of(p, a->source);
-
-    if (a->at_ms != 0 && is_better(known, a)) {
-        *known = *a;
-        p->latest.confirmed_ms = latest_answer(p)->at_ms;
-    }
+    rg_store_answers_note(&p->answers, a);
+    p->latest.confirmed_ms = rg_store_answers_latest(&p->answers)->at_ms;
 }
 
 void
@@ -276,7 +217,7 @@
         rg_fleet_size_add(&p->fleet_size, m->hash, active_ms, now_ms);
     }
     raise_latest(p, d->latest_version, d->latest_revision);
-    struct answer answer = {
+    struct rg_store_answer answer = {
         .source = d->latest_source,
         .serial = d->latest_serial,
         .at_ms = time_of(d->latest_revision, d->latest_age_ms, now_ms),
@@ -369,11 +310,12 @@
     out->age_ms =
         view->confirmed_ms ? (uint32_t)(now_ms - view->confirmed_ms) : 0;
     raise_latest(p, view->version, view->revision);
-    struct answer own = {.source = p->source,
-                         .serial = view->answers,
-                         .at_ms = view->answered_ms};
+    struct rg_store_answer own = {.source = p->source,
+                                  .serial = view->answers,
+                                  .at_ms = view->answered_ms};
     note_answer(p, &own);
-    const struct answer *latest = latest_answer(p);
+    const struct rg_store_answer *latest =
+        rg_store_answers_latest(&p->answers);
     out->latest_source = latest->source;
     out->latest_serial = latest->serial;
     out->latest_version = p->latest.version;
