balance, edge: hold a packet until peers have said where its flow is

The fabric had just moved the flow to an instance that knew nothing of it.

Cause: the token of an opening was believed at the start of a flow, and peers were asked beside it, with the next tick. The first packet went where the token said. A packet that could not be placed at all was dropped, and its caller lost 200 ms or more although a peer knew the flow.

If one knows the flow the packet goes there, else it is treated as before. The caller's acknowledgement of the answer to its opening needs no question.

HELD is logged; REFUSED, DROPPED and HELD share their fields.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -37,6 +37,16 @@
     return s->opening ? rg_bal_steer_opening(b, s) : rg_bal_steer_open(b, s);
 }
 
+struct rg_decision
+rg_balancer_held_packet(struct rg_balancer *b,
+                        const struct rg_segment *segment, uint64_t now_ms)
+{
+    b->held_in_vain = true;
+    struct rg_decision decision = rg_balancer_packet(b, segment, now_ms);
+    b->held_in_vain = false;
+    return decision;
+}
+
 /* --- view, peers and time ------------------------------------------------ */
 
 bool
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -32,12 +32,16 @@
      * called from rg_balancer_tick(). */
     void (*refuse)(void *ctx, const struct rg_segment *last);
     void *ctx;
+    bool can_hold; /* RG_DECISION_HOLD is understood */
 };
 
 enum rg_decision_kind {
     RG_DECISION_DROP,
     RG_DECISION_FORWARD, /* to `endpoint`, with `token` in the packet */
     RG_DECISION_REFUSE,  /* reset the flow at its caller */
+    RG_DECISION_HOLD,    /* peers are asked where the flow is: offer the packet
+                            again once rg_balancer_find_flow_record() finds it,
+                            or by rg_balancer_held_packet() after a while */
 };
 
 struct rg_decision {
@@ -99,6 +103,12 @@
                                       const struct rg_segment *segment,
                                       uint64_t now_ms);
 
+/* Decides on a packet that was held in vain: no peer knows its flow. Does not
+ * return RG_DECISION_HOLD. */
+struct rg_decision rg_balancer_held_packet(struct rg_balancer *b,
+                                           const struct rg_segment *segment,
+                                           uint64_t now_ms);
+
 /* The process was suspended for a while: the time that its flows waited
  * meanwhile says nothing about their upstreams. */
 void rg_balancer_paused(struct rg_balancer *b, uint64_t now_ms);
--- a/balance/open_flows.c
+++ b/balance/open_flows.c
@@ -180,9 +180,6 @@
         /* The flow has opened elsewhere; only a late copy came here. */
         return NULL;
     }
-    if (t->state == RG_TRACKED_OPENING && !proof) {
-        rg_bal_ask_for_flow(b, &s->flow);
-    }
     if (t->endpoint != endpoint) {
         endpoint = correct_token(b, t, s, route, named);
     }
@@ -202,14 +199,28 @@
     return rg_bal_drop(b, s, RG_METRIC_DROPPED_NO_TOKEN, "no-token");
 }
 
-/* The packet does not show where its flow is. It is dropped, and the peers are
- * asked, so that its retransmission finds the flow. */
-static struct rg_decision
-ask_peers(struct rg_balancer *b, const struct rg_segment *s,
-          const struct named *named)
+/* Asks peers where the flow is. Returns false if the packet cannot wait for
+ * their answer. */
+static bool
+ask_and_hold(struct rg_balancer *b, const struct rg_segment *s)
 {
+    if (b->held_in_vain) {
+        return false;
+    }
     rg_bal_ask_for_flow(b, &s->flow);
+    return b->opts.can_hold && b->fleet.instances > 1;
+}
+
+/* The packet does not show where its flow is. If it cannot wait until peers
+ * have said so, it is dropped, and its retransmission finds the flow. */
+static struct rg_decision
+handle_unplaced(struct rg_balancer *b, const struct rg_segment *s,
+                const struct named *named)
+{
     rg_bal_note_open(b, s);
+    if (ask_and_hold(b, s)) {
+        return rg_bal_hold(b, s, "unplaced");
+    }
     return named->kind == TOKEN_UNKNOWN
                ? rg_bal_drop(b, s, RG_METRIC_DROPPED_UNKNOWN_TOKEN,
                              "unknown-token")
@@ -218,9 +229,7 @@
 }
 
 /* Tracks a flow that was opened by way of another instance and is at its
- * start. Its token is that of the answer that the caller took, if the packet
- * is the acknowledgement of that answer. Before later packets, other answers
- * may have come, and peers may know better. */
+ * start. */
 static void
 adopt(struct rg_balancer *b, struct rg_tracked_flow *ended,
       const struct rg_segment *s, struct rg_route *route,
@@ -233,12 +242,12 @@
         t->last_ack = s->ack;
         rg_flows_update(b, t, s, route);
     }
-    if (!is_pure_ack(s)) {
-        rg_bal_ask_for_flow(b, &s->flow);
-    }
 }
 
-/* `ended` is the entry of an earlier flow with the same ports, or NULL. */
+/* At the start of a flow the token is that of the answer that the caller took,
+ * if the packet is the acknowledgement of that answer. Before later packets,
+ * other answers may have come, and peers may know better.
+ * `ended` is the entry of an earlier flow with the same ports, or NULL. */
 static struct rg_decision
 steer_untracked(struct rg_balancer *b, struct rg_tracked_flow *ended,
                 const struct rg_segment *s, struct rg_route *route,
@@ -250,6 +259,9 @@
         return rg_bal_drop(b, s, RG_METRIC_DROPPED_WRONG_SERVICE,
                            "wrong-service");
     }
+    if (named->kind == TOKEN_START && !is_pure_ack(s) && ask_and_hold(b, s)) {
+        return rg_bal_hold(b, s, "moved-at-start");
+    }
     rg_bal_note_untracked(b, s, endpoint);
     if (named->kind == TOKEN_START) {
         adopt(b, ended, s, route, named);
@@ -262,10 +274,14 @@
               const struct rg_segment *s, struct rg_route *route,
               const struct named *named)
 {
-    struct rg_endpoint *endpoint = tracked_endpoint(b, t, s, route, named);
+    bool is_first = t->state == RG_TRACKED_OPENING;
 
+    if (is_first && !is_proof(b, t, s, named) && ask_and_hold(b, s)) {
+        return rg_bal_hold(b, s, "first-copy-elsewhere");
+    }
+    struct rg_endpoint *endpoint = tracked_endpoint(b, t, s, route, named);
     if (!endpoint) {
-        return ask_peers(b, s, named);
+        return handle_unplaced(b, s, named);
     }
     if (!token_is_allowed(b, route, endpoint, t)) {
         return rg_bal_drop(b, s, RG_METRIC_DROPPED_WRONG_SERVICE,
@@ -294,7 +310,7 @@
     }
     struct named named = read_token(b, t, s);
     if (named.kind == TOKEN_UNKNOWN) {
-        return ask_peers(b, s, &named);
+        return handle_unplaced(b, s, &named);
     }
     if (!route) {
         return handle_missing_route(b, s);
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -48,9 +48,11 @@
     uint64_t partial_ms;      /* partial view was last current, 0: never */
     uint64_t ticked_ms;       /* last tick */
     uint64_t late_tick_ms;    /* last tick that was late, 0: none */
-    uint32_t dropped_lines;   /* dropped packets logged since then */
+    uint32_t dropped_lines;   /* dropped and held packets logged
+                                  since then */
     uint32_t untracked_lines; /* untracked flows logged since then */
     uint64_t now_ms;
+    bool held_in_vain; /* the present packet was held, and no peer knows it */
 };
 
 /* Version of the routes in force, 0 if there are none. */
@@ -101,6 +103,10 @@
                                enum rg_metric_counter counter,
                                const char *reason);
 
+/* The same for a packet that is held until peers have told of its flow. */
+struct rg_decision rg_bal_hold(struct rg_balancer *b,
+                               const struct rg_segment *s, const char *reason);
+
 /* Updates the share of lost openings with one that was answered or lost. */
 void rg_bal_update_lost_share(struct rg_balancer *b, bool lost);
 /* `t` is the flow's entry before this opening, NULL if it is not tracked;
--- a/balance/report.c
+++ b/balance/report.c
@@ -6,8 +6,8 @@
 
 /* Gain of the moving average of the share of lost openings. */
 #define LOST_GAIN 0.05
-/* Dropped packets that are logged between two ticks: a flood of them must not
- * use up the log's rate. */
+/* Dropped and held packets that are logged between two ticks: a flood of them
+ * must not use up the log's rate. */
 #define DROPPED_LINES_PER_TICK 5
 /* The same for flows that the fabric has moved here, which may be all flows of
  * another instance. */
@@ -84,16 +84,16 @@
                  (unsigned long long)rg_bal_view_age_ms(b));
 }
 
-struct rg_decision
-rg_bal_refuse(struct rg_balancer *b, const struct rg_segment *s,
-              enum rg_metric_counter counter, const char *reason)
+/* Logs a packet that is not forwarded, with what is known of its flow. */
+static void
+log_packet(const struct rg_balancer *b, const struct rg_segment *s,
+           const char *event, const char *reason)
 {
     const struct rg_tracked_flow *t =
         rg_tracked_flows_find(b->flows, &s->flow);
     char flow[RG_FLOW_TEXT_MAX];
 
-    rg_bal_count(b, counter);
-    rg_log_event(b->opts.log, RG_LOG_INFO, "REFUSED",
+    rg_log_event(b->opts.log, RG_LOG_INFO, event,
                  "flow=\"%s\" opening=\"%d\" reason=\"%s\" state=\"%s\" "
                  "upstream=\"%s\" token=\"%08x\" seq=\"%08x\" ack=\"%u\" "
                  "version=\"%llu\" age_ms=\"%llu\"",
@@ -101,6 +101,14 @@
                  state_text(t), upstream_text(t), s->token, s->seq, s->ack,
                  (unsigned long long)rg_bal_version(b),
                  (unsigned long long)rg_bal_view_age_ms(b));
+}
+
+struct rg_decision
+rg_bal_refuse(struct rg_balancer *b, const struct rg_segment *s,
+              enum rg_metric_counter counter, const char *reason)
+{
+    rg_bal_count(b, counter);
+    log_packet(b, s, "REFUSED", reason);
     return (struct rg_decision){.kind = RG_DECISION_REFUSE};
 }
 
@@ -108,25 +116,26 @@
 rg_bal_drop(struct rg_balancer *b, const struct rg_segment *s,
             enum rg_metric_counter counter, const char *reason)
 {
-    const struct rg_tracked_flow *t =
-        rg_tracked_flows_find(b->flows, &s->flow);
-    char flow[RG_FLOW_TEXT_MAX];
-
     rg_bal_count(b, counter);
     if (b->dropped_lines < DROPPED_LINES_PER_TICK) {
         b->dropped_lines++;
-        rg_log_event(b->opts.log, RG_LOG_INFO, "DROPPED",
-                     "flow=\"%s\" opening=\"%d\" reason=\"%s\" state=\"%s\" "
-                     "upstream=\"%s\" token=\"%08x\" seq=\"%08x\" "
-                     "version=\"%llu\" age_ms=\"%llu\"",
-                     rg_flow_text(&s->flow, flow), s->opening, reason,
-                     state_text(t), upstream_text(t), s->token, s->seq,
-                     (unsigned long long)rg_bal_version(b),
-                     (unsigned long long)rg_bal_view_age_ms(b));
+        log_packet(b, s, "DROPPED", reason);
     }
     return (struct rg_decision){.kind = RG_DECISION_DROP};
 }
 
+struct rg_decision
+rg_bal_hold(struct rg_balancer *b, const struct rg_segment *s,
+            const char *reason)
+{
+    rg_bal_count(b, RG_METRIC_HELD);
+    if (b->dropped_lines < DROPPED_LINES_PER_TICK) {
+        b->dropped_lines++;
+        log_packet(b, s, "HELD", reason);
+    }
+    return (struct rg_decision){.kind = RG_DECISION_HOLD};
+}
+
 void
 rg_bal_log_token(const struct rg_balancer *b, const struct rg_segment *s,
                  const struct rg_tracked_flow *t,
--- a/edge/flow_gossip.c
+++ b/edge/flow_gossip.c
@@ -95,8 +95,8 @@
     }
 }
 
-static void
-ask_peers(struct rg_flow_gossip *g, uint64_t now_ms)
+void
+rg_flow_gossip_ask(struct rg_flow_gossip *g, uint64_t now_ms)
 {
     struct rg_flow_id flows[QUERIES_MAX];
     struct rg_msg m = {.kind = RG_MSG_FLOW_QUERY};
@@ -125,7 +125,7 @@
         rg_balancer_tell_flows_again(g->opts.balancer);
     }
     tell_peers(g, now_ms);
-    ask_peers(g, now_ms);
+    rg_flow_gossip_ask(g, now_ms);
 }
 
 static void
--- a/edge/flow_gossip.h
+++ b/edge/flow_gossip.h
@@ -27,6 +27,9 @@
 /* Call it every RG_BALANCER_TICK_MS, after rg_balancer_tick(). */
 void rg_flow_gossip_tick(struct rg_flow_gossip *g, uint64_t now_ms);
 
+/* Asks peers for flows without waiting for the next tick. */
+void rg_flow_gossip_ask(struct rg_flow_gossip *g, uint64_t now_ms);
+
 /* Handle the messages of peers. */
 void rg_flow_gossip_query(struct rg_flow_gossip *g,
                           const struct rg_msg_flow_query *query,
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -499,6 +499,12 @@
     rg_peers_add_seed(g->peers, addr);
 }
 
+void
+rg_gossip_ask(struct rg_gossip *g, uint64_t now_ms)
+{
+    rg_flow_gossip_ask(g->flows, now_ms);
+}
+
 void
 rg_gossip_paused(struct rg_gossip *g)
 {
--- a/edge/main.c
+++ b/edge/main.c
@@ -317,6 +317,17 @@
 
 /* --- start --------------------------------------------------------------- */
 
+/* Peers are asked now, as the packet waits. */
+static void
+on_hold(void *ctx, uint64_t now)
+{
+    struct edge *e = ctx;
+
+    if (e->gossip) {
+        rg_gossip_ask(e->gossip, now);
+    }
+}
+
 static void
 open_sockets(struct edge *e, struct rg_err *err)
 {
@@ -325,6 +336,7 @@
         .address = e->settings.packet_address,
         .balancer = e->balancer,
         .on_wakeup = on_wakeup,
+        .on_hold = on_hold,
         .ctx = e,
     };
     struct rg_http_server_opts health = {
@@ -472,6 +484,7 @@
         .seed = seed,
         .log = &e->log,
         .refuse = on_refuse,
+        .can_hold = true,
         .ctx = e,
     };
 
--- a/edge/packet_socket.c
+++ b/edge/packet_socket.c
@@ -10,6 +10,7 @@
 #include "common/clock.h"
 #include "common/mem.h"
 #include "common/udp.h"
+#include "edge/held_packets.h"
 #include "platform/packet.h"
 
 #define BATCH 16 /* packets */
@@ -19,12 +20,17 @@
 /* Batches received before the event loop runs other callbacks. */
 #define BATCHES_PER_WAKEUP 8
 #define DISCARD_BATCHES_MAX 1024
+/* How often held packets are looked at while there are any. */
+#define HELD_CHECK_MS 5
 
 struct rg_packet_socket {
     struct rg_packet_socket_opts opts;
     int fd;
     uv_poll_t poll;
-    uint64_t last_ms; /* when the last packet was received, 0: none */
+    uv_timer_t held_timer; /* runs while packets are held */
+    struct rg_held_packets *held;
+    unsigned open_handles; /* closed by rg_packet_socket_destroy() */
+    uint64_t last_ms;      /* when the last packet was received, 0: none */
     struct mmsghdr in[BATCH];
     struct iovec in_iov[BATCH];
     uint8_t data[BATCH][DATAGRAM_MAX];
@@ -112,6 +118,79 @@
     flush(p);
 }
 
+/* Queues what the balancer has decided, but for RG_DECISION_HOLD. */
+static void
+carry_out(struct rg_packet_socket *p, const struct rg_decision *decision,
+          const struct rg_segment *segment, uint8_t *data, size_t len)
+{
+    switch (decision->kind) {
+    case RG_DECISION_FORWARD:
+        queue_packet(p, data, len, decision);
+        break;
+    case RG_DECISION_REFUSE:
+        queue_reset(p, segment);
+        break;
+    case RG_DECISION_DROP:
+    case RG_DECISION_HOLD:
+        break;
+    }
+}
+
+/* A held packet may be sent once peers have told of its flow, or its time is
+ * over. */
+static bool
+is_due(void *ctx, const struct rg_held_packet *held)
+{
+    struct rg_packet_socket *p = ctx;
+    struct rg_flow_record record;
+
+    return rg_clock_boottime_ms() >= held->until_ms ||
+           rg_balancer_find_flow_record(p->opts.balancer, &held->segment.flow,
+                                        &record);
+}
+
+static void
+release_held(struct rg_packet_socket *p)
+{
+    struct rg_held_packet *held;
+
+    while ((held = rg_held_packets_take(p->held, is_due, p)) != NULL) {
+        struct rg_decision decision = rg_balancer_held_packet(
+            p->opts.balancer, &held->segment, rg_clock_boottime_ms());
+        carry_out(p, &decision, &held->segment, held->data, held->len);
+        flush(p); /* the queue refers to the packet's memory */
+        free(held);
+    }
+}
+
+static void
+on_held_timer(uv_timer_t *timer)
+{
+    struct rg_packet_socket *p = timer->data;
+
+    release_held(p);
+    if (rg_held_packets_count(p->held) == 0) {
+        uv_timer_stop(timer);
+    }
+}
+
+static void
+hold_packet(struct rg_packet_socket *p, const struct rg_segment *segment,
+            uint8_t *data, size_t len, uint64_t now_ms)
+{
+    if (!rg_held_packets_add(p->held, segment, data, len, now_ms)) {
+        struct rg_decision decision =
+            rg_balancer_held_packet(p->opts.balancer, segment, now_ms);
+        carry_out(p, &decision, segment, data, len);
+        return;
+    }
+    p->opts.on_hold(p->opts.ctx, now_ms);
+    if (!uv_is_active((const uv_handle_t *)&p->held_timer)) {
+        uv_timer_start(&p->held_timer, on_held_timer, HELD_CHECK_MS,
+                       HELD_CHECK_MS);
+    }
+}
+
 static void
 handle_packet(struct rg_packet_socket *p, uint8_t *data, size_t len,
               uint64_t now_ms)
@@ -124,16 +203,11 @@
     }
     struct rg_decision decision =
         rg_balancer_packet(p->opts.balancer, &segment, now_ms);
-    switch (decision.kind) {
-    case RG_DECISION_FORWARD:
-        queue_packet(p, data, len, &decision);
-        break;
-    case RG_DECISION_REFUSE:
-        queue_reset(p, &segment);
-        break;
-    case RG_DECISION_DROP:
-        break;
+    if (decision.kind == RG_DECISION_HOLD) {
+        hold_packet(p, &segment, data, len, now_ms);
+        return;
     }
+    carry_out(p, &decision, &segment, data, len);
 }
 
 static int
@@ -206,6 +280,10 @@
     p->fd = fd;
     uv_poll_init(opts->loop, &p->poll, fd);
     p->poll.data = p;
+    uv_timer_init(opts->loop, &p->held_timer);
+    p->held_timer.data = p;
+    p->held = rg_held_packets_create();
+    p->open_handles = 2;
     uv_poll_start(&p->poll, UV_READABLE, on_readable);
     return p;
 }
@@ -215,7 +293,11 @@
 {
     struct rg_packet_socket *p = handle->data;
 
+    if (--p->open_handles > 0) {
+        return;
+    }
     close(p->fd);
+    rg_held_packets_destroy(p->held);
     free(p);
 }
 
@@ -223,6 +305,7 @@
 rg_packet_socket_destroy(struct rg_packet_socket *p)
 {
     if (p) {
+        uv_close((uv_handle_t *)&p->held_timer, on_closed);
         uv_close((uv_handle_t *)&p->poll, on_closed);
     }
 }
--- a/edge/packet_socket.h
+++ b/edge/packet_socket.h
@@ -17,6 +17,8 @@
     struct rg_balancer *balancer; /* borrowed */
     /* Called with the current time before packets are received. */
     void (*on_wakeup)(void *ctx, uint64_t now_ms);
+    /* Called when a packet is held until peers have said where its flow is. */
+    void (*on_hold)(void *ctx, uint64_t now_ms);
     void *ctx;
 };
 
--- a/test/fake_instances.h
+++ b/test/fake_instances.h
@@ -37,6 +37,7 @@
     struct rg_balancer *instances[INSTANCES];
     uint64_t now_ms;
     bool older_peers; /* some peers know no tokens of openings */
+    bool can_hold;    /* packets may wait for what peers say */
 };
 
 static inline struct rg_name
@@ -79,6 +80,7 @@
         .stale_ms = 3000,
         .tracked_flows = 256,
         .seed = seed,
+        .can_hold = f->can_hold,
     };
     struct rg_balancer *b = rg_balancer_create(&opts, f->now_ms);
     struct rg_route *route = g_new0(struct rg_route, 1);
--- a/test/test_flow_records.c
+++ b/test/test_flow_records.c
@@ -202,6 +202,101 @@
                      own.flow);
 }
 
+/* The first data of a flow comes again, to an instance that did not see it
+ * open, with the token of the upstream that the caller did not take. */
+static struct rg_segment
+first_data(uint32_t token)
+{
+    struct rg_segment s = segment_from(CALLER_PORT);
+
+    s.token = token;
+    s.seq = OPENING_SEQ + 1;
+    s.ack = UPSTREAM_SEQ + 1;
+    s.len = 100;
+    return s;
+}
+
+static void
+hold_packets(struct fixture *f)
+{
+    f->can_hold = true;
+    restart_all(f, 1);
+}
+
+/* Guards against a slow first request that reaches the wrong upstream when its
+ * flow moves before peers were told of it: the packet waits for their answer.
+ */
+static void
+test_held_at_start(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    hold_packets(f);
+    struct two_answers a = open_at_two(f);
+    acknowledge(f, 0, a.taken.opening);
+    send_data(f, 0, a.taken.opening, 0, 0, 100);
+    f->now_ms += 200;
+    struct rg_segment s = first_data(a.other.opening);
+    g_assert_cmpint(rg_balancer_packet(f->instances[1], &s, f->now_ms).kind,
+                    ==, RG_DECISION_HOLD);
+    g_assert_cmpuint(pass_queries(f, 1, 0), ==, 1);
+    g_assert_cmpuint(
+        rg_balancer_held_packet(f->instances[1], &s, f->now_ms + 2).token, ==,
+        a.taken.flow);
+    /* From here on it is known. */
+    g_assert_cmpuint(rg_balancer_packet(f->instances[1], &s, f->now_ms).token,
+                     ==, a.taken.flow);
+}
+
+/* The same at an instance that a late copy of the opening has reached. */
+static void
+test_held_after_late_copy(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    hold_packets(f);
+    struct tokens own = open_at(f, 0, 0);
+    struct tokens late = own;
+    f->now_ms += RTT_MS;
+    acknowledge(f, 0, own.opening);
+    for (uint16_t i = 0; late.flow == own.flow && i < 64; i++) {
+        restart_instance(f, 1, 100 + i);
+        late = open_at(f, 1, 1);
+    }
+    g_assert_cmpuint(late.flow, !=, own.flow);
+    struct rg_segment s = first_data(late.opening);
+    g_assert_cmpint(rg_balancer_packet(f->instances[1], &s, f->now_ms).kind,
+                    ==, RG_DECISION_HOLD);
+    g_assert_cmpuint(pass_queries(f, 1, 0), ==, 1);
+    g_assert_cmpuint(
+        rg_balancer_held_packet(f->instances[1], &s, f->now_ms).token, ==,
+        own.flow);
+}
+
+/* Guards against packets that wait for ever, or are lost, when no peer knows
+ * their flow. */
+static void
+test_held_in_vain(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    hold_packets(f);
+    struct tokens token = open_at(f, 0, 0);
+    restart_instance(f, 0, 77);
+    struct rg_segment s = first_data(token.opening);
+    g_assert_cmpint(rg_balancer_packet(f->instances[1], &s, f->now_ms).kind,
+                    ==, RG_DECISION_HOLD);
+    pass_queries(f, 1, 0);
+    g_assert_cmpuint(
+        rg_balancer_held_packet(f->instances[1], &s, f->now_ms).token, ==,
+        token.flow);
+    s.flow.caller_port++;
+    s.token = 12345;
+    g_assert_cmpint(rg_balancer_packet(f->instances[1], &s, f->now_ms).kind,
+                    ==, RG_DECISION_HOLD);
+    g_assert_cmpint(
+        rg_balancer_held_packet(f->instances[1], &s, f->now_ms).kind, ==,
+        RG_DECISION_DROP);
+    g_assert_cmpuint(counter(f, 1, RG_METRIC_HELD), ==, 2);
+}
+
 /* Guards against a peer's word of an earlier flow being used for a new one
  * with the same ports. */
 static void
@@ -299,6 +394,9 @@
         {"/flow-records/moved-at-start", test_moved_at_start},
         {"/flow-records/packets-out-of-order", test_packets_out_of_order},
         {"/flow-records/late-copy-before-flow", test_late_copy_before_flow},
+        {"/flow-records/held-at-start", test_held_at_start},
+        {"/flow-records/held-after-late-copy", test_held_after_late_copy},
+        {"/flow-records/held-in-vain", test_held_in_vain},
         {"/flow-records/record-of-earlier-flow", test_record_of_earlier_flow},
         {"/flow-records/many-flows", test_many_flows},
     };
