soak: the fabric in a file of its own

Which edge gets a packet, what is lost and what comes late stands in fabric.c; callers.c keeps the callers and their checks.

--- a/standin/soak/callers.c
+++ b/standin/soak/callers.c
@@ -1,4 +1,4 @@
-/* Simulated callers and the fabric: callers open flows for one request or for
+/* Simulated callers: they open flows for one request or for
  * several, retransmit what is not answered and check what they receive, by the
  * rule on open flows above all. Each flow keeps a history, printed with a
  * finding: "e1" is an edge, "u2" an upstream, times are from its start. */
@@ -29,7 +29,6 @@
 #define SLOW_EVERY 40
 /* The fabric delivers every so many openings late. */
 #define LATE_EVERY 25
-#define LATE_MAX_MS 700
 /* Of an open flow's packets that reach other upstreams. */
 #define MISROUTED_MIN 3
 /* A reset's sequence number is at most so far from the last one that the
@@ -73,18 +72,8 @@
     struct soak_edge *last_edge; /* edge that got the last packet */
 };
 
-/* An opening that the fabric delivers late. */
-struct late_packet {
-    uint64_t due_ms;
-    int caller;
-    struct soak_edge *edge;
-    size_t len;
-    uint8_t data[SOAK_HEADER_LEN];
-};
-
 struct soak_callers {
     struct soak *soak;
-    GPtrArray *late; /* struct late_packet */
     uv_udp_t udp[SOAK_CALLER_COUNT];
     GHashTable *open; /* caller and port -> struct request */
     uint64_t next_number;
@@ -146,58 +135,6 @@
     g_free(r);
 }
 
-/* The fabric's choice: rendezvous hashing over the ready edges, or over all if
- * none is ready. */
-static struct soak_edge *
-pick_edge(struct soak *s, const struct request *r)
-{
-    struct soak_edge *best = NULL;
-    uint64_t best_score = 0;
-
-    for (int pass = 0; pass < 2 && !best; pass++) {
-        for (int i = 0; i < s->edge_count; i++) {
-            uint64_t score = rg_mix64(
-                s->fabric_hash ^
-                ((uint64_t)i << 40 | (uint64_t)r->caller << 16 | r->port));
-            if ((pass || s->edges[i].ready) && score >= best_score) {
-                best_score = score;
-                best = &s->edges[i];
-            }
-        }
-    }
-    return best;
-}
-
-static void
-deliver(struct soak *s, int caller, const struct soak_edge *edge,
-        const uint8_t *data, size_t len)
-{
-    uv_buf_t buf = uv_buf_init((char *)data, (unsigned)len);
-    struct sockaddr_in to;
-    char ip[32];
-
-    if (soak_loses_datagram(s)) {
-        return;
-    }
-    soak_ip(s, SOAK_EDGE_SUBNET, edge->index + 1, ip);
-    uv_ip4_addr(ip, SOAK_PACKET_PORT, &to);
-    uv_udp_try_send(&s->callers->udp[caller], &buf, 1,
-                    (const struct sockaddr *)&to);
-}
-
-static void
-deliver_late(struct soak *s, const struct request *r, const uint8_t *data)
-{
-    struct late_packet *late = g_new0(struct late_packet, 1);
-
-    late->due_ms = s->now_ms + rg_rand_below(&s->rand, LATE_MAX_MS);
-    late->caller = r->caller;
-    late->edge = r->last_edge;
-    late->len = SOAK_HEADER_LEN;
-    memcpy(late->data, data, late->len);
-    g_ptr_array_add(s->callers->late, late);
-}
-
 static void
 send_packet(struct soak *s, struct request *r, uint8_t flags, uint32_t seq,
             uint32_t ack, const char *data)
@@ -215,14 +152,15 @@
         .len = (uint16_t)strlen(data),
     };
     uint8_t out[SOAK_HEADER_LEN + SOAK_DATA_MAX];
+    uv_udp_t *from = &s->callers->udp[r->caller];
 
     snprintf(p.data, sizeof(p.data), "%s", data);
     size_t len = soak_pack(&p, out);
-    r->last_edge = pick_edge(s, r);
+    r->last_edge = soak_fabric_pick(s, r->caller, r->port);
     r->late_ack_ms = 0; /* this packet acknowledges, too */
     if (opening && rg_rand_below(&s->rand, LATE_EVERY) == 0) {
         note(s, r, "syn%u>e%d,late", ack, r->last_edge->index);
-        deliver_late(s, r, out);
+        soak_fabric_deliver_late(s, from, r->last_edge, out, len);
         return;
     }
     if (opening) {
@@ -231,7 +169,7 @@
     else {
         note(s, r, "%s>e%d", *data ? "data" : "ack", r->last_edge->index);
     }
-    deliver(s, r->caller, r->last_edge, out, len);
+    soak_fabric_deliver(s, from, r->last_edge, out, len);
 }
 
 static void
@@ -642,15 +580,6 @@
         step_request(s, at->data);
     }
     g_list_free(open);
-    for (guint i = 0; i < s->callers->late->len;) {
-        struct late_packet *late = s->callers->late->pdata[i];
-        if (s->now_ms < late->due_ms) {
-            i++;
-            continue;
-        }
-        deliver(s, late->caller, late->edge, late->data, late->len);
-        g_ptr_array_remove_index_fast(s->callers->late, i);
-    }
 }
 
 static void
@@ -673,7 +602,6 @@
     s->callers = c;
     c->soak = s;
     c->open = g_hash_table_new_full(NULL, NULL, NULL, free_request);
-    c->late = g_ptr_array_new_with_free_func(g_free);
     for (int i = 0; i < SOAK_CALLER_COUNT; i++) {
         soak_ip(s, 64, i + 1, ip);
         uv_ip4_addr(ip, SOAK_PACKET_PORT, &sa);
--- a/standin/soak/main.c
+++ b/standin/soak/main.c
@@ -145,6 +145,7 @@
     soak_edges_tick(s);
     soak_upstreams_tick(s);
     soak_callers_tick(s);
+    soak_fabric_tick(s);
     soak_store_tick(s);
 }
 
@@ -224,6 +225,7 @@
     for (int i = 0; i < a->upstreams; i++) {
         soak_upstream_start(s, i % 3 == 2 ? 1 : 0);
     }
+    soak_fabric_start(s);
     soak_callers_start(s);
     for (int i = 0; i < s->edge_count; i++) {
         struct soak_edge *e = &s->edges[i];
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -130,11 +130,12 @@
     struct soak_store *store;
     enum soak_store_fault store_fault;
     uint64_t store_disturbed_ms;
-    uint64_t version;       /* of the configuration in the store */
-    bool large;             /* it has many routes without callers */
-    bool has_toggled_route; /* it has the route SOAK_TOGGLED */
-    uint64_t toggled_ms;    /* when that last changed */
-    uint64_t fabric_hash;   /* drawn anew whenever the fabric moves flows */
+    uint64_t version;        /* of the configuration in the store */
+    bool large;              /* it has many routes without callers */
+    bool has_toggled_route;  /* it has the route SOAK_TOGGLED */
+    uint64_t toggled_ms;     /* when that last changed */
+    uint64_t fabric_hash;    /* drawn anew whenever the fabric moves flows */
+    GPtrArray *late_packets; /* see fabric.c */
     struct soak_callers *callers;
     GHashTable *executions; /* request number -> times executed */
     /* Results. */
@@ -194,6 +195,19 @@
 void soak_proxy_set_fault(struct soak *s, struct soak_edge *e,
                           enum soak_peers_fault fault);
 
+/* fabric.c */
+void soak_fabric_start(struct soak *s);
+/* The edge that gets the packets of this flow now. */
+struct soak_edge *soak_fabric_pick(struct soak *s, int caller, uint16_t port);
+void soak_fabric_deliver(struct soak *s, uv_udp_t *from,
+                         const struct soak_edge *edge, const uint8_t *data,
+                         size_t len);
+/* The same after a random time; for packets without data. */
+void soak_fabric_deliver_late(struct soak *s, uv_udp_t *from,
+                              const struct soak_edge *edge,
+                              const uint8_t *data, size_t len);
+void soak_fabric_tick(struct soak *s);
+
 /* callers.c */
 void soak_callers_start(struct soak *s);
 void soak_callers_start_request(struct soak *s, enum soak_route route);
