balance: only packets of the open flow show that it has moved

Cause: the time of an entry's last packet is also set when a peer tells of the flow or a copy of its opening comes. A hung request of a flow that two upstreams may have was forgotten without an outcome.

Entries have the time of their last packet of the open flow as well; that is what peers are told. Red before: test_flow_records /no-false-sighting.

--- a/balance/flow_records.c
+++ b/balance/flow_records.c
@@ -185,7 +185,8 @@
     const struct rg_tracked_flow *t = rg_tracked_flows_find(b->flows, flow);
     uint64_t untracked_ms = rg_bal_untracked_seen_ms(b, flow);
 
-    return t && t->last_ms > untracked_ms ? t->last_ms : untracked_ms;
+    /* Late copies of the opening say nothing of where the flow is. */
+    return t && t->packet_ms > untracked_ms ? t->packet_ms : untracked_ms;
 }
 
 void
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -329,6 +329,7 @@
 rg_flows_update(struct rg_balancer *b, struct rg_tracked_flow *t,
                 const struct rg_segment *s, struct rg_route *route)
 {
+    t->packet_ms = b->now_ms;
     t->last_ms = b->now_ms;
     if (t->state == RG_TRACKED_OPENING) {
         handle_opened(b, t, s);
--- a/balance/tracked_flows.h
+++ b/balance/tracked_flows.h
@@ -38,7 +38,8 @@
     struct rg_endpoint *tried[RG_TRACKED_TRIES_MAX]; /* earlier, or NULL */
     uint64_t opened_ms;   /* first copy of its opening */
     uint64_t since_ms;    /* start of the current state */
-    uint64_t last_ms;     /* last packet */
+    uint64_t last_ms;     /* last packet, or what a peer told of the flow */
+    uint64_t packet_ms;   /* last packet but openings, 0: none */
     uint64_t asked_ms;    /* when peers were first asked whether the flow has
                              moved since its request */
     uint32_t opening_seq; /* initial sequence number of the caller */
--- a/test/test_flow_records.c
+++ b/test/test_flow_records.c
@@ -297,6 +297,31 @@
     g_assert_cmpuint(counter(f, 1, RG_METRIC_HELD), ==, 2);
 }
 
+/* Guards against a flow that counts as moved, so that its hung request is
+ * forgotten, because a peer was told of it or got a late copy of its opening.
+ */
+static void
+test_no_false_sighting(struct fixture *f, gconstpointer unused)
+{
+    struct rg_flow_id flow = segment_from(CALLER_PORT).flow;
+
+    open_with_two_answers(f);
+    (void)unused;
+    tick_until(f, f->now_ms + TOLD_MS);
+    g_assert_cmpuint(pass_records(f, 0, 1), ==, 1);
+    g_assert_cmpuint(rg_balancer_flow_seen_ms(f->instances[1], &flow), ==, 0);
+    open_at(f, 2, 2);
+    g_assert_cmpuint(rg_balancer_flow_seen_ms(f->instances[2], &flow), ==, 0);
+    /* What counts is a packet of the open flow. */
+    struct rg_endpoint *const *endpoints;
+    size_t count;
+    endpoints =
+        rg_pool_endpoints(rg_balancer_pool(f->instances[1]), 0, &count);
+    send_data(f, 1, endpoints[0]->token, 100, 1000, 100);
+    g_assert_cmpuint(rg_balancer_flow_seen_ms(f->instances[1], &flow), ==,
+                     f->now_ms);
+}
+
 /* Guards against a peer's word of an earlier flow being used for a new one
  * with the same ports. */
 static void
@@ -397,6 +422,7 @@
         {"/flow-records/held-at-start", test_held_at_start},
         {"/flow-records/held-after-late-copy", test_held_after_late_copy},
         {"/flow-records/held-in-vain", test_held_in_vain},
+        {"/flow-records/no-false-sighting", test_no_false_sighting},
         {"/flow-records/record-of-earlier-flow", test_record_of_earlier_flow},
         {"/flow-records/many-flows", test_many_flows},
     };
