evacuation: no new flows to data centres that an operator evacuates

Nothing knew that a data centre was to get no new traffic; operators could only drain its upstreams one by one, and the upstreams' own entries undid that.

A record for each data centre (balance/evacuation), ordered by revision, from the key op/evacuate/NAME, decoded in platform/kv. takes_flows() asks it for every choice and copy; admission and the check of how many upstreams remain leave evacuated ones out. A partial view counts only if its first page ended behind these keys, and ages from that page. After the lift flows return within 4 s, in steps. evacuate_ms joins the bound on the view's lag; by default it adds none.

--- a/balance/balancer_admission.c
+++ b/balance/balancer_admission.c
@@ -33,9 +33,10 @@
 }
 
 /* Outstanding requests of this instance at a service, and its share of the
- * slots there, which equals its share of new flows. Upstreams that do not
- * respond are left out. If they are the majority, slots are unlimited, so that
- * no opening is refused and the upstreams' recovery is noticed. */
+ * slots there, which equals its share of new flows. Evacuated upstreams are
+ * left out, and those that do not respond. If the latter are the majority of
+ * the rest, slots are unlimited, so that no opening is refused and the
+ * upstreams' recovery is noticed. */
 static struct rg_admit_load
 load_of(const struct rg_balancer *b, uint32_t service)
 {
@@ -44,8 +45,13 @@
         rg_pool_endpoints(b->pool, service, &count);
     struct rg_admit_load load = {0};
     size_t unresponsive = 0;
+    size_t evacuated = 0;
 
     for (size_t i = 0; i < count; i++) {
+        if (endpoints[i]->data_centre->evacuation->in_force) {
+            evacuated++;
+            continue;
+        }
         if (endpoints[i]->retransmissions != 0 ||
             rg_endpoint_is_outlier(endpoints[i]) ||
             rg_endpoint_is_ejected(endpoints[i], b->now_ms))
@@ -56,8 +62,9 @@
         load.slots += endpoints[i]->slots;
         load.open += endpoints[i]->open_work;
     }
-    load.slots =
-        unresponsive * 2 > count ? INFINITY : load.slots * b->fleet.share;
+    load.slots = unresponsive * 2 > count - evacuated
+                     ? INFINITY
+                     : load.slots * b->fleet.share;
     return load;
 }
 
--- a/balance/balancer_outcomes.c
+++ b/balance/balancer_outcomes.c
@@ -39,7 +39,8 @@
                                  : 0));
 }
 
-/* True if at most half of the upstreams of a service are suspect or ejected.
+/* True if at most half of the upstreams of a service that are not evacuated
+ * are suspect or ejected.
  * If requests fail at more of them, the cause probably lies elsewhere, and the
  * rest could not take the load. */
 static bool
@@ -49,12 +50,17 @@
     struct rg_endpoint *const *endpoints =
         rg_pool_endpoints(b->pool, service, &count);
     size_t unhealthy = 0;
+    size_t evacuated = 0;
 
     for (size_t i = 0; i < count; i++) {
+        if (endpoints[i]->data_centre->evacuation->in_force) {
+            evacuated++;
+            continue;
+        }
         unhealthy += rg_endpoint_is_suspect(endpoints[i], b->now_ms) ||
                      rg_endpoint_is_ejected(endpoints[i], b->now_ms);
     }
-    return unhealthy * 2 <= count;
+    return unhealthy * 2 <= count - evacuated;
 }
 
 bool
--- a/balance/openings.c
+++ b/balance/openings.c
@@ -132,11 +132,13 @@
               uint32_t service)
 {
     struct rg_pick same = {.endpoint = t->endpoint, .rule = RG_PICK_SAME};
+    struct rg_pick none = {.rule = RG_PICK_NONE, .diverted = true};
 
     if (came_too_soon(b, t)) {
-        return same;
+        return t->endpoint->data_centre->evacuation->in_force ? none : same;
     }
-    bool stays = s->ack <= 1 && has_responded_since(b, t);
+    bool stays = s->ack <= 1 && has_responded_since(b, t) &&
+                 rg_pick_takes_flows(t->endpoint);
     note_unanswered_opening(b, t);
     return stays ? same : pick_upstream(b, t, route, service);
 }
@@ -226,6 +228,9 @@
     }
     struct rg_pick picked = copy ? pick_for_copy(b, s, t, route, service)
                                  : pick_upstream(b, NULL, route, service);
+    if (picked.diverted) {
+        rg_bal_count(b, RG_METRIC_OPENINGS_DIVERTED);
+    }
     if (!picked.endpoint) {
         return opening_without_upstream(b, s, may_be_open, "no-upstream");
     }
--- a/balance/pick.c
+++ b/balance/pick.c
@@ -58,6 +58,7 @@
 /* Stride through a list of upstreams: a prime larger than any list, so that
  * each upstream is visited once. */
 #define CANDIDATE_STRIDE 1000003
+#define PERCENT 100
 
 /* Mean latency of the upstreams of a service in ms, 0 if none has answered. */
 static double
@@ -217,14 +218,27 @@
     return false;
 }
 
+/* By its own entry. */
 static bool
-takes_flows(const struct rg_endpoint *e)
+is_usable(const struct rg_endpoint *e)
 {
     return (e->state == RG_ENDPOINT_READY ||
             e->state == RG_ENDPOINT_MISSING) &&
            !e->ambiguous;
 }
 
+static bool
+takes_flows(const struct rg_endpoint *e)
+{
+    return is_usable(e) && !e->data_centre->evacuation->in_force;
+}
+
+bool
+rg_pick_takes_flows(const struct rg_endpoint *e)
+{
+    return takes_flows(e);
+}
+
 /* A suspected data centre gets an opening from time to time to test it. */
 static bool
 trial_is_due(const struct rg_endpoint *e, uint64_t now_ms)
@@ -288,23 +302,37 @@
 struct candidates {
     struct rg_endpoint *endpoints[CANDIDATES_MAX];
     size_t count;
-    size_t local; /* of these, in the local data centre; they rotate among
-                     themselves */
+    size_t local;   /* of these, in the local data centre; they rotate among
+                       themselves */
+    bool evacuated; /* an upstream was left out since its data centre is */
 };
 
+/* False if the choice with this draw holds back from the data centre, to which
+ * new flows return only gradually after an evacuation. */
+static bool
+may_consider(const struct rg_data_centre *dc, uint32_t draw, uint64_t now_ms)
+{
+    return draw == 0 || draw < rg_evacuation_share(dc->evacuation, now_ms);
+}
+
 /* Adds upstreams that take flows until there are `max`. Starts at a random one
  * and takes large strides, since neighbours in the list may share a cause of
  * failure. */
 static void
 add_candidates(struct candidates *out, struct rg_endpoint *const *endpoints,
-               size_t count, size_t max, struct rg_rand *rand)
+               size_t count, size_t max, const struct rg_pick_opts *opts,
+               uint32_t draw)
 {
-    size_t i = rg_rand_below(rand, (uint32_t)count);
+    size_t i = rg_rand_below(opts->rand, (uint32_t)count);
 
     for (size_t n = 0; n < count && out->count < max; n++) {
         i = (i + CANDIDATE_STRIDE) % count;
-        if (takes_flows(endpoints[i])) {
-            out->endpoints[out->count++] = endpoints[i];
+        struct rg_endpoint *e = endpoints[i];
+        if (!takes_flows(e)) {
+            out->evacuated |= is_usable(e);
+        }
+        else if (may_consider(e->data_centre, draw, opts->now_ms)) {
+            out->endpoints[out->count++] = e;
         }
     }
 }
@@ -312,7 +340,7 @@
 /* Local upstreams first, but always some of other data centres. */
 static void
 collect_candidates(const struct rg_pool *pool, const struct rg_pick_opts *opts,
-                   struct candidates *out)
+                   uint32_t draw, struct candidates *out)
 {
     size_t count;
     struct rg_endpoint *const *endpoints =
@@ -321,10 +349,45 @@
     size_t max = local < count ? CANDIDATES_LOCAL_MAX : CANDIDATES_MAX;
 
     out->count = 0;
-    add_candidates(out, endpoints, local, max, opts->rand);
+    out->evacuated = false;
+    add_candidates(out, endpoints, local, max, opts, draw);
     out->local = out->count;
-    add_candidates(out, endpoints + local, count - local, CANDIDATES_MAX,
-                   opts->rand);
+    add_candidates(out, endpoints + local, count - local, CANDIDATES_MAX, opts,
+                   draw);
+}
+
+/* True if one of them can process a request at once, as far as is known
+ * here. */
+static bool
+any_is_free(const struct candidates *candidates,
+            const struct rg_pick_opts *opts)
+{
+    for (size_t i = 0; i < candidates->count; i++) {
+        const struct rg_endpoint *e = candidates->endpoints[i];
+        if (e->open_work < e->slots && !is_excluded(e, opts->now_ms) &&
+            !e->data_centre->suspect && !was_tried(opts, e))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* After an evacuation most choices leave out the data centre for a while,
+ * unless the others have no capacity. */
+static void
+choose_candidates(const struct rg_pool *pool, const struct rg_pick_opts *opts,
+                  struct candidates *out)
+{
+    uint32_t draw = 0;
+
+    if (rg_evacuations_are_returning(rg_pool_evacuations(pool))) {
+        draw = rg_rand_below(opts->rand, PERCENT);
+    }
+    collect_candidates(pool, opts, draw, out);
+    if (draw != 0 && (opts->overloaded || !any_is_free(out, opts))) {
+        collect_candidates(pool, opts, 0, out);
+    }
 }
 
 /* An upstream that is new, or was avoided for some rounds, joins the rotation
@@ -350,7 +413,7 @@
 rg_pick_upstream(const struct rg_pool *pool, const struct rg_pick_opts *opts)
 {
     struct candidates candidates;
-    collect_candidates(pool, opts, &candidates);
+    choose_candidates(pool, opts, &candidates);
     struct rg_endpoint *const *endpoints = candidates.endpoints;
     size_t count = candidates.count;
     double mean_ms = mean_latency_ms(endpoints, count);
@@ -366,12 +429,12 @@
         }
         if (probe_is_due(e, opts)) {
             e->outlier.probed_ms = opts->now_ms;
-            best = (struct rg_pick){e, RG_PICK_PROBE, 0};
+            best = (struct rg_pick){e, RG_PICK_PROBE, 0, false};
             break;
         }
         if (second_request_is_due(e, opts)) {
             e->outlier.probed_ms = opts->now_ms;
-            best = (struct rg_pick){e, RG_PICK_SECOND, 0};
+            best = (struct rg_pick){e, RG_PICK_SECOND, 0, false};
             break;
         }
         if (is_excluded(e, opts->now_ms) && !use_excluded) {
@@ -379,16 +442,17 @@
         }
         if (trial_is_due(e, opts->now_ms)) {
             e->data_centre->trial_ms = opts->now_ms;
-            best = (struct rg_pick){e, RG_PICK_TRIAL, 0};
+            best = (struct rg_pick){e, RG_PICK_TRIAL, 0, false};
             break;
         }
         double cost = cost_of(e, mean_ms, opts);
         if (is_better(&best, e, cost)) {
-            best = (struct rg_pick){e, RG_PICK_BEST, cost};
+            best = (struct rg_pick){e, RG_PICK_BEST, cost, false};
         }
     }
     if (best.endpoint) {
         best.endpoint->last_choice = opts->choice;
     }
+    best.diverted = candidates.evacuated;
     return best;
 }
--- a/balance/pick.h
+++ b/balance/pick.h
@@ -42,9 +42,14 @@
 struct rg_pick {
     struct rg_endpoint *endpoint; /* NULL for RG_PICK_NONE */
     enum rg_pick_rule rule;
-    double cost; /* of the chosen upstream, in queued requests */
+    double cost;   /* of the chosen upstream, in queued requests */
+    bool diverted; /* upstreams were left out as their data centre is
+                      evacuated */
 };
 
+/* True if the upstream may get openings at all, whatever its health. */
+bool rg_pick_takes_flows(const struct rg_endpoint *e);
+
 /* Chooses an upstream of the service and records the choice in the pool. */
 struct rg_pick rg_pick_upstream(const struct rg_pool *pool,
                                 const struct rg_pick_opts *opts);
--- a/balance/pool.c
+++ b/balance/pool.c
@@ -30,6 +30,7 @@
     size_t service_count;
     struct rg_data_centre **data_centres; /* kept, endpoints refer to them */
     size_t data_centre_count;
+    struct rg_evacuations *evacuations;
     struct table by_token;
     struct table by_id; /* endpoints that have an entry */
     struct rg_endpoint **all;
@@ -211,6 +212,7 @@
                                  (p->data_centre_count + 1) * sizeof(void *));
     struct rg_data_centre *dc = rg_calloc(1, sizeof(*dc));
     dc->name = *name;
+    dc->evacuation = rg_evacuations_of_upstreams(p->evacuations, name);
     p->data_centres[p->data_centre_count++] = dc;
     return dc;
 }
@@ -421,6 +423,7 @@
 {
     size_t kept = 0;
 
+    rg_evacuations_tick(p->evacuations, now_ms);
     for (size_t i = 0; i < p->count; i++) {
         struct rg_endpoint *e = p->all[i];
         if (e->state == RG_ENDPOINT_MISSING && now_ms >= e->keep_until_ms) {
@@ -506,6 +509,12 @@
     }
 }
 
+struct rg_evacuations *
+rg_pool_evacuations(const struct rg_pool *p)
+{
+    return p->evacuations;
+}
+
 size_t
 rg_pool_listed_count(const struct rg_pool *p)
 {
@@ -524,6 +533,7 @@
     struct rg_pool *p = rg_calloc(1, sizeof(*p));
 
     p->opts = *opts;
+    p->evacuations = rg_evacuations_create(opts->log);
     return p;
 }
 
@@ -543,6 +553,7 @@
         free(p->data_centres[i]);
     }
     free(p->data_centres);
+    rg_evacuations_destroy(p->evacuations);
     free(p->services);
     free(p->by_token.slots);
     free(p->by_id.slots);
--- a/balance/pool.h
+++ b/balance/pool.h
@@ -13,6 +13,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "balance/evacuation.h"
 #include "balance/outcome_table.h"
 #include "balance/outcomes.h"
 #include "common/addr.h"
@@ -43,7 +44,8 @@
  * all of them at once. */
 struct rg_data_centre {
     struct rg_name name;
-    uint64_t last_response_ms; /* last response of any of them */
+    const struct rg_evacuation *evacuation; /* borrowed from the pool */
+    uint64_t last_response_ms;              /* last response of any of them */
     uint64_t trial_ms; /* last opening sent there while it was suspect */
     bool suspect;      /* several are silent, none has responded since */
     uint32_t retransmissions; /* of requests and openings since the last
@@ -177,6 +179,9 @@
  * revision. */
 uint64_t rg_pool_compacted_revision(const struct rg_pool *p);
 
+/* Evacuations of data centres; owned by the pool. */
+struct rg_evacuations *rg_pool_evacuations(const struct rg_pool *p);
+
 /* Number of endpoints that have an entry, and of all known ones. */
 size_t rg_pool_listed_count(const struct rg_pool *p);
 size_t rg_pool_known_count(const struct rg_pool *p);
--- a/balance/snapshot.c
+++ b/balance/snapshot.c
@@ -118,6 +118,44 @@
     }
 }
 
+static uint32_t
+age_ms(uint64_t at_ms, uint64_t now_ms)
+{
+    uint64_t age = now_ms > at_ms ? now_ms - at_ms : 0;
+
+    return age < UINT32_MAX ? (uint32_t)age : UINT32_MAX;
+}
+
+/* Adds the evacuations to the part that is being written, and to further ones
+ * if there are many. */
+static void
+write_evacuations(struct endpoint_writer *w)
+{
+    const struct rg_evacuations *x = rg_pool_evacuations(w->pool);
+    struct rg_msg_boots_part *part = &w->m.u.boots_part;
+    size_t max = sizeof(part->evacuations) / sizeof(part->evacuations[0]);
+
+    for (size_t i = 0; i < rg_evacuations_count(x); i++) {
+        const struct rg_evacuation *e = rg_evacuations_at(x, i);
+        if (e->revision == 0) {
+            continue;
+        }
+        if (part->evacuations_count == max) {
+            write_message(&w->m, w->out);
+            part->boots_count = 0;
+            part->evacuations_count = 0;
+        }
+        part->evacuations[part->evacuations_count++] =
+            (struct rg_msg_evacuation){
+                .data_centre = e->data_centre,
+                .revision = e->revision,
+                .in_force = e->in_force,
+                .age_ms = age_ms(e->since_ms, w->now_ms),
+            };
+    }
+    part->evacuations_known = rg_evacuations_are_complete(x);
+}
+
 void
 rg_snapshot_write(struct rg_balancer *b, uint64_t revision,
                   const struct rg_snapshot_base *base, uint64_t now_ms,
@@ -139,6 +177,7 @@
     w->pool = pool;
     w->now_ms = now_ms;
     rg_pool_each(pool, write_endpoint, w);
+    write_evacuations(w);
     w->m.u.boots_part.last = true;
     write_message(&w->m, out);
     free(w);
@@ -157,7 +196,10 @@
     size_t endpoint_count;
     size_t endpoint_total;
     uint64_t after; /* base revision, 0: contains all upstreams */
-    bool ended;     /* the last part has been read */
+    struct rg_evacuation_change *evacuations;
+    size_t evacuation_count;
+    bool evacuations_known;
+    bool ended; /* the last part has been read */
 };
 
 static bool
@@ -215,6 +257,25 @@
     c->endpoint_count = count;
 }
 
+static void
+add_evacuations(struct contents *c, const struct rg_msg_boots_part *part)
+{
+    size_t count = c->evacuation_count + part->evacuations_count;
+
+    c->evacuations_known = part->evacuations_known;
+    c->evacuations =
+        rg_realloc(c->evacuations, (count + 1) * sizeof(*c->evacuations));
+    for (uint16_t i = 0; i < part->evacuations_count; i++) {
+        const struct rg_msg_evacuation *e = &part->evacuations[i];
+        c->evacuations[c->evacuation_count++] = (struct rg_evacuation_change){
+            .data_centre = e->data_centre,
+            .revision = e->revision,
+            .in_force = e->in_force,
+            .age_ms = e->age_ms,
+        };
+    }
+}
+
 static bool
 add_message(struct contents *c, const struct rg_msg *m)
 {
@@ -226,6 +287,7 @@
         return add_routes(c, &m->u.routes_part);
     case RG_MSG_BOOTS_PART:
         add_endpoints(c, &m->u.boots_part);
+        add_evacuations(c, &m->u.boots_part);
         return true;
     default:
         return false;
@@ -286,6 +348,21 @@
     }
 }
 
+static void
+apply_evacuations(struct rg_pool *pool, const struct contents *c,
+                  uint64_t now_ms)
+{
+    struct rg_evacuations *x = rg_pool_evacuations(pool);
+
+    if (c->evacuations_known) {
+        rg_evacuations_apply_all(x, c->evacuations, c->evacuation_count,
+                                 c->revision, now_ms);
+    }
+    else {
+        rg_evacuations_set_incomplete(x);
+    }
+}
+
 bool
 rg_snapshot_read(struct rg_balancer *b, struct rg_str bytes,
                  uint64_t *revision, uint64_t now_ms)
@@ -301,11 +378,13 @@
         c.routes = NULL;
     }
     if (ok && c.revision > *revision) {
+        apply_evacuations(rg_balancer_pool(b), &c, now_ms);
         apply_endpoints(rg_balancer_pool(b), &c, now_ms);
         *revision = c.revision;
     }
     free(c.routes);
     free(c.endpoints);
+    free(c.evacuations);
     free(m);
     return ok;
 }
--- a/balance/store_sync.c
+++ b/balance/store_sync.c
@@ -271,6 +271,12 @@
     s->revision = revision;
 }
 
+void
+rg_store_sync_list_again(struct rg_store_sync *s)
+{
+    restart_listing(s);
+}
+
 uint64_t
 rg_store_sync_revision(const struct rg_store_sync *s)
 {
--- a/balance/store_sync.h
+++ b/balance/store_sync.h
@@ -112,6 +112,9 @@
 void rg_store_sync_snapshot_applied(struct rg_store_sync *s,
                                     uint64_t revision);
 
+/* The view may lack changes: lists the store again once calls are made. */
+void rg_store_sync_list_again(struct rg_store_sync *s);
+
 /* Revision of the view, 0 until the first listing has ended. */
 uint64_t rg_store_sync_revision(const struct rg_store_sync *s);
 
--- a/edge/settings.c
+++ b/edge/settings.c
@@ -24,6 +24,9 @@
 uint32_t
 rg_edge_max_staleness_ms(const struct rg_edge *settings)
 {
-    return settings->drain_ms < settings->apply_ms ? settings->drain_ms
-                                                   : settings->apply_ms;
+    uint32_t bound_ms = settings->drain_ms < settings->apply_ms
+                            ? settings->drain_ms
+                            : settings->apply_ms;
+
+    return settings->evacuate_ms < bound_ms ? settings->evacuate_ms : bound_ms;
 }
--- a/edge/settings.h
+++ b/edge/settings.h
@@ -15,8 +15,8 @@
 bool rg_edge_settings_load(struct rg_edge *out, const char *path,
                            uint32_t *hash, struct rg_err *err);
 
-/* The longest time that the view may lag behind the store: the smaller of
- * drain_ms and apply_ms. */
+/* The longest time that the view may lag behind the store: the smallest of
+ * drain_ms, apply_ms and evacuate_ms. */
 uint32_t rg_edge_max_staleness_ms(const struct rg_edge *settings);
 
 #endif
--- a/edge/status.c
+++ b/edge/status.c
@@ -16,6 +16,8 @@
                      "# TYPE rattangap_upstreams gauge\n"
                      "rattangap_upstreams{listed=\"yes\"} %zu\n"
                      "rattangap_upstreams{listed=\"no\"} %zu\n"
+                     "# TYPE rattangap_data_centres_evacuated gauge\n"
+                     "rattangap_data_centres_evacuated %zu\n"
                      "# TYPE rattangap_flows_tracked gauge\n"
                      "rattangap_flows_tracked %zu\n"
                      "# TYPE rattangap_peers gauge\n"
@@ -25,6 +27,7 @@
                      (unsigned long long)rg_balancer_version(b),
                      rg_pool_listed_count(pool),
                      rg_pool_known_count(pool) - rg_pool_listed_count(pool),
+                     rg_evacuations_in_force(rg_pool_evacuations(pool)),
                      rg_balancer_tracked_count(b),
                      gossip ? rg_peers_count(rg_gossip_peers(gossip),
                                              rg_clock_boottime_ms())
--- a/edge/store_client.c
+++ b/edge/store_client.c
@@ -25,11 +25,13 @@
     struct rg_store_sync_step call;             /* in progress, or last made */
     char call_after[RG_STORE_SYNC_KEY_MAX + 1]; /* storage of call.after */
     uint64_t call_started_ms;
-    bool reachable;        /* the last call succeeded */
-    uint64_t response_ms;  /* when the response being decoded arrived */
-    uint64_t confirmed_ms; /* last confirmation of the view, 0: never */
-    uint64_t answered_ms;  /* the same by the store itself, not by peers */
-    uint32_t answers;      /* number of these */
+    bool reachable;         /* the last call succeeded */
+    uint64_t response_ms;   /* when the response being decoded arrived */
+    uint64_t first_page_ms; /* when the first page of the listing did, if it
+                               held all evacuations; else 0 */
+    uint64_t confirmed_ms;  /* last confirmation of the view, 0: never */
+    uint64_t answered_ms;   /* the same by the store itself, not by peers */
+    uint32_t answers;       /* number of these */
 };
 
 static void make_next_call(struct rg_store_client *s);
@@ -47,10 +49,27 @@
 
     counters(s)[routes ? RG_METRIC_CONFIGS_UNREADABLE
                        : RG_METRIC_ENTRIES_UNREADABLE]++;
+    bool evacuation = c->kind == RG_KV_INVALID_EVACUATION;
     rg_log_event(s->opts.log, RG_LOG_WARNING, "UNREADABLE",
                  "kind=\"%s\" id=\"%s\" revision=\"%llu\" why=\"%s\"",
-                 routes ? "config" : "upstream", c->id.s,
-                 (unsigned long long)c->revision, c->why);
+                 routes       ? "config"
+                 : evacuation ? "evacuation"
+                              : "upstream",
+                 c->id.s, (unsigned long long)c->revision, c->why);
+}
+
+static void
+apply_evacuation(struct rg_store_client *s, const struct rg_kv_change *c)
+{
+    struct rg_evacuation_change change = {
+        .data_centre = c->id,
+        .revision = c->revision,
+        .in_force = c->kind == RG_KV_EVACUATED,
+    };
+
+    rg_evacuations_update(
+        rg_pool_evacuations(rg_balancer_pool(s->opts.balancer)), &change,
+        rg_clock_boottime_ms());
 }
 
 static void
@@ -77,6 +96,11 @@
         rg_pool_remove(pool, &c->id, c->revision, INVALID_KEEP_MS, now);
         log_invalid(s, c);
         break;
+    case RG_KV_EVACUATED:
+    case RG_KV_EVACUATION_LIFTED:
+        apply_evacuation(s, c);
+        break;
+    case RG_KV_INVALID_EVACUATION:
     case RG_KV_INVALID_ROUTES:
         log_invalid(s, c);
         break;
@@ -156,13 +180,17 @@
     bool sampled = s->call.kind == RG_STORE_SYNC_SAMPLE;
     if (listing && rg_store_sync_is_first_page(s->sync)) {
         rg_pool_begin_listing(pool);
+        rg_evacuations_begin_listing(rg_pool_evacuations(pool));
+        s->first_page_ms = response->past_evacuations ? now : 0;
     }
     for (size_t i = 0; i < decoded->count; i++) {
         apply_change(s, &decoded->changes[i]);
     }
     if (sampled) {
         rg_store_sync_sampled(s->sync, now);
-        rg_balancer_set_partial(s->opts.balancer, now);
+        if (s->first_page_ms != 0) {
+            rg_balancer_set_partial(s->opts.balancer, s->first_page_ms);
+        }
     }
     else if (!listing) {
         rg_store_sync_watched(s->sync, response->revision,
@@ -173,6 +201,8 @@
     {
         rg_pool_end_listing(pool, rg_store_sync_revision(s->sync),
                             rg_store_sync_keep_ms(s->sync, now), now);
+        rg_evacuations_end_listing(rg_pool_evacuations(pool),
+                                   rg_store_sync_revision(s->sync), now);
     }
     set_reachable(s, true, "answered");
     if (rg_store_sync_complete(s->sync)) {
@@ -286,6 +316,11 @@
                                  uint64_t confirmed_ms)
 {
     rg_store_sync_snapshot_applied(s->sync, revision);
+    if (!rg_evacuations_are_complete(
+            rg_pool_evacuations(rg_balancer_pool(s->opts.balancer))))
+    {
+        rg_store_sync_list_again(s->sync);
+    }
     rg_store_client_confirm(s, confirmed_ms);
 }
 
--- a/options/edge.gen.h
+++ b/options/edge.gen.h
@@ -50,6 +50,9 @@
     uint32_t drain_ms;
     /* longest time until an accepted configuration is in force */
     uint32_t apply_ms;
+    /* longest time until the upstreams of an evacuated data centre get no new
+     * flows; no limit of its own by default */
+    uint32_t evacuate_ms;
     /* time from a stop signal until the process is killed, ms */
     uint32_t grace_ms;
     /* limit on flows tracked at once; others are steered by token alone */
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -419,6 +419,43 @@
     return true;
 }
 
+static void
+pack_evacuation(msgpack_packer *pk, const struct rg_msg_evacuation *m)
+{
+    rg_pack_list(pk, 4);
+    rg_pack_name(pk, &m->data_centre);
+    rg_pack_u64(pk, m->revision);
+    rg_pack_u64(pk, m->in_force);
+    rg_pack_u64(pk, m->age_ms);
+}
+
+static bool
+unpack_evacuation(const msgpack_object *o, struct rg_msg_evacuation *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 4)) {
+        return false;
+    }
+    if (!rg_unpack_name(&o->via.array.ptr[0], &m->data_centre)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[1], 18446744073709551615ULL, &value))
+    {
+        return false;
+    }
+    m->revision = (uint64_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[2], 255U, &value)) {
+        return false;
+    }
+    m->in_force = (uint8_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[3], 4294967295U, &value)) {
+        return false;
+    }
+    m->age_ms = (uint32_t)value;
+    return true;
+}
+
 static void
 pack_flow_id(msgpack_packer *pk, const struct rg_msg_flow_id *m)
 {
@@ -1101,6 +1138,11 @@
     for (uint16_t i = 0; i < m->boots_count; i++) {
         pack_boot(pk, &m->boots[i]);
     }
+    rg_pack_list(pk, m->evacuations_count);
+    for (uint16_t i = 0; i < m->evacuations_count; i++) {
+        pack_evacuation(pk, &m->evacuations[i]);
+    }
+    rg_pack_u64(pk, m->evacuations_known);
 }
 
 static bool
@@ -1138,6 +1180,24 @@
             return false;
         }
     }
+    if (o->via.array.size > 7) {
+        if (!rg_unpack_list(&o->via.array.ptr[7], 16, &m->evacuations_count)) {
+            return false;
+        }
+        for (uint16_t i = 0; i < m->evacuations_count; i++) {
+            if (!unpack_evacuation(&o->via.array.ptr[7].via.array.ptr[i],
+                                   &m->evacuations[i]))
+            {
+                return false;
+            }
+        }
+    }
+    if (o->via.array.size > 8) {
+        if (!rg_unpack_u64(&o->via.array.ptr[8], 255U, &value)) {
+            return false;
+        }
+        m->evacuations_known = (uint8_t)value;
+    }
     return true;
 }
 
@@ -1328,7 +1388,7 @@
         pack_routes_part(&pk, &m->u.routes_part);
         break;
     case RG_MSG_BOOTS_PART:
-        rg_pack_list(&pk, 7);
+        rg_pack_list(&pk, 9);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_boots_part(&pk, &m->u.boots_part);
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -156,6 +156,18 @@
     uint64_t revision;
 };
 
+/* The last request to evacuate a data centre, or its lift. */
+struct rg_msg_evacuation {
+    /* name of the data centre */
+    struct rg_name data_centre;
+    /* revision of the store at which it was requested or lifted */
+    uint64_t revision;
+    /* 1: requested, 0: lifted */
+    uint8_t in_force;
+    /* time since the sender, or who told it, learnt of that */
+    uint32_t age_ms;
+};
+
 /* Both ends of a flow. */
 struct rg_msg_flow_id {
     /* IPv4 address of the caller, host byte order */
@@ -389,6 +401,12 @@
     /* endpoints */
     uint16_t boots_count;
     struct rg_msg_boot boots[16];
+    /* evacuations of data centres, lifted ones included */
+    uint16_t evacuations_count;
+    struct rg_msg_evacuation evacuations[16];
+    /* 1: the parts contain all evacuations; 0: the sender does not know them
+     */
+    uint8_t evacuations_known;
 };
 
 /* Open flows that two upstreams may have, or that the receiver asked for. */
--- a/standin/soak/edges.c
+++ b/standin/soak/edges.c
@@ -34,12 +34,13 @@
             " \"packet_address\": \"%s:%d\", \"health_address\": \"%s:%d\",\n"
             " \"peer_address\": \"%s:%d\",\n"
             " \"peer_advertise\": \"%s:%d\", \"drain_ms\": %d,\n"
-            " \"apply_ms\": %d, \"grace_s\": %g, \"flow_age_s\": 30,\n"
+            " \"apply_ms\": %d, \"evacuate_ms\": %d,\n"
+            " \"grace_s\": %g, \"flow_age_s\": 30,\n"
             " \"log_lines_per_s\": 2000,\n"
             " \"store\": {\"address\": \"%s:8169\"}}\n",
             e->index, e->index % 2, own, SOAK_PACKET_PORT, own, HEALTH_PORT,
             own, SOAK_PEER_PORT, proxy, SOAK_PEER_PORT, SOAK_DRAIN_MS,
-            SOAK_APPLY_MS, SOAK_GRACE_MS / 1000.0, store);
+            SOAK_APPLY_MS, SOAK_EVACUATE_MS, SOAK_GRACE_MS / 1000.0, store);
     fclose(out);
 }
 
--- a/standin/soak/main.c
+++ b/standin/soak/main.c
@@ -140,6 +140,7 @@
         if (s->now_ms - s->start_ms > WARM_UP_MS) {
             soak_faults_tick(s);
             soak_odd_entries_tick(s);
+            soak_evacuation_tick(s);
         }
     }
     soak_edges_tick(s);
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -22,6 +22,7 @@
  * states them. */
 #define SOAK_DRAIN_MS 3000
 #define SOAK_APPLY_MS 3000
+#define SOAK_EVACUATE_MS 3000
 #define SOAK_GRACE_MS 3000
 /* Within this time after its start or its last fault an instance must be ready
  * if a peer is, even if the store does not answer it. */
@@ -45,6 +46,7 @@
  * off the packet path. */
 #define SOAK_IDLE_ROUTES 400
 #define SOAK_SERVICE_COUNT 2
+#define SOAK_DATA_CENTRE_COUNT 2
 
 enum soak_route {
     SOAK_SHOP,    /* idempotent requests, service 0 */
@@ -138,6 +140,8 @@
     GPtrArray *late_packets; /* see fabric.c */
     struct soak_callers *callers;
     GHashTable *executions; /* request number -> times executed */
+    uint64_t evacuated_ms[SOAK_DATA_CENTRE_COUNT]; /* when that was requested,
+                                                      0: it is not */
     /* Results. */
     unsigned asked; /* requests started, except for SOAK_TOGGLED */
     unsigned served;
@@ -224,6 +228,13 @@
 /* True if a packet is meant for an entry that names no upstream. */
 bool soak_is_odd_entry(uint64_t id);
 
+/* evacuation.c */
+void soak_evacuation_tick(struct soak *s);
+/* An opening that its caller has just sent has reached the upstream. */
+void soak_evacuation_check_opening(struct soak *s,
+                                   const struct soak_upstream *u,
+                                   const struct soak_edge *edge);
+
 /* faults.c */
 void soak_faults_tick(struct soak *s);
 /* Writes the next version of the configuration to the store. */
--- a/standin/soak/upstreams.c
+++ b/standin/soak/upstreams.c
@@ -103,6 +103,9 @@
     bool settled = e && soak_is_settled(s, e->disturbed_ms) &&
                    soak_is_settled(s, s->store_disturbed_ms);
 
+    if (settled) {
+        soak_evacuation_check_opening(s, u, e);
+    }
     if (u->draining_ms && settled &&
         s->now_ms - u->draining_ms > SOAK_DRAIN_MS) {
         soak_fail(
--- a/test/test_kv.c
+++ b/test/test_kv.c
@@ -465,6 +465,68 @@
     }
 }
 
+/* Requests to evacuate a data centre: whatever their value, and only with a
+ * name. One that is cut must not stand for another data centre. */
+static void
+test_evacuations(void)
+{
+    struct seen seen;
+    struct rg_kv_response response;
+    g_autofree char *long_name = g_strnfill(RG_NAME_MAX + 1, 'z');
+    g_autofree char *long_key = g_strdup_printf("op/evacuate/%s", long_name);
+    const char *invalid[] = {"op/evacuate/", "op/evacuate/z1\\u0000x",
+                             long_key};
+
+    decode_value("op/evacuate/z1", "{}", &seen);
+    g_assert_cmpint(seen.last.kind, ==, RG_KV_EVACUATED);
+    g_assert_cmpstr(seen.last.id.s, ==, "z1");
+    g_assert_cmpuint(seen.last.revision, ==, 5);
+    decode_value("op/evacuate/z1", "", &seen);
+    g_assert_cmpint(seen.last.kind, ==, RG_KV_EVACUATED);
+    decode_value("op/evacuatez1", "{}", &seen);
+    g_assert_cmpint(seen.last.kind, ==, RG_KV_OTHER);
+    for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+        decode_value(invalid[i], "{}", &seen);
+        g_assert_cmpint(seen.last.kind, ==, RG_KV_INVALID_EVACUATION);
+        g_assert_true(seen.last.why[0] != '\0');
+    }
+    g_assert_true(decode("{\"events\":[{\"Key\":\"op/evacuate/z1\","
+                         "\"Revision\":8,\"Deleted\":true},"
+                         "{\"Key\":\"op/evacuate/z2\",\"Revision\":9}],"
+                         "\"StoreRevision\":9}",
+                         &seen, &response));
+    g_assert_cmpint(seen.counts[RG_KV_EVACUATION_LIFTED], ==, 1);
+    g_assert_cmpint(seen.counts[RG_KV_EVACUATED], ==, 1);
+}
+
+/* Guards against a partial view that is used although the page it began with
+ * ended before, or among, the requests to evacuate. */
+static void
+test_page_past_evacuations(void)
+{
+    static const struct {
+        const char *last_key;
+        bool more;
+        bool past;
+    } pages[] = {
+        {"op/config", true, false},     {"op/config", false, true},
+        {"op/evacuate/a", true, false}, {"op/evacuate/a", false, true},
+        {"op/other", true, true},       {"rattangap/instances/x", true, true},
+        {"servers/i-1", true, true},    {"a", true, false},
+    };
+    struct seen seen;
+    struct rg_kv_response response;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(pages); i++) {
+        g_autofree char *body = g_strdup_printf(
+            "{\"items\":[{\"Key\":\"%s\",\"Revision\":3}],\"HasMore\":%s,"
+            "\"StoreRevision\":9}",
+            pages[i].last_key, pages[i].more ? "true" : "false");
+        g_assert_true(decode(body, &seen, &response));
+        g_assert_cmpint(response.past_evacuations, ==, pages[i].past);
+    }
+}
+
 /* Of several configurations in one response only the newest valid one is
  * used. */
 static void
@@ -517,6 +579,8 @@
     g_test_add_func("/kv/mixed-rows", test_mixed_rows);
     g_test_add_func("/kv/corrupted-response", test_corrupted_response);
     g_test_add_func("/kv/invalid-keys", test_invalid_keys);
+    g_test_add_func("/kv/evacuations", test_evacuations);
+    g_test_add_func("/kv/page-past-evacuations", test_page_past_evacuations);
     g_test_add_func("/kv/newest-valid-config", test_newest_valid_config);
     return g_test_run();
 }
