test: evacuated upstreams do not count as healthy ones

Guards against nearly all upstreams that are left being excluded: evacuated ones, which get no requests and show no failures, counted among those that remain. Red with that rule of enough_remain() taken out.

--- a/test/test_evacuation.c
+++ b/test/test_evacuation.c
@@ -448,6 +448,41 @@
     g_assert_cmpuint(evacuated, >, small * 98 / 100);
 }
 
+static size_t
+count_outliers(struct fake_service *s, int balancer)
+{
+    struct rg_pool *pool = rg_balancer_pool(s->balancers[balancer]);
+    size_t outliers = 0;
+    size_t count;
+    struct rg_endpoint *const *endpoints = rg_pool_endpoints(pool, 0, &count);
+
+    for (size_t i = 0; i < count; i++) {
+        outliers += rg_endpoint_is_outlier(endpoints[i]);
+    }
+    return outliers;
+}
+
+/* Guards against nearly all upstreams that are left being excluded, because
+ * evacuated ones count as healthy. */
+static void
+test_enough_remain(void)
+{
+    struct fake_service *s = create_service(SEED);
+
+    fake_run(s, 2000, PER_S / DATA_CENTRES);
+    evacuate(s, 0, true, 10);
+    evacuate(s, 1, true, 11);
+    set_condition(s, 2, FAKE_ERROR);
+    for (int i = 0; i < 40; i++) {
+        fake_run(s, 100, PER_S / DATA_CENTRES);
+        for (int b = 0; b < BALANCERS; b++) {
+            g_assert_cmpuint(count_outliers(s, b), <=,
+                             UPSTREAMS / DATA_CENTRES / 2 + 1);
+        }
+    }
+    fake_service_destroy(s);
+}
+
 /* --- return -------------------------------------------------------------- */
 
 /* Guards against a data centre that gets its whole share at once after the
@@ -539,6 +574,7 @@
     g_test_add_func("/evacuation/copies", test_copies);
     g_test_add_func("/evacuation/later-upstreams", test_later_upstreams);
     g_test_add_func("/evacuation/admission", test_admission);
+    g_test_add_func("/evacuation/enough-remain", test_enough_remain);
     g_test_add_func("/evacuation/return", test_return);
     g_test_add_func("/evacuation/return-without-others",
                     test_return_without_others);
