edge: a header of a response that the caller of the client names

The store will say in a header of every answer how often it was restored. The client delivers the value of one header whose name is an option, so that names of the platform's wire stay in platform/.

A header that occurs twice is delivered as a list with commas: two values read as one number would be a wrong one. Values longer than 63 bytes are cut. Ruled out: all headers of a response, which nobody needs.

test_http_client /header: with, without and again with the header on one connection, in lower case, twice, and empty.

--- a/edge/http_client.c
+++ b/edge/http_client.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "common/mem.h"
 #include "common/strbuf.h"
@@ -12,6 +13,8 @@
 #define REQUEST_MAX 2560
 #define PATH_MAX_LEN 1024
 #define POST_BODY_MAX 1024
+/* A longer name or value is cut. */
+#define HEADER_MAX 64
 
 /* A connection. Freed once libuv has closed its handle, which may be after the
  * client has dropped it. */
@@ -35,6 +38,10 @@
     bool keep; /* the connection may serve another call */
     uint32_t timeout_ms;
     struct rg_strbuf body;
+    char field[HEADER_MAX]; /* name of the header being read */
+    char header[HEADER_MAX];
+    bool in_value;   /* the last part read was one of a value */
+    bool has_header; /* the header of the options was seen */
     char path[PATH_MAX_LEN];
     bool post;
     char post_body[POST_BODY_MAX]; /* request body of a POST */
@@ -62,6 +69,7 @@
     struct rg_http_response response = {
         .status = status,
         .body = {c->body.s ? c->body.s : "", c->body.len},
+        .header = c->has_header ? c->header : NULL,
         .error = error,
     };
 
@@ -110,6 +118,47 @@
     rg_http_client_reset(timer->data, "timed out");
 }
 
+static void
+append(char out[HEADER_MAX], const char *at, size_t len)
+{
+    size_t before = strlen(out);
+    size_t room = HEADER_MAX - 1 - before;
+
+    memcpy(out + before, at, len < room ? len : room);
+    out[before + (len < room ? len : room)] = '\0';
+}
+
+static int
+on_header_field(http_parser *parser, const char *at, size_t len)
+{
+    struct rg_http_client *c = ((struct conn *)parser->data)->client;
+
+    if (c->in_value) {
+        c->in_value = false;
+        c->field[0] = '\0';
+    }
+    append(c->field, at, len);
+    return 0;
+}
+
+static int
+on_header_value(http_parser *parser, const char *at, size_t len)
+{
+    struct rg_http_client *c = ((struct conn *)parser->data)->client;
+    bool starts = !c->in_value;
+
+    c->in_value = true;
+    if (!c->opts.header || strcasecmp(c->field, c->opts.header) != 0) {
+        return 0;
+    }
+    if (starts && c->has_header) {
+        append(c->header, ",", 1);
+    }
+    c->has_header = true;
+    append(c->header, at, len);
+    return 0;
+}
+
 static int
 on_body(http_parser *parser, const char *at, size_t len)
 {
@@ -134,6 +183,8 @@
 }
 
 static const http_parser_settings parser_settings = {
+    .on_header_field = on_header_field,
+    .on_header_value = on_header_value,
     .on_body = on_body,
     .on_message_complete = on_complete,
 };
@@ -283,6 +334,10 @@
     c->busy = true;
     c->receiving = false;
     c->keep = false;
+    c->field[0] = '\0';
+    c->header[0] = '\0';
+    c->in_value = false;
+    c->has_header = false;
     c->timeout_ms = timeout_ms;
     snprintf(c->path, sizeof(c->path), "%s", path);
     if (c->conn) {
--- a/edge/http_client.h
+++ b/edge/http_client.h
@@ -11,11 +11,14 @@
 #include "common/str.h"
 
 /* Outcome of a call. `status` is the HTTP status, or 0 if no complete response
- * arrived; `error` then says why. `body` is borrowed and valid during the
- * callback only. */
+ * arrived; `error` then says why. `body` and `header` are borrowed and valid
+ * during the callback only. A header that occurs several times is delivered as
+ * a list with commas. */
 struct rg_http_response {
     unsigned status;
     struct rg_str body;
+    const char *header; /* value of the header in the options; NULL: the
+                           response has none */
     const char *error;
 };
 
@@ -28,6 +31,7 @@
     uint32_t connect_ms; /* timeout of a connection attempt */
     uint32_t idle_ms;    /* longest gap between two reads of a response */
     size_t body_max;     /* bytes; a larger response body is an error */
+    const char *header;  /* name of a header to deliver, NULL: none */
     rg_http_client_cb cb;
     void *ctx;
 };
--- a/test/test_http_client.c
+++ b/test/test_http_client.c
@@ -1,4 +1,5 @@
-/* Reuse of a connection for several calls. Guards against a response that is
+/* Reuse of a connection for several calls, and the header of a response that
+ * its caller asked for. Guards against a response that is
  * taken for the response to the next call, which happens if a server sends it
  * twice and the client reads on from the same connection. */
 #include <glib.h>
@@ -18,7 +19,9 @@
     uv_tcp_t accepted[4];
     int connections;
     int requests;
-    bool duplicate; /* send each response twice in one write */
+    const char *header; /* lines with the header of each response, or NULL */
+    char headers[64];   /* values received, "-" for none, in order */
+    bool duplicate;     /* send each response twice in one write */
     char response[256];
     uv_write_t write;
     char read[4096];
@@ -47,6 +50,15 @@
         return;
     }
     f->requests++;
+    if (f->header) {
+        const char *header = f->requests == 2 ? "" : f->header;
+        snprintf(f->response, sizeof(f->response),
+                 "HTTP/1.1 200 OK\r\n%sContent-Length: 1\r\n\r\n%d", header,
+                 f->requests);
+        uv_buf_t out = uv_buf_init(f->response, (unsigned)strlen(f->response));
+        uv_write(&f->write, stream, &out, 1, NULL);
+        return;
+    }
     snprintf(f->response, sizeof(f->response),
              f->duplicate ? "%s%d%s%d" : "%s%d", RESPONSE_HEAD, f->requests,
              RESPONSE_HEAD, f->requests);
@@ -75,6 +87,9 @@
     g_assert_cmpuint(response->status, ==, 200);
     g_assert_cmpuint(response->body.len, ==, 1);
     f->bodies[f->count++] = response->body.ptr[0];
+    g_strlcat(f->headers, response->header ? response->header : "-",
+              sizeof(f->headers));
+    g_strlcat(f->headers, ";", sizeof(f->headers));
     if (f->count < 3) {
         rg_http_client_get(f->client, "/", 1000);
     }
@@ -99,6 +114,7 @@
         .connect_ms = 1000,
         .idle_ms = 1000,
         .body_max = 100,
+        .header = "Store-Era",
         .cb = on_response,
         .ctx = f,
     };
@@ -147,6 +163,28 @@
     tear_down(&f);
 }
 
+static void
+expect_headers(const char *lines, const char *values)
+{
+    struct fixture f = {.header = lines};
+
+    run_calls(&f);
+    g_assert_cmpstr(f.bodies, ==, "123");
+    g_assert_cmpstr(f.headers, ==, values);
+    tear_down(&f);
+}
+
+/* Guards against a header that is taken for that of an earlier response, and
+ * against two values that are read as one number. */
+static void
+test_header(void)
+{
+    expect_headers("Store-Era: 12\r\n", "12;-;12;");
+    expect_headers("X: 5\r\nstore-era: 3\r\nStore-Eras: 7\r\n", "3;-;3;");
+    expect_headers("Store-Era: 1\r\nStore-Era: 2\r\n", "1,2;-;1,2;");
+    expect_headers("Store-Era:\r\n", ";-;;");
+}
+
 int
 main(int argc, char **argv)
 {
@@ -155,5 +193,6 @@
                     test_connection_is_reused);
     g_test_add_func("/http-client/duplicate-response",
                     test_duplicate_response);
+    g_test_add_func("/http-client/header", test_header);
     return g_test_run();
 }
