--- a/balance/peers.c
+++ b/balance/peers.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "balance/fleet_size.h"
+#include "balance/revision.h"
 #include "balance/store_answers.h"
 #include "common/mem.h"
 #include "common/rand.h"
@@ -48,6 +49,7 @@
     uint64_t last_digest_ms; /* 0: no digest yet */
     uint64_t version;
     uint64_t revision;
+    bool provisional;
     uint64_t confirmed_ms; /* when the store last answered it */
     uint32_t openings_per_s;
     bool leaving;
@@ -216,11 +218,13 @@
         uint64_t active_ms = m->age_ms > now_ms ? 0 : now_ms - m->age_ms;
         rg_fleet_size_add(&p->fleet_size, m->hash, active_ms, now_ms);
     }
-    raise_latest(p, d->latest_version, d->latest_revision);
+    uint64_t revision = rg_revision_received(d->era, d->revision);
+    uint64_t latest = rg_revision_received(d->latest_era, d->latest_revision);
+    raise_latest(p, d->latest_version, latest);
     struct rg_store_answer answer = {
         .source = d->latest_source,
         .serial = d->latest_serial,
-        .at_ms = time_of(d->latest_revision, d->latest_age_ms, now_ms),
+        .at_ms = time_of(latest, d->latest_age_ms, now_ms),
     };
     note_answer(p, &answer);
     if (!peer) {
@@ -230,8 +234,9 @@
     peer->rank = rank_of(&d->from);
     peer->last_digest_ms = now_ms;
     peer->version = d->version;
-    peer->revision = d->revision;
-    peer->confirmed_ms = time_of(d->revision, d->age_ms, now_ms);
+    peer->revision = revision;
+    peer->provisional = d->provisional;
+    peer->confirmed_ms = time_of(revision, d->age_ms, now_ms);
     peer->openings_per_s = d->openings_per_s;
     peer->leaving = d->leaving;
     peer->opening_tokens = d->opening_tokens;
@@ -306,7 +311,11 @@
     out->data_centre = p->opts.data_centre;
     out->addr = p->opts.addr;
     out->version = view->version;
-    out->revision = view->confirmed_ms ? view->revision : 0;
+    if (view->confirmed_ms) {
+        out->revision = rg_revision_number(view->revision);
+        out->era = rg_revision_era(view->revision);
+    }
+    out->provisional = view->provisional;
     out->age_ms =
         view->confirmed_ms ? (uint32_t)(now_ms - view->confirmed_ms) : 0;
     raise_latest(p, view->version, view->revision);
@@ -319,7 +328,10 @@
     out->latest_source = latest->source;
     out->latest_serial = latest->serial;
     out->latest_version = p->latest.version;
-    out->latest_revision = p->latest.confirmed_ms ? p->latest.revision : 0;
+    if (p->latest.confirmed_ms) {
+        out->latest_revision = rg_revision_number(p->latest.revision);
+        out->latest_era = rg_revision_era(p->latest.revision);
+    }
     out->latest_age_ms = p->latest.confirmed_ms
                              ? (uint32_t)(now_ms - p->latest.confirmed_ms)
                              : 0;
@@ -356,6 +368,20 @@
     return true;
 }
 
+bool
+rg_peers_knows_newer_version(const struct rg_peers *p,
+                             const struct rg_peers_view *view)
+{
+    return p->latest.version > view->version;
+}
+
+static bool
+settles(const struct peer *peer, const struct rg_peers_view *view)
+{
+    return view->provisional && !peer->provisional &&
+           rg_revision_era(peer->revision) == rg_revision_era(view->revision);
+}
+
 static bool
 is_newer(const struct peer *peer, const struct rg_peers_view *view)
 {
@@ -395,8 +421,8 @@
      * others. */
     for (size_t i = 0; i < p->count && !(found && found->local); i++) {
         const struct peer *peer = &p->peers[(start + i) % p->count];
-        bool ahead = is_recent(peer, now_ms) && is_newer(peer, view) &&
-                     peer->confirmed_ms != 0;
+        bool ahead = is_recent(peer, now_ms) && peer->confirmed_ms != 0 &&
+                     (is_newer(peer, view) || settles(peer, view));
         if (ahead && (!found || peer->local)) {
             found = peer;
         }
--- a/balance/peers.h
+++ b/balance/peers.h
@@ -33,7 +33,8 @@
 /* State of this instance's own view. */
 struct rg_peers_view {
     uint64_t version;
-    uint64_t revision;
+    uint64_t revision;     /* with its era, see revision.h */
+    bool provisional;      /* it may be older than what others know */
     uint64_t confirmed_ms; /* when the store last confirmed it, 0: never */
     uint64_t answered_ms; /* when the store last answered this instance itself,
                              0: never */
@@ -87,8 +88,14 @@
 bool rg_peers_is_behind(struct rg_peers *p, const struct rg_peers_view *view,
                         uint64_t now_ms);
 
-/* Selects a peer with a newer view, in the local data centre if possible, to
- * request a snapshot from; false if there is none. */
+/* True if a newer configuration than that of `view` is known to any instance.
+ */
+bool rg_peers_knows_newer_version(const struct rg_peers *p,
+                                  const struct rg_peers_view *view);
+
+/* Selects a peer with a newer view, or one that settles a provisional view, in
+ * the local data centre if possible, to request a snapshot from; false if
+ * there is none. */
 bool rg_peers_find_newer(struct rg_peers *p, const struct rg_peers_view *view,
                          uint64_t now_ms, struct rg_addr *out);
 
--- a/balance/pool.c
+++ b/balance/pool.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "balance/revision.h"
 #include "balance/token.h"
 #include "common/mem.h"
 
@@ -42,6 +43,10 @@
     uint32_t new_endpoints;      /* endpoints since the last LISTED line */
     uint64_t any_response_ms;    /* last response of any endpoint */
     uint64_t compacted_revision; /* greatest revision of a freed endpoint */
+    bool provisional;            /* see rg_pool_is_provisional() */
+    bool provisional_rows;       /* the rules of a provisional listing apply */
+    uint64_t ignored_rows;       /* by them */
+    uint64_t ignored_before;     /* of these, before the listing in progress */
 };
 
 /* --- tables -------------------------------------------------------------- */
@@ -241,7 +246,7 @@
                  "upstream=\"%s\" token=\"%08x\" state=\"%s\" "
                  "revision=\"%llu\"",
                  e->id.s, e->token, state_names[state],
-                 (unsigned long long)e->revision);
+                 (unsigned long long)rg_revision_number(e->revision));
 }
 
 /* The entry is gone: from now on the endpoint is found only by its token. */
@@ -322,6 +327,53 @@
     return e;
 }
 
+/* True if the entry is older than what is known of the upstream, whatever its
+ * revision. Without a known heartbeat number only the states are compared. */
+static bool
+is_outdated(const struct rg_endpoint *known,
+            const struct rg_endpoint_info *info)
+{
+    bool gone = known->state == RG_ENDPOINT_GONE;
+    bool undrains = known->state == RG_ENDPOINT_DRAINING && !info->draining;
+
+    if (info->boot_ms != known->boot_ms) {
+        return info->boot_ms < known->boot_ms;
+    }
+    if (known->heartbeats == 0 || info->heartbeats == known->heartbeats) {
+        return gone || undrains;
+    }
+    return info->heartbeats < known->heartbeats;
+}
+
+/* Applies the rules of a provisional listing. */
+static bool
+ignores_row(struct rg_pool *p, struct rg_endpoint *current,
+            const struct rg_endpoint_info *info)
+{
+    const struct rg_endpoint *known = current;
+
+    if (!p->provisional_rows) {
+        return false;
+    }
+    if (!known) {
+        uint32_t token = rg_token_of(rg_name_str(&info->id), info->boot_ms);
+        known = rg_pool_by_token(p, token);
+        if (!known || !rg_name_eq(&known->id, &info->id) ||
+            known->boot_ms != info->boot_ms)
+        {
+            return false;
+        }
+    }
+    if (!is_outdated(known, info)) {
+        return false;
+    }
+    p->ignored_rows++;
+    if (current) {
+        current->listing = p->listing;
+    }
+    return true;
+}
+
 void
 rg_pool_update(struct rg_pool *p, const struct rg_endpoint_info *info,
                uint64_t revision, uint64_t now_ms)
@@ -333,12 +385,16 @@
         current->listing = p->listing;
         return;
     }
+    if (ignores_row(p, current, info)) {
+        return;
+    }
     struct rg_endpoint *e = get_endpoint(p, info, now_ms);
     e->wire_id = info->wire_id;
     e->addr = info->addr;
     e->data_centre = find_data_centre(p, &info->data_centre);
     e->slots = info->slots;
     e->revision = revision;
+    e->heartbeats = info->heartbeats;
     e->listing = p->listing;
     e->cold_until_ms = now_ms + info->cold_left_ms;
     set_state(p, e, info->draining ? RG_ENDPOINT_DRAINING : RG_ENDPOINT_READY);
@@ -375,6 +431,57 @@
 {
     p->listing++;
     p->is_listing = true;
+    p->provisional_rows = false;
+    p->ignored_before = p->ignored_rows;
+}
+
+void
+rg_pool_begin_provisional_listing(struct rg_pool *p)
+{
+    rg_pool_begin_listing(p);
+    p->provisional_rows = true;
+}
+
+void
+rg_pool_begin_provisional_rows(struct rg_pool *p)
+{
+    p->provisional_rows = true;
+}
+
+void
+rg_pool_end_provisional_rows(struct rg_pool *p)
+{
+    p->provisional_rows = false;
+}
+
+bool
+rg_pool_listing_is_provisional(const struct rg_pool *p)
+{
+    return p->provisional_rows;
+}
+
+void
+rg_pool_set_provisional(struct rg_pool *p, bool provisional)
+{
+    p->provisional = provisional;
+}
+
+bool
+rg_pool_is_provisional(const struct rg_pool *p)
+{
+    return p->provisional;
+}
+
+uint32_t
+rg_pool_era(const struct rg_pool *p)
+{
+    return rg_revision_era(p->compacted_revision);
+}
+
+uint64_t
+rg_pool_ignored_rows(const struct rg_pool *p)
+{
+    return p->ignored_rows;
 }
 
 static void
@@ -387,9 +494,13 @@
     }
     rg_log_event(p->opts.log, RG_LOG_INFO, "LISTED",
                  "upstreams=\"%zu\" new=\"%u\" draining=\"%zu\" "
-                 "services=\"%zu\" revision=\"%llu\"",
+                 "services=\"%zu\" revision=\"%llu\" era=\"%u\" "
+                 "provisional=\"%d\" older=\"%llu\"",
                  rg_pool_listed_count(p), p->new_endpoints, draining,
-                 p->service_count, (unsigned long long)revision);
+                 p->service_count,
+                 (unsigned long long)rg_revision_number(revision),
+                 rg_revision_era(revision), p->provisional_rows,
+                 (unsigned long long)(p->ignored_rows - p->ignored_before));
 }
 
 void
@@ -407,6 +518,7 @@
     }
     log_listing(p, revision);
     p->is_listing = false;
+    p->provisional_rows = false;
     p->was_listed = true;
     p->new_endpoints = 0;
     /* Endpoints that ended before this listing may never have been known
--- a/balance/pool.h
+++ b/balance/pool.h
@@ -4,8 +4,12 @@
  *
  * An endpoint is one incarnation of an upstream: a restart makes a new one
  * with a new token. It is kept for `retain_ms` after its entry in the store
- * has been removed, so that packets of its flows still reach it. One owner; no
- * I/O; the time is passed in. */
+ * has been removed, so that packets of its flows still reach it.
+ *
+ * Entries are ordered by revision, see revision.h. After a restore of the
+ * store they may be older than what is known, in spite of a higher revision:
+ * the first listing of an era is provisional. One owner; no I/O; the time is
+ * passed in. */
 #ifndef RG_BALANCE_POOL_H
 #define RG_BALANCE_POOL_H
 
@@ -30,6 +34,8 @@
     uint32_t slots; /* requests it processes concurrently, at least 1 */
     bool draining;
     uint32_t cold_left_ms; /* time until it is warm */
+    uint64_t heartbeats;   /* number of its last heartbeat, only rises within
+                              an incarnation; 0: not known */
 };
 
 enum rg_endpoint_state {
@@ -82,6 +88,7 @@
     uint8_t state;  /* enum rg_endpoint_state */
     uint32_t slots;
     uint64_t revision;      /* of its entry */
+    uint64_t heartbeats;    /* as in its entry */
     uint64_t keep_until_ms; /* MISSING: usable until; GONE: retained until */
     uint64_t cold_until_ms;
     uint32_t listing; /* number of the last listing that contained it */
@@ -145,6 +152,30 @@
 void rg_pool_end_listing(struct rg_pool *p, uint64_t revision,
                          uint64_t keep_ms, uint64_t now_ms);
 
+/* As rg_pool_begin_listing(), for a listing whose rows may be older than what
+ * is known. Until rg_pool_end_listing(), a row is ignored if it is of an older
+ * incarnation, has a lower heartbeat number than the known endpoint, takes
+ * back that it drains, or would restore one that is gone without a higher
+ * number. */
+void rg_pool_begin_provisional_listing(struct rg_pool *p);
+
+/* The same rules for rows that are not a complete listing. */
+void rg_pool_begin_provisional_rows(struct rg_pool *p);
+void rg_pool_end_provisional_rows(struct rg_pool *p);
+
+/* True while rows of a provisional listing are applied, including the call of
+ * rg_pool_end_listing(): what such a listing lacks may still be in force. */
+bool rg_pool_listing_is_provisional(const struct rg_pool *p);
+
+/* The view as a whole may be older than what other instances know. */
+void rg_pool_set_provisional(struct rg_pool *p, bool provisional);
+bool rg_pool_is_provisional(const struct rg_pool *p);
+
+/* Era of the store that the last complete listing was of, and the number of
+ * rows that provisional listings held and that were ignored. */
+uint32_t rg_pool_era(const struct rg_pool *p);
+uint64_t rg_pool_ignored_rows(const struct rg_pool *p);
+
 /* Removes expired endpoints. Call it a few times a second. */
 void rg_pool_tick(struct rg_pool *p, uint64_t now_ms);
 
--- a/balance/registration.c
+++ b/balance/registration.c
@@ -35,6 +35,9 @@
                      enum rg_registration_result result, uint64_t lease,
                      uint64_t now_ms)
 {
+    if (kind != RG_REGISTRATION_LEASE && r->lease == 0) {
+        return; /* dropped during the call */
+    }
     if (result == RG_REGISTRATION_FAILED) {
         r->next_ms =
             now_ms + RETRY_MIN_MS + rg_rand_below(&r->rand, RETRY_JITTER_MS);
@@ -58,3 +61,35 @@
         break;
     }
 }
+
+bool
+rg_registration_set_era(struct rg_registration *r, uint32_t era,
+                        uint64_t now_ms)
+{
+    bool has_lease = r->lease != 0;
+
+    if (era <= r->era) {
+        return false;
+    }
+    r->era = era;
+    if (has_lease) {
+        forget_lease(r);
+        /* All instances notice at about the same time. */
+        r->next_ms = now_ms + rg_rand_below(&r->rand, RETRY_JITTER_MS);
+    }
+    return has_lease;
+}
+
+void
+rg_registration_answered(struct rg_registration *r,
+                         enum rg_registration_kind kind,
+                         enum rg_registration_result result, uint64_t lease,
+                         uint32_t era, uint64_t now_ms)
+{
+    if (era < r->era) {
+        rg_registration_done(r, kind, RG_REGISTRATION_FAILED, 0, now_ms);
+        return;
+    }
+    rg_registration_set_era(r, era, now_ms);
+    rg_registration_done(r, kind, result, lease, now_ms);
+}
--- a/balance/registration.h
+++ b/balance/registration.h
@@ -1,6 +1,10 @@
 /* Registration of this instance in the store, so that others find it: a key
  * bound to a lease that is renewed. Determines the next call to make; no I/O;
- * the time is passed in; one owner. */
+ * the time is passed in; one owner.
+ *
+ * A store restored from an older copy has lost the key or the lease, and may
+ * hand out the same id again, so that a renewal seems to succeed: in a new era
+ * of the store the instance registers again. */
 #ifndef RG_BALANCE_REGISTRATION_H
 #define RG_BALANCE_REGISTRATION_H
 
@@ -38,6 +42,7 @@
     struct rg_rand rand;
     uint64_t lease; /* 0: none */
     bool written;
+    uint32_t era; /* highest known of the store */
     uint64_t next_ms;
 };
 
@@ -51,4 +56,17 @@
                           enum rg_registration_result result, uint64_t lease,
                           uint64_t now_ms);
 
+/* The same for an answer of the store in its era `era`. One in an older era
+ * counts as failed. */
+void rg_registration_answered(struct rg_registration *r,
+                              enum rg_registration_kind kind,
+                              enum rg_registration_result result,
+                              uint64_t lease, uint32_t era, uint64_t now_ms);
+
+/* The store is known to be in this era. If it is new, drops the lease. May be
+ * called during a call, whose result is then ignored unless it is a new lease
+ * of that era. Returns true if the lease was dropped. */
+bool rg_registration_set_era(struct rg_registration *r, uint32_t era,
+                             uint64_t now_ms);
+
 #endif
--- a/balance/snapshot.c
+++ b/balance/snapshot.c
@@ -3,11 +3,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "balance/revision.h"
 #include "common/mem.h"
 #include "proto/messages.gen.h"
 
 #define LENGTH_BYTES 4
 #define MESSAGE_MAX 16384
+/* What a provisional snapshot lacks is kept for this long: entries return
+ * within it after an outage. */
+#define LAPSED_KEEP_MS 2000
 
 /* --- writing ------------------------------------------------------------- */
 
@@ -110,7 +114,9 @@
         .gone = e->state == RG_ENDPOINT_GONE || missing,
         .keep_ms = missing ? time_left(e->keep_until_ms, w->now_ms) : 0,
         .cold_left_ms = time_left(e->cold_until_ms, w->now_ms),
-        .revision = e->revision,
+        .revision = rg_revision_number(e->revision),
+        .era = rg_revision_era(e->revision),
+        .heartbeats = e->heartbeats,
     };
     if (part->boots_count == max) {
         write_message(&w->m, w->out);
@@ -129,12 +135,15 @@
     if (rg_balancer_version(b) > base->version) {
         write_routes(rg_balancer_routes(b), out);
     }
-    if (base->revision >= rg_pool_compacted_revision(pool)) {
+    bool settles = base->provisional && !rg_pool_is_provisional(pool);
+    if (base->revision >= rg_pool_compacted_revision(pool) && !settles) {
         w->after = base->revision;
     }
     w->m.kind = RG_MSG_BOOTS_PART;
-    w->m.u.boots_part.revision = revision;
-    w->m.u.boots_part.after = w->after;
+    w->m.u.boots_part.revision = rg_revision_number(revision);
+    w->m.u.boots_part.era = rg_revision_era(revision);
+    w->m.u.boots_part.after = rg_revision_number(w->after);
+    w->m.u.boots_part.provisional = rg_pool_is_provisional(pool);
     w->out = out;
     w->pool = pool;
     w->now_ms = now_ms;
@@ -157,7 +166,8 @@
     size_t endpoint_count;
     size_t endpoint_total;
     uint64_t after; /* base revision, 0: contains all upstreams */
-    bool ended;     /* the last part has been read */
+    bool provisional;
+    bool ended; /* the last part has been read */
 };
 
 static bool
@@ -204,9 +214,16 @@
 {
     size_t count = c->endpoint_count + part->boots_count;
 
-    c->revision = part->revision;
+    c->revision = rg_revision_received(part->era, part->revision);
+    c->provisional = part->provisional;
     c->endpoint_total = part->total;
     c->after = part->after;
+    if (part->after != 0) {
+        /* An invalid base is one that the own view does not have. */
+        c->after = rg_revision_is_valid(part->era, part->after)
+                       ? rg_revision_make(part->era, part->after)
+                       : UINT64_MAX;
+    }
     c->ended = part->last;
     c->endpoints =
         rg_realloc(c->endpoints, (count + 1) * sizeof(*c->endpoints));
@@ -255,16 +272,29 @@
 }
 
 static void
-apply_endpoints(struct rg_pool *pool, const struct contents *c,
-                uint64_t now_ms)
+begin(struct rg_pool *pool, bool complete, bool provisional)
 {
-    if (c->after == 0) {
+    if (complete && provisional) {
+        rg_pool_begin_provisional_listing(pool);
+    }
+    else if (complete) {
         rg_pool_begin_listing(pool);
     }
+    else if (provisional) {
+        rg_pool_begin_provisional_rows(pool);
+    }
+}
+
+static void
+apply_endpoints(struct rg_pool *pool, const struct contents *c,
+                bool provisional, uint64_t now_ms)
+{
+    begin(pool, c->after == 0, provisional);
     for (size_t i = 0; i < c->endpoint_count; i++) {
         const struct rg_msg_boot *e = &c->endpoints[i];
+        uint64_t revision = rg_revision_received(e->era, e->revision);
         if (e->gone) {
-            rg_pool_remove_endpoint(pool, &e->id, e->boot_ms, e->revision,
+            rg_pool_remove_endpoint(pool, &e->id, e->boot_ms, revision,
                                     e->keep_ms, now_ms);
             continue;
         }
@@ -278,11 +308,38 @@
             .slots = e->slots ? e->slots : 1,
             .draining = e->draining,
             .cold_left_ms = e->cold_left_ms,
+            .heartbeats = e->heartbeats,
         };
-        rg_pool_update(pool, &info, e->revision, now_ms);
+        rg_pool_update(pool, &info, revision, now_ms);
     }
     if (c->after == 0) {
-        rg_pool_end_listing(pool, c->revision, 0, now_ms);
+        rg_pool_end_listing(pool, c->revision,
+                            c->provisional ? LAPSED_KEEP_MS : 0, now_ms);
+    }
+    else if (provisional) {
+        rg_pool_end_provisional_rows(pool);
+    }
+}
+
+/* True if the snapshot makes a provisional view an authoritative one. */
+static bool
+settles(const struct rg_pool *pool, const struct contents *c, uint64_t own)
+{
+    return c->after == 0 && !c->provisional && rg_pool_is_provisional(pool) &&
+           rg_revision_era(c->revision) == rg_revision_era(own);
+}
+
+/* Applies the endpoints to a view at the revision `own`. */
+static void
+apply_view(struct rg_pool *pool, const struct contents *c, uint64_t own,
+           uint64_t now_ms)
+{
+    bool new_era = rg_revision_era(c->revision) > rg_revision_era(own);
+    bool is_provisional = new_era || rg_pool_is_provisional(pool);
+
+    apply_endpoints(pool, c, c->provisional && is_provisional, now_ms);
+    if (c->after == 0 && is_provisional) {
+        rg_pool_set_provisional(pool, c->provisional);
     }
 }
 
@@ -300,9 +357,10 @@
             b, rg_routes_create(c.version, c.routes, c.route_count));
         c.routes = NULL;
     }
-    if (ok && c.revision > *revision) {
-        apply_endpoints(rg_balancer_pool(b), &c, now_ms);
-        *revision = c.revision;
+    struct rg_pool *pool = rg_balancer_pool(b);
+    if (ok && (c.revision > *revision || settles(pool, &c, *revision))) {
+        apply_view(pool, &c, *revision, now_ms);
+        *revision = c.revision > *revision ? c.revision : *revision;
     }
     free(c.routes);
     free(c.endpoints);
--- a/balance/store_sync.c
+++ b/balance/store_sync.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "balance/revision.h"
 #include "common/mem.h"
 
 /* Percentages of the bound on the view's lag. In the worst case a change falls
@@ -32,6 +33,12 @@
 #define RETRY_FIRST_MS 80
 #define RETRY_MAX_MS 500
 
+/* Interval at which upstreams write their entries. */
+#define HEARTBEAT_MS 1200
+/* After its return an upstream has written its entry so many times before the
+ * second listing of an era, even if two of them were late. */
+#define HEARTBEATS_BEFORE_SETTLING 3
+
 struct rg_store_sync {
     struct rg_store_sync_opts opts;
     struct rg_rand rand;
@@ -41,7 +48,14 @@
     bool complete;
     bool sampled; /* a sample was read, or reading it failed */
     bool standby;
-    bool refresh; /* make one call in spite of standby */
+    bool refresh;          /* make one call in spite of standby */
+    uint32_t era;          /* highest known of the store */
+    bool known;            /* the era has been seen, or a snapshot applied */
+    bool relisting;        /* listing, since the era is new */
+    bool provisional;      /* rows may be older than what others know */
+    bool exact;            /* all rows are from the store of this era */
+    bool settling;         /* the listing is the second one of the era */
+    uint64_t settle_at_ms; /* when that is due, 0: not determined yet */
     char after[RG_STORE_SYNC_KEY_MAX + 1];
     uint64_t listing_revision; /* oldest of its pages */
     uint64_t revision;
@@ -97,14 +111,57 @@
            !rg_store_sync_is_first_page(s);
 }
 
+static uint32_t
+settle_delay_ms(const struct rg_store_sync *s)
+{
+    return s->opts.settle_ms + HEARTBEATS_BEFORE_SETTLING * HEARTBEAT_MS;
+}
+
+void
+rg_store_sync_settled(struct rg_store_sync *s)
+{
+    s->provisional = false;
+    s->settling = false;
+    s->settle_at_ms = 0;
+}
+
+/* Starts the second listing once it is due. In standby a peer's snapshot
+ * usually makes it needless. */
+static void
+settle_if_due(struct rg_store_sync *s, uint64_t now_ms)
+{
+    if (!s->provisional || s->settling || s->listing || s->catching_up) {
+        return;
+    }
+    if (s->settle_at_ms == 0) {
+        s->settle_at_ms = now_ms + settle_delay_ms(s);
+    }
+    uint64_t at_ms = s->settle_at_ms;
+    if (s->standby && !s->exact) {
+        at_ms += settle_delay_ms(s) / 2 +
+                 (uint32_t)s->opts.seed % (settle_delay_ms(s) / 2 + 1);
+    }
+    if (now_ms < at_ms) {
+        return;
+    }
+    if (s->exact) {
+        rg_store_sync_settled(s);
+        return;
+    }
+    s->settling = true;
+    restart_listing(s);
+}
+
 struct rg_store_sync_step
 rg_store_sync_next(struct rg_store_sync *s, uint64_t now_ms)
 {
+    settle_if_due(s, now_ms);
     if (now_ms < s->not_before_ms) {
         return (struct rg_store_sync_step){.kind = RG_STORE_SYNC_WAIT,
                                            .at_ms = s->not_before_ms};
     }
-    if (s->standby && s->complete && !s->refresh) {
+    if (s->standby && s->complete && !s->refresh && !s->relisting &&
+        !s->settling) {
         return (struct rg_store_sync_step){.kind = RG_STORE_SYNC_WAIT,
                                            .at_ms = now_ms + STANDBY_CHECK_MS};
     }
@@ -112,6 +169,7 @@
         return (struct rg_store_sync_step){
             .kind = RG_STORE_SYNC_SAMPLE,
             .position = (uint32_t)rg_rand_next(&s->rand),
+            .era = s->era,
             .timeout_ms = s->opts.call_ms,
         };
     }
@@ -119,6 +177,7 @@
         return (struct rg_store_sync_step){.kind = RG_STORE_SYNC_LIST,
                                            .after = s->after,
                                            .stale = allows_stale_read(s),
+                                           .era = s->era,
                                            .timeout_ms = s->opts.call_ms};
     }
     uint32_t wait_ms =
@@ -126,6 +185,7 @@
     return (struct rg_store_sync_step){
         .kind = RG_STORE_SYNC_WATCH,
         .revision = s->revision,
+        .era = rg_revision_era(s->revision),
         .wait_ms = wait_ms,
         .timeout_ms = wait_ms + s->opts.call_ms,
     };
@@ -161,6 +221,64 @@
     }
 }
 
+/* The view goes on to serve, and its entries are kept as after an outage. */
+static void
+begin_era(struct rg_store_sync *s, uint32_t era, uint64_t now_ms)
+{
+    s->era = era;
+    s->provisional = true;
+    s->exact = !s->known;
+    s->strict = s->known;
+    s->relisting = s->known;
+    s->settling = false;
+    s->settle_at_ms = 0;
+    s->catching_up = false;
+    s->failures = 0;
+    s->refresh = false;
+    if (s->known) {
+        s->recovered_ms = now_ms;
+    }
+    restart_listing(s);
+}
+
+bool
+rg_store_sync_continues(const struct rg_store_sync *s,
+                        const struct rg_store_sync_step *call)
+{
+    switch (call->kind) {
+    case RG_STORE_SYNC_LIST:
+        return s->listing && call->era == s->era &&
+               strcmp(call->after, s->after) == 0;
+    case RG_STORE_SYNC_WATCH:
+        return !s->listing && call->era == rg_revision_era(s->revision);
+    default:
+        return call->era == s->era;
+    }
+}
+
+enum rg_store_sync_use
+rg_store_sync_check_era(struct rg_store_sync *s,
+                        const struct rg_store_sync_step *call, uint32_t era,
+                        uint64_t now_ms)
+{
+    if (era < s->era) {
+        /* A stale read, or a duplicate of an earlier response. */
+        s->strict = s->strict || s->listing;
+        return RG_STORE_SYNC_FAIL;
+    }
+    if (era == s->era) {
+        s->known = true;
+        return rg_store_sync_continues(s, call) ? RG_STORE_SYNC_USE
+                                                : RG_STORE_SYNC_DROP;
+    }
+    /* The first page is never a stale read. */
+    bool is_first_page = s->listing && call->kind == RG_STORE_SYNC_LIST &&
+                         call->after[0] == '\0';
+    begin_era(s, era, now_ms);
+    s->known = true;
+    return is_first_page ? RG_STORE_SYNC_USE : RG_STORE_SYNC_DROP;
+}
+
 bool
 rg_store_sync_is_first_page(const struct rg_store_sync *s)
 {
@@ -184,7 +302,11 @@
     s->catching_up = was_stale;
     s->complete = s->complete || !was_stale;
     s->strict = false;
+    s->relisting = false;
     s->revision = s->listing_revision;
+    if (s->settling) {
+        rg_store_sync_settled(s);
+    }
     return true;
 }
 
@@ -264,6 +386,20 @@
 void
 rg_store_sync_snapshot_applied(struct rg_store_sync *s, uint64_t revision)
 {
+    uint32_t era = rg_revision_era(revision);
+
+    if (era < s->era) {
+        return; /* a listing of a newer era is in progress */
+    }
+    if (era > s->era) {
+        s->era = era;
+        s->provisional = true;
+        s->exact = false;
+        s->settle_at_ms = 0;
+    }
+    s->known = true;
+    s->relisting = false;
+    s->settling = false;
     s->listing = false;
     s->catching_up = false;
     s->complete = true;
@@ -283,6 +419,36 @@
     return s->failures > 0;
 }
 
+bool
+rg_store_sync_is_current(const struct rg_store_sync *s)
+{
+    return s->complete && !s->relisting && !s->settling;
+}
+
+uint32_t
+rg_store_sync_era(const struct rg_store_sync *s)
+{
+    return s->era;
+}
+
+bool
+rg_store_sync_is_provisional(const struct rg_store_sync *s)
+{
+    return s->provisional;
+}
+
+bool
+rg_store_sync_listing_is_provisional(const struct rg_store_sync *s)
+{
+    return s->provisional && !s->settling;
+}
+
+bool
+rg_store_sync_is_settling(const struct rg_store_sync *s)
+{
+    return s->settling;
+}
+
 bool
 rg_store_sync_complete(const struct rg_store_sync *s)
 {
--- a/balance/store_sync.h
+++ b/balance/store_sync.h
@@ -11,8 +11,11 @@
  *
  * Each watch that returns changes is followed by a pause, so that one call
  * carries many changes. Listing starts over when the store no longer has the
- * history that a watch needs. Failed calls are retried with exponential
- * backoff and jitter. No I/O; the time is passed in; one owner. */
+ * history that a watch needs, or when it was restored from an older copy,
+ * which its era shows. The first listing of a new era is provisional: its rows
+ * may be older than what is known. A second, authoritative one follows. Failed
+ * calls are retried with exponential backoff and jitter. No I/O; the time is
+ * passed in; one owner. */
 #ifndef RG_BALANCE_STORE_SYNC_H
 #define RG_BALANCE_STORE_SYNC_H
 
@@ -50,6 +53,7 @@
     bool stale;        /* of a listing: may be a stale read, seconds old */
     uint32_t position; /* of a sample: random start */
     uint64_t revision; /* of a watch: return the changes after this one */
+    uint32_t era;      /* of the position that the call continues */
     uint32_t wait_ms;  /* of a watch */
     uint32_t timeout_ms; /* of the call */
 };
@@ -70,6 +74,42 @@
 
 struct rg_store_sync;
 
+/* What to do with a complete response, whatever its status. */
+enum rg_store_sync_use {
+    RG_STORE_SYNC_USE,
+    RG_STORE_SYNC_DROP, /* it no longer continues the view; no failure */
+    RG_STORE_SYNC_FAIL, /* of an older era: the call has failed */
+};
+
+/* A response to `call` in the store's era `era` has arrived. A new era makes
+ * everything be listed again, without stale reads and in spite of standby.
+ * Call it before any other function that reports the response. */
+enum rg_store_sync_use
+rg_store_sync_check_era(struct rg_store_sync *s,
+                        const struct rg_store_sync_step *call, uint32_t era,
+                        uint64_t now_ms);
+
+/* True if `call` still continues the view: no snapshot has been applied since
+ * that ended its listing or moved the view to another era. */
+bool rg_store_sync_continues(const struct rg_store_sync *s,
+                             const struct rg_store_sync_step *call);
+
+/* Highest era known of the store. */
+uint32_t rg_store_sync_era(const struct rg_store_sync *s);
+
+/* True if rows of the view may be older than what other instances know: until
+ * the second listing of a new era, or for as long if nothing was known. */
+bool rg_store_sync_is_provisional(const struct rg_store_sync *s);
+
+/* True if the listing in progress, or the next one, is provisional. */
+bool rg_store_sync_listing_is_provisional(const struct rg_store_sync *s);
+
+/* True while the second listing of an era is in progress. */
+bool rg_store_sync_is_settling(const struct rg_store_sync *s);
+
+/* A peer's complete view that was not provisional has been applied. */
+void rg_store_sync_settled(struct rg_store_sync *s);
+
 /* Times for a view that must never lag behind the store by more than
  * `bound_ms`, even if a connection hangs. Leaves the seed unset. */
 struct rg_store_sync_opts rg_store_sync_opts_for(uint32_t bound_ms,
@@ -108,7 +148,8 @@
 /* Makes one call in spite of standby, after any current pause. */
 void rg_store_sync_refresh(struct rg_store_sync *s);
 
-/* A snapshot from another instance was applied, as of `revision`. */
+/* A snapshot from another instance was applied, as of `revision`. If its era
+ * is new, the view is provisional, see rg_store_sync_settled(). */
 void rg_store_sync_snapshot_applied(struct rg_store_sync *s,
                                     uint64_t revision);
 
@@ -128,6 +169,10 @@
  * pages were stale reads, or after a snapshot. */
 bool rg_store_sync_complete(const struct rg_store_sync *s);
 
+/* True if the last response says that the view has all of the store's state:
+ * it is complete and no listing of a new era is in progress. */
+bool rg_store_sync_is_current(const struct rg_store_sync *s);
+
 /* Time of the last response, 0: none. The view is no older than this. */
 uint64_t rg_store_sync_confirmed_ms(const struct rg_store_sync *s);
 
--- a/edge/decoder.c
+++ b/edge/decoder.c
@@ -18,6 +18,7 @@
     struct rg_decoder *decoder; /* NULL once it was destroyed */
     char *body;
     size_t len;
+    uint32_t era;
     struct rg_decoded decoded;
     size_t capacity; /* of decoded.changes */
 };
@@ -40,7 +41,7 @@
 decode(struct job *job, struct rg_str body)
 {
     job->decoded.ok =
-        rg_kv_decode(body, add_change, job, &job->decoded.response);
+        rg_kv_decode(body, job->era, add_change, job, &job->decoded.response);
 }
 
 /* Frees what the callback would have taken ownership of. */
@@ -87,10 +88,10 @@
 }
 
 void
-rg_decoder_start(struct rg_decoder *d, struct rg_str body)
+rg_decoder_start(struct rg_decoder *d, struct rg_str body, uint32_t era)
 {
     if (body.len <= RG_DECODER_INLINE_MAX_BYTES) {
-        struct job job = {0};
+        struct job job = {.era = era};
         decode(&job, body);
         d->cb(d->ctx, &job.decoded);
         free(job.decoded.changes);
@@ -100,6 +101,7 @@
     job->work.data = job;
     job->decoder = d;
     job->len = body.len;
+    job->era = era;
     job->body = rg_calloc(1, body.len + 1);
     memcpy(job->body, body.ptr, body.len);
     d->job = job;
--- a/edge/decoder.h
+++ b/edge/decoder.h
@@ -35,11 +35,12 @@
  * after this. */
 void rg_decoder_destroy(struct rg_decoder *d);
 
-/* Decodes `body`, which must be followed by a NUL byte. Calls the callback
+/* Decodes `body`, which must be followed by a NUL byte, as of the store's
+ * `era`. Calls the callback
  * once: before this function returns if the body is small, otherwise later
  * from the event loop, in which case the body is copied. Must not be called
  * while busy. */
-void rg_decoder_start(struct rg_decoder *d, struct rg_str body);
+void rg_decoder_start(struct rg_decoder *d, struct rg_str body, uint32_t era);
 
 /* True while a worker thread is decoding. */
 bool rg_decoder_busy(const struct rg_decoder *d);
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "balance/revision.h"
 #include "balance/snapshot.h"
 #include "common/clock.h"
 #include "common/mem.h"
@@ -15,8 +16,10 @@
 
 #define DATAGRAM_MAX_BYTES 2048
 /* Requests what is newer than a version of the routes and a revision of the
- * store. */
-#define SNAPSHOT_PATH "/view/%llu/%llu"
+ * store. The revision's era follows, and whether the own view is provisional;
+ * instances of older builds send and read the first two numbers only. */
+#define SNAPSHOT_PATH "/view/%llu/%llu/%u/%u"
+#define SNAPSHOT_PATH_REQUIRED 2 /* numbers */
 /* Largest snapshot accepted from another instance. */
 #define SNAPSHOT_MAX_BYTES (16 * 1024 * 1024)
 #define SNAPSHOT_CONNECT_MS 150
@@ -65,6 +68,8 @@
     return (struct rg_peers_view){
         .version = rg_balancer_version(g->opts.balancer),
         .revision = rg_store_client_revision(g->opts.store_client),
+        .provisional =
+            rg_pool_is_provisional(rg_balancer_pool(g->opts.balancer)),
         .confirmed_ms = rg_store_client_confirmed_ms(g->opts.store_client),
         .answered_ms = rg_store_client_answered_ms(g->opts.store_client),
         .answers = rg_store_client_answers(g->opts.store_client),
@@ -286,14 +291,22 @@
     struct rg_gossip *g = ctx;
     unsigned long long version;
     unsigned long long revision;
+    unsigned era = 0;
+    unsigned provisional = 0;
 
-    if (sscanf(path, SNAPSHOT_PATH, &version, &revision) != 2) {
+    if (sscanf(path, SNAPSHOT_PATH, &version, &revision, &era, &provisional) <
+        SNAPSHOT_PATH_REQUIRED)
+    {
         return 404;
     }
     if (!rg_balancer_has_complete_view(g->opts.balancer)) {
         return 503;
     }
-    struct rg_snapshot_base base = {.version = version, .revision = revision};
+    struct rg_snapshot_base base = {
+        .version = version,
+        .revision = rg_revision_received(era, revision),
+        .provisional = provisional != 0,
+    };
     size_t before = body->len;
     rg_snapshot_write(g->opts.balancer,
                       rg_store_client_revision(g->opts.store_client), &base,
@@ -302,13 +315,28 @@
     return 200;
 }
 
+/* Revision that a snapshot must exceed to be newer than the own view: while
+ * the store is listed in a new era, a view of an older one is not. */
+static uint64_t
+least_revision(const struct rg_gossip *g)
+{
+    uint64_t revision = rg_store_client_revision(g->opts.store_client);
+    uint64_t start =
+        rg_revision_make(rg_store_client_era(g->opts.store_client), 0);
+
+    return revision > start ? revision : start;
+}
+
 static void
 on_snapshot(void *ctx, const struct rg_http_response *response)
 {
     struct rg_gossip *g = ctx;
     char peer[RG_ADDR_STR_MAX];
     uint64_t now = rg_clock_boottime_ms();
-    uint64_t revision = rg_store_client_revision(g->opts.store_client);
+    const struct rg_pool *pool = rg_balancer_pool(g->opts.balancer);
+    bool was_provisional = rg_pool_is_provisional(pool);
+    uint64_t before = least_revision(g);
+    uint64_t revision = before;
     counters(g)[RG_METRIC_CONTROL_RECEIVED_BYTES] += response->body.len;
     bool applied =
         response->status == 200 &&
@@ -317,12 +345,18 @@
     rg_log_event(
         g->opts.log, applied ? RG_LOG_INFO : RG_LOG_NOTICE, "VIEW_FROM_PEER",
         "peer=\"%s\" taken=\"%d\" status=\"%u\" version=\"%llu\" "
-        "revision=\"%llu\"",
+        "revision=\"%llu\" era=\"%u\"",
         rg_addr_format(&g->snapshot_peer, peer), applied, response->status,
         (unsigned long long)rg_balancer_version(g->opts.balancer),
-        (unsigned long long)revision);
-    if (applied) {
-        counters(g)[RG_METRIC_VIEWS_FROM_PEERS]++;
+        (unsigned long long)rg_revision_number(revision),
+        rg_revision_era(revision));
+    if (!applied) {
+        return;
+    }
+    counters(g)[RG_METRIC_VIEWS_FROM_PEERS]++;
+    /* Otherwise only the routes were newer, or nothing. */
+    if (revision != before || rg_pool_is_provisional(pool) != was_provisional)
+    {
         rg_store_client_snapshot_applied(g->opts.store_client, revision, 0);
     }
 }
@@ -333,11 +367,13 @@
 fetch_snapshot(struct rg_gossip *g, const struct rg_peers_view *view)
 {
     uint64_t now = rg_clock_boottime_ms();
-    char path[64];
+    struct rg_peers_view least = *view;
+    char path[96];
 
+    least.revision = least_revision(g);
     if (rg_http_client_busy(g->client) ||
         now - g->snapshot_requested_ms < SNAPSHOT_PAUSE_MS ||
-        !rg_peers_find_newer(g->peers, view, now, &g->snapshot_peer))
+        !rg_peers_find_newer(g->peers, &least, now, &g->snapshot_peer))
     {
         return;
     }
@@ -345,7 +381,8 @@
     rg_http_client_set_server(g->client, &g->snapshot_peer);
     snprintf(path, sizeof(path), SNAPSHOT_PATH,
              (unsigned long long)view->version,
-             (unsigned long long)view->revision);
+             (unsigned long long)rg_revision_number(view->revision),
+             rg_revision_era(view->revision), view->provisional ? 1U : 0U);
     rg_http_client_get(g->client, path, SNAPSHOT_CALL_MS);
 }
 
@@ -398,7 +435,11 @@
         .opening_tokens = rg_peers_read_opening_tokens(g->peers, now),
     };
     rg_balancer_set_fleet(g->opts.balancer, &fleet);
-    if (!reader || rg_store_client_failing(g->opts.store_client)) {
+    /* After a restore the store may lack a configuration that peers have. */
+    bool lacks_routes = rg_store_client_era(g->opts.store_client) > 0 &&
+                        rg_peers_knows_newer_version(g->peers, view);
+    if (!reader || lacks_routes ||
+        rg_store_client_failing(g->opts.store_client)) {
         fetch_snapshot(g, view);
     }
     if (view->revision != 0) {
--- a/edge/main.c
+++ b/edge/main.c
@@ -371,6 +371,16 @@
     }
 }
 
+static void
+on_era(void *ctx, uint32_t era)
+{
+    struct edge *e = ctx;
+
+    if (e->registrar) {
+        rg_registrar_set_era(e->registrar, era);
+    }
+}
+
 /* The address at which other instances reach this one. */
 static struct rg_addr
 advertised_address(const struct rg_edge *settings)
@@ -436,6 +446,7 @@
         .balancer = e->balancer,
         .log = &e->log,
         .on_instance = on_instance,
+        .on_era = on_era,
         .ctx = e,
     };
 
--- a/edge/registrar.c
+++ b/edge/registrar.c
@@ -32,12 +32,28 @@
                                    : RG_REGISTRATION_FAILED;
 }
 
+static void
+log_era(struct rg_registrar *r, uint32_t era)
+{
+    if (era > r->state.era && r->state.lease != 0) {
+        rg_log_event(r->opts.log, RG_LOG_NOTICE, "ANNOUNCE",
+                     "era=\"%u\" why=\"the store was restored\"", era);
+    }
+}
+
 static void
 on_response(void *ctx, const struct rg_http_response *response)
 {
     struct rg_registrar *r = ctx;
     enum rg_registration_result result = result_of(response);
     uint64_t lease = 0;
+    uint32_t era = r->state.era;
+
+    /* Without a complete response the era is not known. */
+    if (response->status != 0 && !rg_kv_decode_era(response->header, &era)) {
+        result = RG_REGISTRATION_FAILED;
+        era = r->state.era;
+    }
 
     if (r->call_kind == RG_REGISTRATION_LEASE && result == RG_REGISTRATION_OK)
     {
@@ -49,8 +65,9 @@
                      "status=\"%u\" why=\"%s\"", response->status,
                      response->error ? response->error : "");
     }
-    rg_registration_done(&r->state, r->call_kind, result, lease,
-                         rg_clock_boottime_ms());
+    log_era(r, era);
+    rg_registration_answered(&r->state, r->call_kind, result, lease, era,
+                             rg_clock_boottime_ms());
     make_next_call(r);
 }
 
@@ -90,6 +107,7 @@
         .connect_ms = opts->connect_ms,
         .idle_ms = opts->call_ms,
         .body_max = MAX_BODY_BYTES,
+        .header = rg_kv_era_header,
         .cb = on_response,
         .ctx = r,
     };
@@ -117,3 +135,14 @@
         uv_close((uv_handle_t *)&r->timer, on_closed);
     }
 }
+
+void
+rg_registrar_set_era(struct rg_registrar *r, uint32_t era)
+{
+    log_era(r, era);
+    if (rg_registration_set_era(&r->state, era, rg_clock_boottime_ms()) &&
+        !rg_http_client_busy(r->client))
+    {
+        make_next_call(r);
+    }
+}
--- a/edge/registrar.h
+++ b/edge/registrar.h
@@ -31,4 +31,7 @@
 struct rg_registrar *rg_registrar_create(const struct rg_registrar_opts *opts);
 void rg_registrar_destroy(struct rg_registrar *r);
 
+/* The store is known to be in this era: registers again if it is new. */
+void rg_registrar_set_era(struct rg_registrar *r, uint32_t era);
+
 #endif
--- a/edge/status.c
+++ b/edge/status.c
@@ -13,6 +13,10 @@
     rg_strbuf_printf(body,
                      "# TYPE rattangap_config_version gauge\n"
                      "rattangap_config_version %llu\n"
+                     "# TYPE rattangap_store_era gauge\n"
+                     "rattangap_store_era %u\n"
+                     "# TYPE rattangap_store_rows_older counter\n"
+                     "rattangap_store_rows_older %llu\n"
                      "# TYPE rattangap_upstreams gauge\n"
                      "rattangap_upstreams{listed=\"yes\"} %zu\n"
                      "rattangap_upstreams{listed=\"no\"} %zu\n"
@@ -23,6 +27,8 @@
                      "# TYPE rattangap_log_suppressed counter\n"
                      "rattangap_log_suppressed %llu\n",
                      (unsigned long long)rg_balancer_version(b),
+                     rg_pool_era(pool),
+                     (unsigned long long)rg_pool_ignored_rows(pool),
                      rg_pool_listed_count(pool),
                      rg_pool_known_count(pool) - rg_pool_listed_count(pool),
                      rg_balancer_tracked_count(b),
--- a/edge/store_client.c
+++ b/edge/store_client.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "balance/revision.h"
 #include "common/clock.h"
 #include "common/mem.h"
 #include "edge/decoder.h"
@@ -50,7 +51,7 @@
     rg_log_event(s->opts.log, RG_LOG_WARNING, "UNREADABLE",
                  "kind=\"%s\" id=\"%s\" revision=\"%llu\" why=\"%s\"",
                  routes ? "config" : "upstream", c->id.s,
-                 (unsigned long long)c->revision, c->why);
+                 (unsigned long long)rg_revision_number(c->revision), c->why);
 }
 
 static void
@@ -113,6 +114,50 @@
     rg_store_sync_failed(s->sync, rg_clock_boottime_ms());
 }
 
+/* Takes over what the sync knows of the era. `before` is the era that was
+ * known. */
+static void
+follow_era(struct rg_store_client *s, uint32_t before, const char *source)
+{
+    uint32_t era = rg_store_sync_era(s->sync);
+
+    rg_pool_set_provisional(rg_balancer_pool(s->opts.balancer),
+                            rg_store_sync_is_provisional(s->sync));
+    if (era == before) {
+        return;
+    }
+    rg_log_event(s->opts.log, RG_LOG_NOTICE, "STORE_ERA",
+                 "era=\"%u\" before=\"%u\" source=\"%s\" "
+                 "revision=\"%llu\" version=\"%llu\"",
+                 era, before, source,
+                 (unsigned long long)rg_revision_number(
+                     rg_store_sync_revision(s->sync)),
+                 (unsigned long long)rg_balancer_version(s->opts.balancer));
+    s->opts.on_era(s->opts.ctx, era);
+}
+
+/* Checks the era of a complete response and counts it as failed if it is not
+ * usable for that. */
+static enum rg_store_sync_use
+check_era(struct rg_store_client *s, const struct rg_http_response *response)
+{
+    uint32_t before = rg_store_sync_era(s->sync);
+    enum rg_store_sync_use use;
+    uint32_t era;
+
+    if (!rg_kv_decode_era(response->header, &era)) {
+        call_failed(s, "the era is not a number or too large");
+        return RG_STORE_SYNC_FAIL;
+    }
+    use = rg_store_sync_check_era(s->sync, &s->call, era, s->response_ms);
+    follow_era(s, before, "store");
+    if (use == RG_STORE_SYNC_FAIL) {
+        rg_http_client_cancel(s->client);
+        call_failed(s, "the response is of an older era");
+    }
+    return use;
+}
+
 /* A server may send a response twice; the duplicate must not be taken for the
  * response to the next call on the connection. */
 static bool
@@ -134,6 +179,28 @@
     return rg_store_sync_is_response(&s->call, &got);
 }
 
+/* Frees what the changes of a response own. */
+static void
+drop_changes(const struct rg_decoded *decoded)
+{
+    for (size_t i = 0; i < decoded->count; i++) {
+        rg_routes_destroy(decoded->changes[i].routes);
+    }
+}
+
+static void
+begin_listing(struct rg_store_client *s)
+{
+    struct rg_pool *pool = rg_balancer_pool(s->opts.balancer);
+
+    if (rg_store_sync_listing_is_provisional(s->sync)) {
+        rg_pool_begin_provisional_listing(pool);
+    }
+    else {
+        rg_pool_begin_listing(pool);
+    }
+}
+
 static void
 handle_response(struct rg_store_client *s, const struct rg_decoded *decoded)
 {
@@ -144,18 +211,23 @@
     uint64_t now = s->response_ms;
     bool listing = s->call.kind == RG_STORE_SYNC_LIST;
 
+    if (!rg_store_sync_continues(s->sync, &s->call)) {
+        drop_changes(decoded); /* a snapshot was applied during decoding */
+        return;
+    }
     if (!decoded->ok) {
         call_failed(s, "the response cannot be decoded");
         return;
     }
     if (!is_response_to_call(s, decoded)) {
+        drop_changes(decoded);
         rg_http_client_cancel(s->client);
         call_failed(s, "the response belongs to another call");
         return;
     }
     bool sampled = s->call.kind == RG_STORE_SYNC_SAMPLE;
     if (listing && rg_store_sync_is_first_page(s->sync)) {
-        rg_pool_begin_listing(pool);
+        begin_listing(s);
     }
     for (size_t i = 0; i < decoded->count; i++) {
         apply_change(s, &decoded->changes[i]);
@@ -175,7 +247,7 @@
                             rg_store_sync_keep_ms(s->sync, now), now);
     }
     set_reachable(s, true, "answered");
-    if (rg_store_sync_complete(s->sync)) {
+    if (rg_store_sync_is_current(s->sync)) {
         /* The response holds the store's state when the call arrived there, or
          * a later one. */
         rg_store_client_confirm(s, now);
@@ -200,8 +272,13 @@
 
     counters(s)[RG_METRIC_CONTROL_RECEIVED_BYTES] += response->body.len;
     s->response_ms = rg_clock_boottime_ms();
+    if (response->status != 0 && check_era(s, response) != RG_STORE_SYNC_USE) {
+        make_next_call(s);
+        return;
+    }
     if (response->status == 200) {
-        rg_decoder_start(s->decoder, response->body);
+        rg_decoder_start(s->decoder, response->body,
+                         rg_store_sync_era(s->sync));
         return;
     }
     if (response->status == 410) {
@@ -241,6 +318,8 @@
     uint64_t now = rg_clock_boottime_ms();
     struct rg_store_sync_step next = rg_store_sync_next(s->sync, now);
 
+    rg_pool_set_provisional(rg_balancer_pool(s->opts.balancer),
+                            rg_store_sync_is_provisional(s->sync));
     if (is_busy(s)) {
         return;
     }
@@ -267,7 +346,8 @@
     counters(s)[RG_METRIC_STORE_REFRESHES]++;
     rg_log_event(s->opts.log, RG_LOG_NOTICE, "STORE_ASKED",
                  "why=\"behind\" revision=\"%llu\"",
-                 (unsigned long long)rg_store_sync_revision(s->sync));
+                 (unsigned long long)rg_revision_number(
+                     rg_store_sync_revision(s->sync)));
     rg_store_sync_refresh(s->sync);
     make_next_call(s);
 }
@@ -285,7 +365,16 @@
 rg_store_client_snapshot_applied(struct rg_store_client *s, uint64_t revision,
                                  uint64_t confirmed_ms)
 {
+    struct rg_pool *pool = rg_balancer_pool(s->opts.balancer);
+    uint32_t before = rg_store_sync_era(s->sync);
+    bool settled = !rg_pool_is_provisional(pool);
+
     rg_store_sync_snapshot_applied(s->sync, revision);
+    if (settled) {
+        rg_store_sync_settled(s->sync);
+    }
+    rg_pool_end_provisional_rows(pool); /* of a listing that this ends */
+    follow_era(s, before, "peer");
     rg_store_client_confirm(s, confirmed_ms);
 }
 
@@ -318,6 +407,18 @@
     return rg_store_sync_revision(s->sync);
 }
 
+uint32_t
+rg_store_client_era(const struct rg_store_client *s)
+{
+    return rg_store_sync_era(s->sync);
+}
+
+bool
+rg_store_client_is_settling(const struct rg_store_client *s)
+{
+    return rg_store_sync_is_settling(s->sync);
+}
+
 uint64_t
 rg_store_client_confirmed_ms(const struct rg_store_client *s)
 {
@@ -364,6 +465,7 @@
         .connect_ms = opts->sync.connect_ms,
         .idle_ms = opts->sync.call_ms,
         .body_max = MAX_BODY_BYTES,
+        .header = rg_kv_era_header,
         .cb = on_response,
         .ctx = s,
     };
--- a/edge/store_client.h
+++ b/edge/store_client.h
@@ -20,6 +20,8 @@
     const struct rg_log *log;     /* borrowed */
     /* Another instance is registered with this peer address. */
     void (*on_instance)(void *ctx, const struct rg_addr *addr);
+    /* The store is known to be in this era, a higher one than before. */
+    void (*on_era)(void *ctx, uint32_t era);
     void *ctx;
 };
 
@@ -36,6 +38,12 @@
 /* The view has everything that the store held at `confirmed_ms`. */
 void rg_store_client_confirm(struct rg_store_client *s, uint64_t confirmed_ms);
 
+/* Highest era known of the store; the view may still be of an older one. */
+uint32_t rg_store_client_era(const struct rg_store_client *s);
+
+/* True while everything is listed again to settle the view in a new era. */
+bool rg_store_client_is_settling(const struct rg_store_client *s);
+
 /* A snapshot from another instance was applied: the view is at `revision` now.
  * `confirmed_ms` is as for rg_store_client_confirm(), 0 if not known. */
 void rg_store_client_snapshot_applied(struct rg_store_client *s,
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -346,7 +346,7 @@
 static void
 pack_boot(msgpack_packer *pk, const struct rg_msg_boot *m)
 {
-    rg_pack_list(pk, 12);
+    rg_pack_list(pk, 14);
     rg_pack_name(pk, &m->id);
     rg_pack_u64(pk, m->wire_id);
     rg_pack_u64(pk, m->boot_ms);
@@ -359,6 +359,8 @@
     rg_pack_u64(pk, m->keep_ms);
     rg_pack_u64(pk, m->cold_left_ms);
     rg_pack_u64(pk, m->revision);
+    rg_pack_u64(pk, m->era);
+    rg_pack_u64(pk, m->heartbeats);
 }
 
 static bool
@@ -416,6 +418,19 @@
         return false;
     }
     m->revision = (uint64_t)value;
+    if (o->via.array.size > 12) {
+        if (!rg_unpack_u64(&o->via.array.ptr[12], 4294967295U, &value)) {
+            return false;
+        }
+        m->era = (uint32_t)value;
+    }
+    if (o->via.array.size > 13) {
+        if (!rg_unpack_u64(&o->via.array.ptr[13], 18446744073709551615ULL,
+                           &value)) {
+            return false;
+        }
+        m->heartbeats = (uint64_t)value;
+    }
     return true;
 }
 
@@ -932,6 +947,9 @@
     rg_pack_u64(pk, m->opening_tokens);
     rg_pack_u64(pk, m->latest_source);
     rg_pack_u64(pk, m->latest_serial);
+    rg_pack_u64(pk, m->era);
+    rg_pack_u64(pk, m->latest_era);
+    rg_pack_u64(pk, m->provisional);
 }
 
 static bool
@@ -1047,6 +1065,24 @@
         }
         m->latest_serial = (uint32_t)value;
     }
+    if (o->via.array.size > 21) {
+        if (!rg_unpack_u64(&o->via.array.ptr[21], 4294967295U, &value)) {
+            return false;
+        }
+        m->era = (uint32_t)value;
+    }
+    if (o->via.array.size > 22) {
+        if (!rg_unpack_u64(&o->via.array.ptr[22], 4294967295U, &value)) {
+            return false;
+        }
+        m->latest_era = (uint32_t)value;
+    }
+    if (o->via.array.size > 23) {
+        if (!rg_unpack_u64(&o->via.array.ptr[23], 255U, &value)) {
+            return false;
+        }
+        m->provisional = (uint8_t)value;
+    }
     return true;
 }
 
@@ -1101,6 +1137,8 @@
     for (uint16_t i = 0; i < m->boots_count; i++) {
         pack_boot(pk, &m->boots[i]);
     }
+    rg_pack_u64(pk, m->era);
+    rg_pack_u64(pk, m->provisional);
 }
 
 static bool
@@ -1138,6 +1176,18 @@
             return false;
         }
     }
+    if (o->via.array.size > 7) {
+        if (!rg_unpack_u64(&o->via.array.ptr[7], 4294967295U, &value)) {
+            return false;
+        }
+        m->era = (uint32_t)value;
+    }
+    if (o->via.array.size > 8) {
+        if (!rg_unpack_u64(&o->via.array.ptr[8], 255U, &value)) {
+            return false;
+        }
+        m->provisional = (uint8_t)value;
+    }
     return true;
 }
 
@@ -1316,7 +1366,7 @@
         pack_content(&pk, &m->u.content);
         break;
     case RG_MSG_DIGEST:
-        rg_pack_list(&pk, 21);
+        rg_pack_list(&pk, 24);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_digest(&pk, &m->u.digest);
@@ -1328,7 +1378,7 @@
         pack_routes_part(&pk, &m->u.routes_part);
         break;
     case RG_MSG_BOOTS_PART:
-        rg_pack_list(&pk, 7);
+        rg_pack_list(&pk, 9);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_boots_part(&pk, &m->u.boots_part);
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -154,6 +154,11 @@
     uint32_t cold_left_ms;
     /* revision of its entry */
     uint64_t revision;
+    /* era of the store that this revision is of */
+    uint32_t era;
+    /* number of its last heartbeat, which only rises within an incarnation; 0:
+     * not known */
+    uint64_t heartbeats;
 };
 
 /* Both ends of a flow. */
@@ -362,6 +367,13 @@
     uint32_t latest_source;
     /* number of that answer there */
     uint32_t latest_serial;
+    /* era of the store that `revision` is of */
+    uint32_t era;
+    /* era of the store that `latest_revision` is of */
+    uint32_t latest_era;
+    /* 1: entries of the sender's view may be older than what others know, as
+     * the era is new */
+    uint8_t provisional;
 };
 
 /* HTTP: part of a snapshot, with routes of the configuration in force. */
@@ -389,6 +401,11 @@
     /* endpoints */
     uint16_t boots_count;
     struct rg_msg_boot boots[16];
+    /* era of the store that `revision` and `after` are of */
+    uint32_t era;
+    /* 1: endpoints may be older than what the receiver knows, as the era is
+     * new */
+    uint8_t provisional;
 };
 
 /* Open flows that two upstreams may have, or that the receiver asked for. */
--- a/standin/bench.c
+++ b/standin/bench.c
@@ -120,8 +120,9 @@
     struct rg_kv_response answer;
     double start = now_s();
 
-    if (!rg_kv_decode((struct rg_str){body->s, body->len}, on_change, b,
-                      &answer)) {
+    if (!rg_kv_decode((struct rg_str){body->s, body->len}, 0, on_change, b,
+                      &answer))
+    {
         fprintf(stderr, "cannot decode the generated answer\n");
         exit(1);
     }
--- a/test/test_decoder.c
+++ b/test/test_decoder.c
@@ -63,7 +63,7 @@
 
     uv_loop_init(&loop);
     struct rg_decoder *d = rg_decoder_create(&loop, on_decoded, &o);
-    rg_decoder_start(d, (struct rg_str){body->str, body->len});
+    rg_decoder_start(d, (struct rg_str){body->str, body->len}, 0);
     g_assert_cmpint(o.calls, ==, 1);
     g_assert_true(o.ok);
     g_assert_cmpuint(o.routes, ==, ROUTES_FEW);
@@ -83,7 +83,7 @@
 
     uv_loop_init(&loop);
     struct rg_decoder *d = rg_decoder_create(&loop, on_decoded, &o);
-    rg_decoder_start(d, (struct rg_str){body->str, body->len});
+    rg_decoder_start(d, (struct rg_str){body->str, body->len}, 0);
     memset(body->str, 'x', body->len);
     g_assert_cmpint(o.calls, ==, 0);
     g_assert_true(rg_decoder_busy(d));
@@ -106,7 +106,7 @@
     uv_loop_init(&loop);
     struct rg_decoder *d = rg_decoder_create(&loop, on_decoded, &o);
     body->str[body->len - 1] = '!';
-    rg_decoder_start(d, (struct rg_str){body->str, body->len});
+    rg_decoder_start(d, (struct rg_str){body->str, body->len}, 0);
     uv_run(&loop, UV_RUN_DEFAULT);
     g_assert_cmpint(o.calls, ==, 1);
     g_assert_false(o.ok);
@@ -126,7 +126,7 @@
 
     uv_loop_init(&loop);
     struct rg_decoder *d = rg_decoder_create(&loop, on_decoded, &o);
-    rg_decoder_start(d, (struct rg_str){body->str, body->len});
+    rg_decoder_start(d, (struct rg_str){body->str, body->len}, 0);
     rg_decoder_destroy(d);
     uv_run(&loop, UV_RUN_DEFAULT);
     g_assert_cmpint(o.calls, ==, 0);
--- a/test/test_kv.c
+++ b/test/test_kv.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "balance/revision.h"
 #include "common/rand.h"
 #include "platform/kv.h"
 
@@ -46,7 +47,7 @@
 decode(const char *body, struct seen *seen, struct rg_kv_response *response)
 {
     memset(seen, 0, sizeof(*seen));
-    return rg_kv_decode(rg_str_of(body), on_change, seen, response);
+    return rg_kv_decode(rg_str_of(body), 0, on_change, seen, response);
 }
 
 /* Decodes a watch with one event that holds `value` under `key`. */
@@ -500,6 +501,44 @@
     }
 }
 
+/* The era of a response is part of its revisions, and not of the path of a
+ * watch, which the store understands only in its own numbers. */
+static void
+test_eras(void)
+{
+    struct rg_store_sync_step watch = {.kind = RG_STORE_SYNC_WATCH,
+                                       .revision = rg_revision_make(3, 42),
+                                       .wait_ms = 7};
+    struct rg_kv_response response;
+    struct seen seen = {0};
+    char path[RG_KV_PATH_MAX];
+    uint32_t era;
+
+    rg_kv_path(path, &watch);
+    g_assert_cmpstr(path, ==, "/v1/kv-watch?Prefix=&after=42&WaitMs=7");
+    g_assert_true(rg_kv_decode(
+        rg_str_of("{\"events\":[{\"Key\":\"servers/i-1\",\"Revision\":5,"
+                  "\"Deleted\":true}],\"StoreRevision\":6}"),
+        3, on_change, &seen, &response));
+    g_assert_cmpuint(response.revision, ==, rg_revision_make(3, 6));
+    g_assert_cmpuint(seen.last.revision, ==, rg_revision_make(3, 5));
+    g_assert_cmpuint(rg_revision_make(3, 5), >, rg_revision_make(2, 999));
+    /* Too large to be told from an era. */
+    g_assert_false(decode("{\"events\":[],\"StoreRevision\":17592186044416}",
+                          &seen, &response));
+    g_assert_true(rg_kv_decode_era(NULL, &era));
+    g_assert_cmpuint(era, ==, 0);
+    g_assert_true(rg_kv_decode_era("1048575", &era));
+    g_assert_cmpuint(era, ==, RG_REVISION_ERA_MAX);
+    static const char *const invalid[] = {
+        "", "-1", "1048576", "1,1", "one", "99999999999999999999999", "1.5"};
+    for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+        g_assert_false(rg_kv_decode_era(invalid[i], &era));
+    }
+    decode_value("servers/i-1", valid_entry, &seen);
+    g_assert_cmpuint(seen.last.info.heartbeats, ==, 4);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -518,5 +557,6 @@
     g_test_add_func("/kv/corrupted-response", test_corrupted_response);
     g_test_add_func("/kv/invalid-keys", test_invalid_keys);
     g_test_add_func("/kv/newest-valid-config", test_newest_valid_config);
+    g_test_add_func("/kv/eras", test_eras);
     return g_test_run();
 }
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "balance/peers.h"
+#include "balance/revision.h"
 #include "common/rand.h"
 
 #define SEED 29
@@ -493,7 +494,7 @@
 static void
 test_digest_of_other_build(void)
 {
-    static const uint8_t appended[] = {90, 1, 77, 78};
+    static const uint8_t appended[] = {90, 1, 77, 78, 5, 6, 1};
     struct rg_msg m = {.kind = RG_MSG_DIGEST};
     struct rg_msg_digest *d = &m.u.digest;
     uint8_t data[2048];
@@ -503,6 +504,9 @@
     d->opening_tokens = appended[1];
     d->latest_source = appended[2];
     d->latest_serial = appended[3];
+    d->era = appended[4];
+    d->latest_era = appended[5];
+    d->provisional = appended[6];
     g_assert_true(rg_name_set(&d->from, rg_str_of("edge-1")));
     g_assert_true(rg_name_set(&d->data_centre, rg_str_of("dc1")));
     d->addr = addr_of(1);
@@ -514,21 +518,85 @@
     data[len] = 0;
     data[2]++;
     g_assert_true(rg_msg_unpack(&m, data, len + 1));
-    g_assert_cmpuint(d->latest_serial, ==, appended[3]);
+    g_assert_cmpuint(d->provisional, ==, appended[6]);
     for (size_t lacks = 0; lacks <= sizeof(appended); lacks++) {
         data[2]--;
         g_assert_true(rg_msg_unpack(&m, data, len - lacks));
         g_assert_cmpuint(d->version, ==, 7);
         g_assert_cmpuint(d->flows_moved_age_ms, ==,
-                         (lacks < 4 ? appended[0] : 0));
-        g_assert_cmpuint(d->opening_tokens, ==, (lacks < 3 ? appended[1] : 0));
-        g_assert_cmpuint(d->latest_source, ==, (lacks < 2 ? appended[2] : 0));
-        g_assert_cmpuint(d->latest_serial, ==, (lacks < 1 ? appended[3] : 0));
+                         (lacks < 7 ? appended[0] : 0));
+        g_assert_cmpuint(d->opening_tokens, ==, (lacks < 6 ? appended[1] : 0));
+        g_assert_cmpuint(d->latest_source, ==, (lacks < 5 ? appended[2] : 0));
+        g_assert_cmpuint(d->latest_serial, ==, (lacks < 4 ? appended[3] : 0));
+        g_assert_cmpuint(d->era, ==, (lacks < 3 ? appended[4] : 0));
+        g_assert_cmpuint(d->latest_era, ==, (lacks < 2 ? appended[5] : 0));
+        g_assert_cmpuint(d->provisional, ==, (lacks < 1 ? appended[6] : 0));
     }
     data[2]--;
     g_assert_false(rg_msg_unpack(&m, data, len - sizeof(appended) - 1));
 }
 
+/* Guards against an instance that does not notice a restore of the store, as
+ * the revisions of its peers are lower than its own; and against one that
+ * takes a peer's view of an older era for a newer one. */
+static void
+test_newer_era(void)
+{
+    struct rg_peers *p = create_peers(0);
+    struct rg_peers_view view = {.version = 4, .revision = 300};
+    struct rg_msg_digest d = {.version = 4,
+                              .revision = 40,
+                              .era = 1,
+                              .latest_revision = 40,
+                              .latest_era = 1,
+                              .provisional = 1};
+    struct rg_addr to;
+
+    d.addr = addr_of(1);
+    g_assert_false(rg_peers_is_behind(p, &view, 4000));
+    rg_peers_digest_received(p, &d, 5000);
+    g_assert_true(rg_peers_find_newer(p, &view, 5000, &to));
+    g_assert_cmpuint(rg_peers_confirmed_ms(p, &view), ==, 0);
+    g_assert_false(rg_peers_is_behind(p, &view, 5000));
+    view.revision = rg_revision_make(1, 40);
+    view.provisional = true;
+    g_assert_false(rg_peers_find_newer(p, &view, 5000, &to));
+    d.provisional = 0; /* it has a settled view now */
+    rg_peers_digest_received(p, &d, 5000);
+    g_assert_true(rg_peers_find_newer(p, &view, 5000, &to));
+    view.revision = rg_revision_make(2, 1);
+    g_assert_false(rg_peers_find_newer(p, &view, 5000, &to));
+    d.era = UINT32_MAX; /* not an era */
+    d.latest_era = UINT32_MAX;
+    rg_peers_digest_received(p, &d, 5000);
+    g_assert_false(rg_peers_find_newer(p, &view, 5000, &to));
+    rg_peers_destroy(p);
+}
+
+/* The era of the own view is passed on. */
+static void
+test_era_in_digests(void)
+{
+    struct rg_peers *p = create_peers(0);
+    struct rg_peers_view view = {.revision = rg_revision_make(3, 40),
+                                 .provisional = true,
+                                 .confirmed_ms = 4000,
+                                 .answered_ms = 4000,
+                                 .answers = 1};
+    struct rg_msg_digest d;
+    struct rg_peers_target to;
+    struct rg_addr other = addr_of(1);
+
+    rg_peers_add_seed(p, &other);
+    g_assert_true(rg_peers_next_digest(p, &view, RG_PEERS_ANY, 5000, &d, &to));
+    g_assert_cmpuint(d.revision, ==, 40);
+    g_assert_cmpuint(d.era, ==, 3);
+    g_assert_cmpuint(d.latest_revision, ==, 40);
+    g_assert_cmpuint(d.latest_era, ==, 3);
+    g_assert_cmpuint(d.provisional, ==, 1);
+    rg_peers_destroy(p);
+}
+
 /* Guards against a datagram that ends the process: nested so deeply that a
  * recursive decoder runs out of stack. */
 static void
@@ -629,5 +697,7 @@
                     test_deeply_nested_datagram);
     g_test_add_func("/peers/opening-tokens", test_opening_tokens);
     g_test_add_func("/peers/flow-targets", test_flow_targets);
+    g_test_add_func("/peers/newer-era", test_newer_era);
+    g_test_add_func("/peers/era-in-digests", test_era_in_digests);
     return g_test_run();
 }
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 
 #include "balance/pool.h"
+#include "balance/revision.h"
 #include "balance/token.h"
 #include "test/captured_log.h"
 
@@ -326,6 +327,134 @@
     rg_pool_destroy(p);
 }
 
+static enum rg_endpoint_state
+state_of(const struct rg_pool *p, const char *id, uint64_t boot_ms)
+{
+    const struct rg_endpoint *e = rg_pool_by_token(p, token(id, boot_ms));
+
+    return e ? (enum rg_endpoint_state)e->state : RG_ENDPOINT_GONE;
+}
+
+/* A pool with one upstream, u-1, whose tenth entry is at revision 300. */
+static struct rg_pool *
+create_pool_before_restore(struct rg_endpoint_info *r)
+{
+    struct rg_pool *p = create_pool();
+
+    *r = make_info("u-1", 5);
+    r->heartbeats = 10;
+    rg_pool_update(p, r, 300, 100);
+    return p;
+}
+
+/* The store is listed in its first era after a restore, with this entry. */
+static void
+list_restored(struct rg_pool *p, const struct rg_endpoint_info *r)
+{
+    rg_pool_begin_provisional_listing(p);
+    g_assert_true(rg_pool_listing_is_provisional(p));
+    rg_pool_update(p, r, rg_revision_make(1, 30), 200);
+    rg_pool_end_listing(p, rg_revision_make(1, 40), KEEP_MS, 200);
+    g_assert_false(rg_pool_listing_is_provisional(p));
+}
+
+/* Guards against new flows to an upstream that reported draining: the restored
+ * store still has an older entry, which must not take that back. An entry that
+ * is written later does, and so does the second listing. */
+static void
+test_restored_entry_of_draining(void)
+{
+    struct rg_endpoint_info old = make_info("u-1", 5);
+    struct rg_endpoint_info r;
+
+    old.heartbeats = 8;
+    for (int i = 0; i < 3; i++) {
+        struct rg_pool *p = create_pool_before_restore(&r);
+        r.draining = true;
+        r.heartbeats = i == 2 ? 10 : 11; /* the same number: also ignored */
+        rg_pool_update(p, &r, 301, 150);
+        old.heartbeats = i == 2 ? 10 : 8;
+        list_restored(p, &old);
+        g_assert_cmpint(state_of(p, "u-1", 5), ==, RG_ENDPOINT_DRAINING);
+        g_assert_cmpuint(rg_pool_ignored_rows(p), ==, 1);
+        if (i == 0) {
+            r.draining = false;
+            r.heartbeats = 12;
+            rg_pool_update(p, &r, rg_revision_make(1, 41), 300);
+        }
+        else {
+            rg_pool_begin_listing(p);
+            rg_pool_update(p, &old, rg_revision_make(1, 30), 6000);
+            rg_pool_end_listing(p, rg_revision_make(1, 45), 0, 6000);
+        }
+        g_assert_cmpint(state_of(p, "u-1", 5), ==, RG_ENDPOINT_READY);
+        rg_pool_destroy(p);
+    }
+}
+
+/* Guards against changes that are ignored after a restore, as their revisions
+ * are lower than those from before. */
+static void
+test_change_after_restore(void)
+{
+    struct rg_endpoint_info r;
+    struct rg_pool *p = create_pool_before_restore(&r);
+
+    list_restored(p, &r);
+    r.draining = true;
+    r.heartbeats = 11;
+    rg_pool_update(p, &r, rg_revision_make(1, 41), 300);
+    g_assert_cmpint(state_of(p, "u-1", 5), ==, RG_ENDPOINT_DRAINING);
+    rg_pool_remove(p, &r.id, rg_revision_make(1, 42), 0, 400);
+    g_assert_cmpint(state_of(p, "u-1", 5), ==, RG_ENDPOINT_GONE);
+    rg_pool_destroy(p);
+}
+
+/* Guards against flows to an upstream that has ended, and to the one before a
+ * restart: the restored store still has their entries. A higher heartbeat
+ * number shows that the upstream has returned since. */
+static void
+test_restored_entry_of_gone(void)
+{
+    struct rg_endpoint_info r;
+    struct rg_pool *p = create_pool_before_restore(&r);
+
+    rg_pool_remove(p, &r.id, 301, 0, 150);
+    list_restored(p, &r);
+    g_assert_cmpint(state_of(p, "u-1", 5), ==, RG_ENDPOINT_GONE);
+    r.heartbeats = 11;
+    list_restored(p, &r);
+    g_assert_cmpint(state_of(p, "u-1", 5), ==, RG_ENDPOINT_READY);
+    rg_pool_destroy(p);
+
+    p = create_pool_before_restore(&r);
+    struct rg_endpoint_info restarted = make_info("u-1", 6);
+    restarted.heartbeats = 1;
+    rg_pool_update(p, &restarted, 301, 150);
+    list_restored(p, &r);
+    g_assert_cmpint(state_of(p, "u-1", 6), ==, RG_ENDPOINT_READY);
+    g_assert_cmpint(state_of(p, "u-1", 5), ==, RG_ENDPOINT_GONE);
+    rg_pool_destroy(p);
+}
+
+/* Guards against a service without upstreams since the copy is older than they
+ * are: entries that it lacks count as lapsed. */
+static void
+test_missing_after_restore(void)
+{
+    struct rg_endpoint_info r;
+    struct rg_pool *p = create_pool_before_restore(&r);
+    struct rg_endpoint_info other = make_info("u-2", 5);
+
+    list_restored(p, &other);
+    g_assert_cmpint(state_of(p, "u-1", 5), ==, RG_ENDPOINT_MISSING);
+    r.heartbeats = 11;
+    rg_pool_update(p, &r, rg_revision_make(1, 41), 1500);
+    rg_pool_tick(p, 200 + KEEP_MS);
+    g_assert_cmpint(state_of(p, "u-1", 5), ==, RG_ENDPOINT_READY);
+    rg_pool_destroy(p);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -342,5 +471,11 @@
     g_test_add_func("/pool/listing-log", test_listing_log);
     g_test_add_func("/pool/many-upstreams", test_many_upstreams);
     g_test_add_func("/pool/token-collision", test_token_collision);
+    g_test_add_func("/pool/restored-entry-of-draining",
+                    test_restored_entry_of_draining);
+    g_test_add_func("/pool/change-after-restore", test_change_after_restore);
+    g_test_add_func("/pool/restored-entry-of-gone",
+                    test_restored_entry_of_gone);
+    g_test_add_func("/pool/missing-after-restore", test_missing_after_restore);
     return g_test_run();
 }
--- a/test/test_snapshot.c
+++ b/test/test_snapshot.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "balance/revision.h"
 #include "balance/snapshot.h"
 #include "common/rand.h"
 
@@ -37,7 +38,8 @@
 }
 
 static void
-add_upstream(struct rg_balancer *b, int i, bool draining, uint64_t revision)
+add_entry(struct rg_balancer *b, int i, bool draining, uint64_t heartbeats,
+          uint64_t revision)
 {
     struct rg_endpoint_info r = {
         .id = name("u-%x", i),
@@ -48,12 +50,19 @@
         .slots = 2,
         .draining = draining,
         .cold_left_ms = 500,
+        .heartbeats = heartbeats,
     };
 
     rg_addr_parse(&r.addr, "10.0.0.1:80");
     rg_pool_update(rg_balancer_pool(b), &r, revision, 1000);
 }
 
+static void
+add_upstream(struct rg_balancer *b, int i, bool draining, uint64_t revision)
+{
+    add_entry(b, i, draining, 1, revision);
+}
+
 static struct rg_balancer *
 create_full_balancer(uint64_t version)
 {
@@ -78,8 +87,11 @@
 transfer(struct rg_balancer *from, uint64_t revision, struct rg_balancer *to,
          uint64_t *own)
 {
-    struct rg_snapshot_base base = {.version = rg_balancer_version(to),
-                                    .revision = *own};
+    struct rg_snapshot_base base = {
+        .version = rg_balancer_version(to),
+        .revision = *own,
+        .provisional = rg_pool_is_provisional(rg_balancer_pool(to)),
+    };
     RG_STRBUF_AUTO bytes = {0};
 
     rg_snapshot_write(from, revision, &base, 1000, &bytes);
@@ -250,6 +262,90 @@
     rg_balancer_destroy(to);
 }
 
+/* A balancer that has listed the store, restored from an older copy: all
+ * upstreams are ready there. */
+static struct rg_balancer *
+create_restored_balancer(uint32_t era, uint64_t heartbeats, bool provisional)
+{
+    struct rg_balancer *b = create_balancer();
+    struct rg_pool *pool = rg_balancer_pool(b);
+
+    rg_balancer_set_routes(b, rg_routes_create(5, NULL, 0));
+    rg_pool_set_provisional(pool, provisional);
+    rg_pool_begin_listing(pool);
+    for (int i = 0; i < UPSTREAMS; i++) {
+        add_entry(b, i, false, heartbeats,
+                  rg_revision_make(era, 20 + (uint64_t)i));
+    }
+    rg_pool_end_listing(pool, rg_revision_make(era, 80), 0, 1000);
+    return b;
+}
+
+/* Guards against an instance that stays in the old era, since the revision of
+ * its peer's view is lower than its own: it gets the whole view, as nothing is
+ * known of changes between eras. */
+static void
+test_newer_era(void)
+{
+    struct rg_balancer *from = create_restored_balancer(1, 9, false);
+    struct rg_balancer *to = create_full_balancer(5);
+    uint64_t revision = 300;
+
+    add_upstream(to, 900, false, 250);
+    g_assert_true(transfer(from, rg_revision_make(1, 80), to, &revision));
+    g_assert_cmpuint(revision, ==, rg_revision_make(1, 80));
+    g_assert_cmpint(state_of(to, 10), ==, RG_ENDPOINT_READY);
+    g_assert_cmpint(state_of(to, 900), ==, RG_ENDPOINT_GONE);
+    g_assert_false(rg_pool_is_provisional(rg_balancer_pool(to)));
+    /* Nothing comes back from an instance that has not noticed yet. */
+    struct rg_balancer *late = create_full_balancer(5);
+    add_entry(late, 11, true, 10, 299);
+    g_assert_true(transfer(late, 300, to, &revision));
+    g_assert_cmpint(state_of(to, 11), ==, RG_ENDPOINT_READY);
+    g_assert_cmpuint(revision, ==, rg_revision_make(1, 80));
+    rg_balancer_destroy(late);
+    rg_balancer_destroy(from);
+    rg_balancer_destroy(to);
+}
+
+/* Guards against an instance that started after the restore, and has only its
+ * older entries, making others forget that an upstream drains or is gone. Once
+ * its view is settled, it is authoritative, whatever the revision. */
+static void
+test_provisional(void)
+{
+    struct rg_balancer *from = create_restored_balancer(1, 8, true);
+    struct rg_balancer *to = create_full_balancer(5);
+    struct rg_name gone = name("u-%x", 2);
+    uint64_t revision = 300;
+
+    add_entry(to, 1, true, 10, 290);
+    add_entry(to, 2, false, 10, 290);
+    rg_pool_remove(rg_balancer_pool(to), &gone, 291, 0, 1000);
+    add_entry(to, 900, false, 10, 292);
+    g_assert_true(transfer(from, rg_revision_make(1, 80), to, &revision));
+    g_assert_true(rg_pool_is_provisional(rg_balancer_pool(to)));
+    g_assert_cmpint(state_of(to, 1), ==, RG_ENDPOINT_DRAINING);
+    g_assert_cmpint(state_of(to, 2), ==, RG_ENDPOINT_GONE);
+    g_assert_cmpint(state_of(to, 3), ==, RG_ENDPOINT_READY);
+    g_assert_cmpint(state_of(to, 900), ==, RG_ENDPOINT_MISSING);
+    /* Only the changes, under the same rules: an old entry, then a new one. */
+    add_entry(from, 1, false, 9, rg_revision_make(1, 81));
+    g_assert_true(transfer(from, rg_revision_make(1, 81), to, &revision));
+    g_assert_cmpint(state_of(to, 1), ==, RG_ENDPOINT_DRAINING);
+    add_entry(from, 1, false, 11, rg_revision_make(1, 82));
+    g_assert_true(transfer(from, rg_revision_make(1, 82), to, &revision));
+    g_assert_cmpint(state_of(to, 1), ==, RG_ENDPOINT_READY);
+    g_assert_cmpint(state_of(to, 2), ==, RG_ENDPOINT_GONE);
+    rg_pool_set_provisional(rg_balancer_pool(from), false);
+    g_assert_true(transfer(from, rg_revision_make(1, 82), to, &revision));
+    g_assert_false(rg_pool_is_provisional(rg_balancer_pool(to)));
+    g_assert_cmpint(state_of(to, 2), ==, RG_ENDPOINT_READY);
+    g_assert_cmpint(state_of(to, 900), ==, RG_ENDPOINT_GONE);
+    rg_balancer_destroy(from);
+    rg_balancer_destroy(to);
+}
+
 /* A truncated snapshot is rejected, also one cut between two messages. */
 static void
 test_truncated(void)
@@ -315,6 +411,8 @@
     g_test_add_func("/snapshot/compacted-history", test_compacted_history);
     g_test_add_func("/snapshot/after-listing", test_after_listing);
     g_test_add_func("/snapshot/lapsed-in-complete", test_lapsed_in_complete);
+    g_test_add_func("/snapshot/newer-era", test_newer_era);
+    g_test_add_func("/snapshot/provisional", test_provisional);
     g_test_add_func("/snapshot/truncated", test_truncated);
     g_test_add_func("/snapshot/damaged", test_damaged);
     return g_test_run();
--- a/test/test_store_sync.c
+++ b/test/test_store_sync.c
@@ -1,10 +1,13 @@
 /* Store sync: which call is made when, and how recent the view is. */
 #include <glib.h>
 
+#include "balance/revision.h"
 #include "balance/store_sync.h"
 
 #define BOUND_MS 3000
 #define SETTLE_MS 2000
+/* Time for entries to return, and three heartbeats. */
+#define SECOND_LISTING_MS (SETTLE_MS + 3 * 1200)
 
 static struct rg_store_sync *
 create_sync(void)
@@ -325,6 +328,189 @@
     g_assert_true(rg_store_sync_is_response(&page, &response));
 }
 
+static enum rg_store_sync_use
+answer(struct rg_store_sync *s, uint32_t era, uint64_t now_ms)
+{
+    struct rg_store_sync_step call = rg_store_sync_next(s, now_ms);
+
+    return rg_store_sync_check_era(s, &call, era, now_ms);
+}
+
+/* Lists a store of one page at this revision, without a stale read. */
+static void
+list(struct rg_store_sync *s, uint32_t era, uint64_t number, uint64_t now_ms)
+{
+    struct rg_store_sync_step step = rg_store_sync_next(s, now_ms);
+
+    g_assert_cmpint(step.kind, ==, RG_STORE_SYNC_LIST);
+    g_assert_false(step.stale);
+    g_assert_cmpint(answer(s, era, now_ms), ==, RG_STORE_SYNC_USE);
+    g_assert_true(rg_store_sync_listed(s, "b", false,
+                                       rg_revision_make(era, number), now_ms));
+}
+
+/* Guards against events of a restored store that are applied as if they
+ * continued the old position, since their revisions were reissued: whatever
+ * the answer to a watch, everything is listed again, without stale reads. The
+ * view goes on to serve, and lapsed entries are kept as after an outage. */
+static void
+test_new_era(void)
+{
+    struct rg_store_sync *s = create_listed_sync(1000);
+
+    g_assert_cmpint(answer(s, 0, 2000), ==, RG_STORE_SYNC_USE);
+    g_assert_cmpuint(rg_store_sync_keep_ms(s, 2000), ==, 0);
+    g_assert_cmpint(answer(s, 1, 2000), ==, RG_STORE_SYNC_DROP);
+    g_assert_true(rg_store_sync_complete(s));
+    g_assert_false(rg_store_sync_is_current(s));
+    g_assert_cmpuint(rg_store_sync_revision(s), ==, 10);
+    g_assert_cmpuint(rg_store_sync_keep_ms(s, 2100), ==, SETTLE_MS - 100);
+    g_assert_true(rg_store_sync_listing_is_provisional(s));
+    g_assert_cmpstr(rg_store_sync_next(s, 2000).after, ==, "");
+    g_assert_cmpint(answer(s, 1, 2000), ==, RG_STORE_SYNC_USE);
+    uint64_t revision = rg_revision_make(1, 7);
+    g_assert_false(rg_store_sync_listed(s, "b", true, revision, 2000));
+    g_assert_false(rg_store_sync_next(s, 2000).stale);
+    g_assert_true(rg_store_sync_listed(s, "c", false, revision, 2010));
+    g_assert_true(rg_store_sync_is_current(s));
+    g_assert_cmpuint(rg_store_sync_next(s, 2010).revision, ==, revision);
+    rg_store_sync_destroy(s);
+}
+
+/* Guards against an entry that a first listing did not take over staying as it
+ * is for good: a second listing follows, and another restore delays it. */
+static void
+test_second_listing(void)
+{
+    struct rg_store_sync *s = create_listed_sync(1000);
+
+    answer(s, 1, 2000);
+    list(s, 1, 7, 2000);
+    g_assert_cmpint(rg_store_sync_next(s, 2000).kind, ==, RG_STORE_SYNC_WATCH);
+    answer(s, 2, 4000);
+    list(s, 2, 5, 4000);
+    rg_store_sync_next(s, 4000);
+    uint64_t due_ms = 4000 + SECOND_LISTING_MS;
+    g_assert_cmpint(rg_store_sync_next(s, due_ms - 1).kind, ==,
+                    RG_STORE_SYNC_WATCH);
+    g_assert_true(rg_store_sync_is_provisional(s));
+    g_assert_cmpint(rg_store_sync_next(s, due_ms).kind, ==,
+                    RG_STORE_SYNC_LIST);
+    g_assert_false(rg_store_sync_listing_is_provisional(s));
+    list(s, 2, 9, due_ms);
+    g_assert_false(rg_store_sync_is_provisional(s));
+    g_assert_cmpint(rg_store_sync_next(s, due_ms * 2).kind, ==,
+                    RG_STORE_SYNC_WATCH);
+    rg_store_sync_destroy(s);
+}
+
+/* Guards against a listing made of two states of the store: pages of a newer
+ * era start it over, and a stale read of an older one counts as failed. */
+static void
+test_pages_of_two_eras(void)
+{
+    struct rg_store_sync *s = create_sync();
+
+    answer(s, 0, 1000);
+    rg_store_sync_listed(s, "k50", true, 10, 1000);
+    expect_sample(s, 1000);
+    g_assert_cmpint(answer(s, 1, 1010), ==, RG_STORE_SYNC_DROP);
+    g_assert_cmpstr(rg_store_sync_next(s, 1010).after, ==, "");
+    g_assert_cmpint(answer(s, 1, 1010), ==, RG_STORE_SYNC_USE);
+    rg_store_sync_listed(s, "k50", true, rg_revision_make(1, 5), 1010);
+    g_assert_cmpint(answer(s, 0, 1020), ==, RG_STORE_SYNC_FAIL);
+    rg_store_sync_failed(s, 1020);
+    struct rg_store_sync_step step = rg_store_sync_next(s, 3000);
+    g_assert_cmpstr(step.after, ==, "k50");
+    g_assert_false(step.stale);
+    rg_store_sync_destroy(s);
+}
+
+/* An answer of an older era changes nothing but the next try. */
+static void
+test_older_era(void)
+{
+    struct rg_store_sync *s = create_listed_sync(1000);
+
+    answer(s, 3, 2000);
+    list(s, 3, 7, 2000);
+    g_assert_cmpint(answer(s, 2, 2010), ==, RG_STORE_SYNC_FAIL);
+    g_assert_cmpuint(rg_store_sync_era(s), ==, 3);
+    struct rg_store_sync_step step = rg_store_sync_next(s, 2010);
+    g_assert_cmpint(step.kind, ==, RG_STORE_SYNC_WATCH);
+    g_assert_cmpuint(step.revision, ==, rg_revision_make(3, 7));
+    rg_store_sync_destroy(s);
+}
+
+/* Guards against the answer to a watch of the old position that arrives after
+ * a peer's snapshot has moved the view to the new era: its events start after
+ * a revision of that era that the view does not have. */
+static void
+test_snapshot_during_watch(void)
+{
+    struct rg_store_sync *s = create_listed_sync(1000);
+    struct rg_store_sync_step watch = rg_store_sync_next(s, 1000);
+    uint64_t revision = rg_revision_make(1, 7);
+
+    rg_store_sync_snapshot_applied(s, revision);
+    g_assert_true(rg_store_sync_is_provisional(s));
+    g_assert_cmpint(rg_store_sync_check_era(s, &watch, 1, 1100), ==,
+                    RG_STORE_SYNC_DROP);
+    g_assert_cmpuint(rg_store_sync_next(s, 1100).revision, ==, revision);
+    /* A view of an older era does not end the listing of a new one. */
+    answer(s, 2, 1200);
+    rg_store_sync_snapshot_applied(s, revision + 1);
+    g_assert_cmpint(rg_store_sync_next(s, 1200).kind, ==, RG_STORE_SYNC_LIST);
+    rg_store_sync_destroy(s);
+}
+
+/* An instance that starts after a restore knows nothing that it could lose: no
+ * second listing, but its view counts as provisional for that time. */
+static void
+test_start_after_restore(void)
+{
+    struct rg_store_sync *s = create_sync();
+
+    list(s, 4, 9, 1000);
+    g_assert_cmpint(rg_store_sync_next(s, 1000).kind, ==, RG_STORE_SYNC_WATCH);
+    g_assert_true(rg_store_sync_is_provisional(s));
+    g_assert_cmpuint(rg_store_sync_keep_ms(s, 1000), ==, 0);
+    uint64_t due_ms = 1000 + SECOND_LISTING_MS;
+    g_assert_cmpint(rg_store_sync_next(s, due_ms).kind, ==,
+                    RG_STORE_SYNC_WATCH);
+    g_assert_false(rg_store_sync_is_provisional(s));
+    rg_store_sync_destroy(s);
+}
+
+/* Guards against a fleet whose instances all list the store twice: in standby
+ * peers have as much time again to settle the view. A listing that standby
+ * found necessary itself is not interrupted by it. */
+static void
+test_new_era_in_standby(void)
+{
+    struct rg_store_sync *s = create_listed_sync(1000);
+
+    rg_store_sync_set_standby(s, true);
+    rg_store_sync_snapshot_applied(s, rg_revision_make(1, 7));
+    g_assert_cmpint(rg_store_sync_next(s, 2000).kind, ==, RG_STORE_SYNC_WAIT);
+    uint64_t due_ms = 2000 + SECOND_LISTING_MS;
+    g_assert_cmpint(rg_store_sync_next(s, due_ms + 1000).kind, ==,
+                    RG_STORE_SYNC_WAIT);
+    g_assert_cmpint(rg_store_sync_next(s, due_ms * 2).kind, ==,
+                    RG_STORE_SYNC_LIST);
+    rg_store_sync_settled(s);
+    rg_store_sync_snapshot_applied(s, rg_revision_make(1, 8));
+    rg_store_sync_refresh(s);
+    answer(s, 2, due_ms * 2);
+    g_assert_cmpint(rg_store_sync_next(s, due_ms * 2).kind, ==,
+                    RG_STORE_SYNC_LIST);
+    answer(s, 2, due_ms * 2);
+    rg_store_sync_listed(s, "b", true, rg_revision_make(2, 5), due_ms * 2);
+    g_assert_cmpint(rg_store_sync_next(s, due_ms * 2).kind, ==,
+                    RG_STORE_SYNC_LIST);
+    rg_store_sync_destroy(s);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -346,5 +532,14 @@
     g_test_add_func("/store-sync/backoff", test_backoff);
     g_test_add_func("/store-sync/lapsed-entries-kept",
                     test_lapsed_entries_kept);
+    g_test_add_func("/store-sync/new-era", test_new_era);
+    g_test_add_func("/store-sync/second-listing", test_second_listing);
+    g_test_add_func("/store-sync/pages-of-two-eras", test_pages_of_two_eras);
+    g_test_add_func("/store-sync/older-era", test_older_era);
+    g_test_add_func("/store-sync/snapshot-during-watch",
+                    test_snapshot_during_watch);
+    g_test_add_func("/store-sync/start-after-restore",
+                    test_start_after_restore);
+    g_test_add_func("/store-sync/new-era-in-standby", test_new_era_in_standby);
     return g_test_run();
 }
