soak: the store is restored from an older copy

The stand-in store keeps copies of the last 6 s, answers with its era, and can be restored: revisions are reissued, leases and the instances' keys are lost, later history too. In the soak a restore comes every 6 s in the mean, from a generator of its own, so that the other faults of a seed stay as they are; a second later upstreams and operators write again, and entries of ended upstreams lapse.

--- a/standin/soak/faults.c
+++ b/standin/soak/faults.c
@@ -4,7 +4,12 @@
 
 #include "standin/soak/soak.h"
 
-#define FAULT_PERIOD_MS 350   /* mean time between two */
+#define FAULT_PERIOD_MS 350    /* mean time between two */
+#define RESTORE_PERIOD_MS 6000 /* the same, until the store is restored */
+#define RESTORE_AGE_MAX_MS 4000
+/* So long after a restore operators and upstreams write again what is in
+ * force, and entries of upstreams that have ended lapse. */
+#define REWRITE_MS 1000
 #define REHASH_PERIOD_MS 1500 /* the same, until the fabric hashes anew */
 
 /* The deadline is the longest that callers wait. */
@@ -22,12 +27,11 @@
         service);
 }
 
-void
-soak_config_put(struct soak *s)
+static void
+write_config(struct soak *s)
 {
     g_autoptr(GString) doc = g_string_new(NULL);
 
-    s->version += 1 + rg_rand_below(&s->rand, 3);
     g_string_append_printf(doc, "{\"Version\":%lu,\"Routes\":[", s->version);
     add_route(doc, "198.18.0.1", 443, "safe", "s0");
     add_route(doc, "198.18.0.1", 444, "unsafe", "s0");
@@ -44,6 +48,20 @@
     soak_store_put(s, "op/config", doc->str);
 }
 
+void
+soak_config_put(struct soak *s)
+{
+    s->version += 1 + rg_rand_below(&s->rand, 3);
+    write_config(s);
+}
+
+void
+soak_config_rewrite(struct soak *s)
+{
+    s->version++;
+    write_config(s);
+}
+
 static struct soak_edge *
 pick_edge(struct soak *s)
 {
@@ -249,6 +267,17 @@
     if (faults_on && rg_rand_below(&s->rand, FAULT_PERIOD_MS / tick_ms) == 0) {
         inject_fault(s);
     }
+    if (faults_on &&
+        rg_rand_below(&s->restore_rand, RESTORE_PERIOD_MS / tick_ms) == 0)
+    {
+        soak_store_restore(
+            s, rg_rand_below(&s->restore_rand, RESTORE_AGE_MAX_MS));
+    }
+    if (s->restored_ms && s->now_ms - s->restored_ms >= REWRITE_MS) {
+        s->restored_ms = 0;
+        soak_upstreams_rewrite(s);
+        soak_config_rewrite(s);
+    }
     if (!faults_on) {
         end_faults(s, true);
     }
--- a/standin/soak/main.c
+++ b/standin/soak/main.c
@@ -210,6 +210,7 @@
 {
     s->rand.state = (uint64_t)a->seed;
     s->noise_rand.state = (uint64_t)a->seed;
+    s->restore_rand.state = (uint64_t)a->seed;
     s->net = a->net;
     s->binary = a->binary;
     s->dir = a->dir;
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -45,6 +45,8 @@
  * off the packet path. */
 #define SOAK_IDLE_ROUTES 400
 #define SOAK_SERVICE_COUNT 2
+/* Restarts of an upstream that a restore of the store may take back. */
+#define SOAK_PAST_IDS 8
 
 enum soak_route {
     SOAK_SHOP,    /* idempotent requests, service 0 */
@@ -57,6 +59,8 @@
 struct soak_upstream {
     int index;
     uint64_t id;
+    uint64_t past_ids[SOAK_PAST_IDS]; /* of its last incarnations */
+    unsigned restarts;
     uint64_t incarnation_ms;
     int service;
     uv_udp_t udp;
@@ -64,6 +68,7 @@
     bool up;
     bool crashed; /* drops all packets and sends none */
     bool draining;
+    unsigned heartbeats;   /* entries written by this incarnation */
     uint64_t draining_ms;  /* when its entry said so; 0: it does not */
     uint64_t disturbed_ms; /* last time of a fault; 0: none yet */
     uint32_t service_ms;
@@ -114,9 +119,10 @@
     uv_loop_t loop;
     uv_timer_t tick;
     struct rg_rand rand;
-    struct rg_rand noise_rand; /* of odd entries, losses and long pauses, so
-                                  that they leave the faults of a seed alone */
-    int net;                   /* second byte of all addresses */
+    struct rg_rand noise_rand;   /* of odd entries, losses and long pauses, so
+                                    that they leave the faults of a seed alone */
+    struct rg_rand restore_rand; /* of restores of the store, likewise */
+    int net;                     /* second byte of all addresses */
     const char *binary;
     const char *dir;
     uint64_t start_ms;
@@ -130,6 +136,8 @@
     struct soak_store *store;
     enum soak_store_fault store_fault;
     uint64_t store_disturbed_ms;
+    uint64_t restored_ms;    /* when the store was last; 0: not since all was
+                                written again */
     uint64_t version;        /* of the configuration in the store */
     bool large;              /* it has many routes without callers */
     bool has_toggled_route;  /* it has the route SOAK_TOGGLED */
@@ -172,6 +180,10 @@
 void soak_store_remove(struct soak *s, const char *key);
 /* Compacts the history: watches from an earlier revision get 410. */
 void soak_store_compact(struct soak *s);
+bool soak_store_has(const struct soak *s, const char *key);
+/* Restores the store from a copy that is at least so old, if there is one. The
+ * keys of the instances are lost. */
+void soak_store_restore(struct soak *s, uint64_t age_ms);
 /* Open connections never answer again; new ones work. */
 void soak_store_stall(struct soak *s);
 void soak_store_tick(struct soak *s);
@@ -179,6 +191,9 @@
 /* upstreams.c */
 void soak_upstream_start(struct soak *s, int service);
 void soak_upstream_put_entry(struct soak *s, struct soak_upstream *u);
+/* After a restore of the store: all that run write their entries, and those of
+ * earlier incarnations lapse. */
+void soak_upstreams_rewrite(struct soak *s);
 void soak_upstream_crash(struct soak *s, struct soak_upstream *u);
 void soak_upstream_restart(struct soak *s, struct soak_upstream *u);
 void soak_upstream_drain(struct soak *s, struct soak_upstream *u);
@@ -228,5 +243,7 @@
 void soak_faults_tick(struct soak *s);
 /* Writes the next version of the configuration to the store. */
 void soak_config_put(struct soak *s);
+/* The same after a restore; draws no random number. */
+void soak_config_rewrite(struct soak *s);
 
 #endif
--- a/standin/soak/store.c
+++ b/standin/soak/store.c
@@ -14,6 +14,9 @@
 #define STORE_PORT 8169
 #define PAGE_ITEMS 6 /* so small that a listing needs several pages */
 #define SLOW_MS 300
+/* Copies that the store can be restored from: as often, and so many. */
+#define COPY_PERIOD_MS 250
+#define COPIES_MAX 24
 /* Second bytes of loopback addresses to try if those of --net are in use. */
 #define NET_STEP 1
 #define NET_LAST 250
@@ -39,6 +42,13 @@
     char buf[8192];
 };
 
+struct copy {
+    uint64_t at_ms;
+    uint64_t revision;
+    uint64_t lease;
+    GHashTable *items; /* key -> struct item */
+};
+
 struct soak_store {
     GHashTable *items;  /* key -> struct item */
     GPtrArray *history; /* struct item, oldest first */
@@ -46,6 +56,8 @@
     uint64_t revision;
     uint64_t compacted_to; /* revision up to which history is compacted */
     uint64_t lease;        /* last id handed out */
+    unsigned era;          /* times that it was restored */
+    GPtrArray *copies;     /* struct copy, oldest first */
 };
 
 static void
@@ -108,6 +120,107 @@
     s->store->compacted_to = s->store->revision;
 }
 
+bool
+soak_store_has(const struct soak *s, const char *key)
+{
+    return g_hash_table_contains(s->store->items, key);
+}
+
+static GHashTable *
+copy_items(GHashTable *items)
+{
+    GHashTable *out =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_item);
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, items);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct item *i = value;
+        struct item *copy = create_item(i->key, i->value, i->revision);
+        g_hash_table_replace(out, copy->key, copy);
+    }
+    return out;
+}
+
+static void
+free_copy(gpointer p)
+{
+    struct copy *c = p;
+
+    g_hash_table_destroy(c->items);
+    g_free(c);
+}
+
+static void
+take_copy(struct soak *s)
+{
+    GPtrArray *copies = s->store->copies;
+    struct copy *c;
+
+    if (copies->len > 0) {
+        const struct copy *last = copies->pdata[copies->len - 1];
+        if (s->now_ms - last->at_ms < COPY_PERIOD_MS) {
+            return;
+        }
+    }
+    c = g_new0(struct copy, 1);
+    c->at_ms = s->now_ms;
+    c->revision = s->store->revision;
+    c->lease = s->store->lease;
+    c->items = copy_items(s->store->items);
+    g_ptr_array_add(copies, c);
+    if (copies->len > COPIES_MAX) {
+        g_ptr_array_remove_index(copies, 0);
+    }
+}
+
+static gboolean
+is_own_key(gpointer key, gpointer value, gpointer data)
+{
+    (void)value;
+    (void)data;
+    return g_str_has_prefix(key, "rattangap/");
+}
+
+/* Leases are lost, and with them the system's own keys; later changes are not
+ * in the history any more. */
+void
+soak_store_restore(struct soak *s, uint64_t age_ms)
+{
+    struct soak_store *store = s->store;
+    GPtrArray *copies = store->copies;
+
+    while (copies->len > 1 &&
+           s->now_ms - ((struct copy *)copies->pdata[copies->len - 1])->at_ms <
+               age_ms)
+    {
+        g_ptr_array_remove_index(copies, copies->len - 1);
+    }
+    if (copies->len == 0) {
+        return;
+    }
+    const struct copy *c = copies->pdata[copies->len - 1];
+    soak_log(s, "the store is restored from %lu ms ago, revision %lu to %lu",
+             s->now_ms - c->at_ms, store->revision, c->revision);
+    store->era++;
+    store->revision = c->revision;
+    store->compacted_to = MIN(store->compacted_to, c->revision);
+    store->lease = c->lease;
+    s->restored_ms = s->now_ms;
+    g_hash_table_destroy(store->items);
+    store->items = copy_items(c->items);
+    g_hash_table_foreach_remove(store->items, is_own_key, NULL);
+    while (store->history->len > 0) {
+        const struct item *last =
+            store->history->pdata[store->history->len - 1];
+        if (last->revision <= c->revision) {
+            break;
+        }
+        g_ptr_array_remove_index(store->history, store->history->len - 1);
+    }
+}
+
 void
 soak_store_stall(struct soak *s)
 {
@@ -149,9 +262,10 @@
 send_answer(struct conn *c, int status, const char *body)
 {
     uv_write_t *w = g_new0(uv_write_t, 1);
-    char *text = g_strdup_printf("HTTP/1.1 %d X\r\nContent-Length: %zu\r\n\r\n"
-                                 "%s",
-                                 status, strlen(body), body);
+    char *text =
+        g_strdup_printf("HTTP/1.1 %d X\r\nContent-Length: %zu\r\n"
+                        "Store-Era: %u\r\n\r\n%s",
+                        status, strlen(body), c->soak->store->era, body);
     uv_buf_t buf = uv_buf_init(text, (unsigned)strlen(text));
 
     w->data = text;
@@ -218,7 +332,7 @@
     g_autoptr(GString) out = g_string_new("{\"events\":[");
     int count = 0;
 
-    if (c->after < store->compacted_to) {
+    if (c->after < store->compacted_to || c->after > store->revision) {
         send_answer(c, 410, "");
         return true;
     }
@@ -427,6 +541,7 @@
 void
 soak_store_tick(struct soak *s)
 {
+    take_copy(s);
     for (guint i = 0; i < s->store->conns->len; i++) {
         struct conn *c = s->store->conns->pdata[i];
         if (c->stalled || uv_is_closing((uv_handle_t *)&c->tcp)) {
@@ -472,6 +587,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_item);
     store->history = g_ptr_array_new_with_free_func(free_item);
     store->conns = g_ptr_array_new();
+    store->copies = g_ptr_array_new_with_free_func(free_copy);
     while (!listen_at(s, 1)) {
         /* Another run uses these addresses: tries the next ones. */
         s->net += NET_STEP;
--- a/standin/soak/upstreams.c
+++ b/standin/soak/upstreams.c
@@ -283,9 +283,10 @@
     snprintf(value, sizeof(value),
              "{\"Service\":\"s%d\",\"Address\":\"%s:%d\",\"Zone\":\"z%d\","
              "\"Version\":\"v1\",\"Slots\":2,\"State\":\"%s\","
-             "\"ColdLeftMs\":0,\"Seq\":1,\"born\":%lu}",
+             "\"ColdLeftMs\":0,\"Seq\":%u,\"born\":%lu}",
              u->service, ip, UPSTREAM_PORT, u->index % 2,
-             u->draining ? "draining" : "ready", u->incarnation_ms);
+             u->draining ? "draining" : "ready", ++u->heartbeats,
+             u->incarnation_ms);
     soak_store_put(s, key, value);
     if (u->draining && !u->draining_ms) {
         u->draining_ms = s->now_ms;
@@ -301,6 +302,7 @@
     u->crashed = false;
     u->draining = false;
     u->draining_ms = 0;
+    u->heartbeats = 0;
     u->service_ms = 10 + rg_rand_below(&s->rand, 20);
     soak_upstream_put_entry(s, u);
 }
@@ -343,6 +345,7 @@
 
     entry_key(u, key);
     soak_store_remove(s, key);
+    u->past_ids[u->restarts++ % SOAK_PAST_IDS] = u->id;
     g_hash_table_remove_all(u->flows);
     u->disturbed_ms = s->now_ms;
     start_incarnation(s, u);
@@ -355,6 +358,22 @@
     soak_upstream_put_entry(s, u);
 }
 
+void
+soak_upstreams_rewrite(struct soak *s)
+{
+    for (int i = 0; i < s->upstream_count; i++) {
+        struct soak_upstream *u = &s->upstreams[i];
+        char key[64];
+        for (int j = 0; j < SOAK_PAST_IDS; j++) {
+            snprintf(key, sizeof(key), "servers/i-%010lx", u->past_ids[j]);
+            soak_store_remove(s, key);
+        }
+        if (!u->crashed) {
+            soak_upstream_put_entry(s, u);
+        }
+    }
+}
+
 /* True if all has been sent and the caller has acknowledged all. */
 static bool
 is_acknowledged(const struct flow *f)
