test_eras: an instance is killed and starts after the restore

It finds only the older configuration in the store, which operators do not write again during the run: it must get the newer one from its peers, also if it is the store reader, which otherwise fetches nothing from them. Another instance in each run.

--- a/test/test_eras.c
+++ b/test/test_eras.c
@@ -21,9 +21,10 @@
 /* Times of a run, since all instances are ready. */
 #define DRAIN_MS 3000
 #define RESTORE_MS (DRAIN_MS + SOAK_DRAIN_MS + 400)
-/* Longer than any heartbeat takes, shorter than until the second listing. */
-#define SILENT_MS 5000
-#define END_MS (RESTORE_MS + 8200)
+/* Longer than three heartbeats take, shorter than until the second listing and
+ * than an instance that was restarted is exempt from checks. */
+#define SILENT_MS 4000
+#define END_MS (RESTORE_MS + 8500)
 /* Instances register within 2 s once they know of the era. */
 #define REGISTERED_MS 5000
 
@@ -31,6 +32,7 @@
 struct run {
     struct soak soak;
     uv_timer_t ready_timer;
+    int restarted;            /* this instance is killed after the restore */
     bool second;              /* a second restore follows */
     bool reissue;             /* revisions beyond the known ones at once */
     unsigned done;            /* steps of the run so far */
@@ -106,6 +108,13 @@
     restore(r, SOAK_DRAIN_MS + 1000);
 }
 
+/* It finds only the older configuration in the store. */
+static void
+kill_one(struct run *r)
+{
+    soak_edge_signal(&r->soak, &r->soak.edges[r->restarted], SIGKILL);
+}
+
 static void
 drain_second(struct run *r)
 {
@@ -138,6 +147,7 @@
 } steps[] = {
     {DRAIN_MS, drop_and_drain},
     {RESTORE_MS, restore_first},
+    {RESTORE_MS + 300, kill_one},
     {RESTORE_MS + 600, drain_second},
     {RESTORE_MS + 1400, restore_second},
     {RESTORE_MS + 1600, drain_third},
@@ -274,8 +284,9 @@
 }
 
 /* An upstream drains and a route is removed before the restore, and the copy
- * lacks both; another upstream drains afterwards. None of them gets new flows,
- * and the instances register again. */
+ * lacks both; other upstreams drain afterwards. None of them gets new flows,
+ * the route stays removed, also at an instance that starts meanwhile, and the
+ * instances register again. */
 static void
 test_restore(void)
 {
@@ -289,7 +300,7 @@
 static void
 test_reissued_revisions(void)
 {
-    static struct run r = {.reissue = true};
+    static struct run r = {.reissue = true, .restarted = 1};
 
     run(&r);
 }
@@ -299,7 +310,7 @@
 static void
 test_second_restore(void)
 {
-    static struct run r = {.second = true};
+    static struct run r = {.second = true, .restarted = 2};
 
     run(&r);
 }
