test_eras: the silent upstream writes before the check of a killed instance

An instance that starts after the restore knows only the entries of the copy until the upstream writes its own.

--- a/test/test_eras.c
+++ b/test/test_eras.c
@@ -21,9 +21,9 @@
 /* Times of a run, since all instances are ready. */
 #define DRAIN_MS 3000
 #define RESTORE_MS (DRAIN_MS + SOAK_DRAIN_MS + 400)
-/* Longer than three heartbeats take, shorter than until the second listing and
- * than an instance that was restarted is exempt from checks. */
-#define SILENT_MS 4000
+/* With one heartbeat more, shorter than an instance that was restarted is
+ * exempt from checks: it knows only the entries of the copy until then. */
+#define SILENT_MS 2800
 #define END_MS (RESTORE_MS + 8500)
 /* Instances register within 2 s once they know of the era. */
 #define REGISTERED_MS 5000
