--- a/balance/evacuation.c
+++ b/balance/evacuation.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "balance/revision.h"
 #include "common/mem.h"
 
 /* After a lift the share of choices doubles from step to step, so that cold
@@ -60,7 +61,8 @@
 {
     rg_log_event(x->log, RG_LOG_NOTICE, event,
                  "data_centre=\"%s\" revision=\"%llu\" upstreams_known=\"%d\"",
-                 e->data_centre.s, (unsigned long long)e->revision,
+                 e->data_centre.s,
+                 (unsigned long long)rg_revision_number(e->revision),
                  e->has_upstreams);
 }
 
--- a/balance/evacuation.h
+++ b/balance/evacuation.h
@@ -53,13 +53,15 @@
 
 /* Applies a complete listing of the store as of `revision`. Evacuations that
  * were not updated between the two calls and were requested by then are
- * lifted. */
+ * lifted; none with a revision of 0, for a listing that may be older than what
+ * is known. */
 void rg_evacuations_begin_listing(struct rg_evacuations *x);
 void rg_evacuations_end_listing(struct rg_evacuations *x, uint64_t revision,
                                 uint64_t now_ms);
 
 /* Applies all records of a peer whose view is at `revision`: evacuations that
- * it lacks and that were requested by then are lifted. */
+ * it lacks and that were requested by then are lifted; none with a revision of
+ * 0, as above. */
 void rg_evacuations_apply_all(struct rg_evacuations *x,
                               const struct rg_evacuation_change *changes,
                               size_t count, uint64_t revision,
--- a/edge/store_client.c
+++ b/edge/store_client.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "balance/revision.h"
 #include "common/clock.h"
 #include "common/mem.h"
 #include "edge/decoder.h"
@@ -55,7 +56,8 @@
                  routes       ? "config"
                  : evacuation ? "evacuation"
                               : "upstream",
-                 c->id.s, (unsigned long long)c->revision, c->why);
+                 c->id.s, (unsigned long long)rg_revision_number(c->revision),
+                 c->why);
 }
 
 static void
@@ -137,6 +139,50 @@
     rg_store_sync_failed(s->sync, rg_clock_boottime_ms());
 }
 
+/* Takes over what the sync knows of the era. `before` is the era that was
+ * known. */
+static void
+follow_era(struct rg_store_client *s, uint32_t before, const char *source)
+{
+    uint32_t era = rg_store_sync_era(s->sync);
+
+    rg_pool_set_provisional(rg_balancer_pool(s->opts.balancer),
+                            rg_store_sync_is_provisional(s->sync));
+    if (era == before) {
+        return;
+    }
+    rg_log_event(s->opts.log, RG_LOG_NOTICE, "STORE_ERA",
+                 "era=\"%u\" before=\"%u\" source=\"%s\" "
+                 "revision=\"%llu\" version=\"%llu\"",
+                 era, before, source,
+                 (unsigned long long)rg_revision_number(
+                     rg_store_sync_revision(s->sync)),
+                 (unsigned long long)rg_balancer_version(s->opts.balancer));
+    s->opts.on_era(s->opts.ctx, era);
+}
+
+/* Checks the era of a complete response and counts it as failed if it is not
+ * usable for that. */
+static enum rg_store_sync_use
+check_era(struct rg_store_client *s, const struct rg_http_response *response)
+{
+    uint32_t before = rg_store_sync_era(s->sync);
+    enum rg_store_sync_use use;
+    uint32_t era;
+
+    if (!rg_kv_decode_era(response->header, &era)) {
+        call_failed(s, "the era is not a number or too large");
+        return RG_STORE_SYNC_FAIL;
+    }
+    use = rg_store_sync_check_era(s->sync, &s->call, era, s->response_ms);
+    follow_era(s, before, "store");
+    if (use == RG_STORE_SYNC_FAIL) {
+        rg_http_client_cancel(s->client);
+        call_failed(s, "the response is of an older era");
+    }
+    return use;
+}
+
 /* A server may send a response twice; the duplicate must not be taken for the
  * response to the next call on the connection. */
 static bool
@@ -158,29 +204,70 @@
     return rg_store_sync_is_response(&s->call, &got);
 }
 
+/* Frees what the changes of a response own. */
 static void
-handle_response(struct rg_store_client *s, const struct rg_decoded *decoded)
+drop_changes(const struct rg_decoded *decoded)
+{
+    for (size_t i = 0; i < decoded->count; i++) {
+        rg_routes_destroy(decoded->changes[i].routes);
+    }
+}
+
+static void
+begin_listing(struct rg_store_client *s)
+{
+    struct rg_pool *pool = rg_balancer_pool(s->opts.balancer);
+
+    if (rg_store_sync_listing_is_provisional(s->sync)) {
+        rg_pool_begin_provisional_listing(pool);
+    }
+    else {
+        rg_pool_begin_listing(pool);
+    }
+    rg_evacuations_begin_listing(rg_pool_evacuations(pool));
+}
+
+static void
+end_listing(struct rg_store_client *s, uint64_t now)
 {
     struct rg_pool *pool = rg_balancer_pool(s->opts.balancer);
+    uint64_t revision = rg_store_sync_revision(s->sync);
+    /* A provisional listing lifts no evacuation: the request may be newer than
+     * the copy from which the store was restored. */
+    uint64_t lift_revision =
+        rg_pool_listing_is_provisional(pool) ? 0 : revision;
+
+    rg_evacuations_end_listing(rg_pool_evacuations(pool), lift_revision, now);
+    rg_pool_end_listing(pool, revision, rg_store_sync_keep_ms(s->sync, now),
+                        now);
+}
+
+static void
+handle_response(struct rg_store_client *s, const struct rg_decoded *decoded)
+{
     const struct rg_kv_response *response = &decoded->response;
     /* The time of arrival: neither decoding nor a pause of the process during
      * it makes the response newer. */
     uint64_t now = s->response_ms;
     bool listing = s->call.kind == RG_STORE_SYNC_LIST;
 
+    if (!rg_store_sync_continues(s->sync, &s->call)) {
+        drop_changes(decoded); /* a snapshot was applied during decoding */
+        return;
+    }
     if (!decoded->ok) {
         call_failed(s, "the response cannot be decoded");
         return;
     }
     if (!is_response_to_call(s, decoded)) {
+        drop_changes(decoded);
         rg_http_client_cancel(s->client);
         call_failed(s, "the response belongs to another call");
         return;
     }
     bool sampled = s->call.kind == RG_STORE_SYNC_SAMPLE;
     if (listing && rg_store_sync_is_first_page(s->sync)) {
-        rg_pool_begin_listing(pool);
-        rg_evacuations_begin_listing(rg_pool_evacuations(pool));
+        begin_listing(s);
         s->first_page_ms = response->past_evacuations ? now : 0;
     }
     for (size_t i = 0; i < decoded->count; i++) {
@@ -199,13 +286,10 @@
     else if (rg_store_sync_listed(s->sync, response->last_key, response->more,
                                   response->revision, now))
     {
-        rg_pool_end_listing(pool, rg_store_sync_revision(s->sync),
-                            rg_store_sync_keep_ms(s->sync, now), now);
-        rg_evacuations_end_listing(rg_pool_evacuations(pool),
-                                   rg_store_sync_revision(s->sync), now);
+        end_listing(s, now);
     }
     set_reachable(s, true, "answered");
-    if (rg_store_sync_complete(s->sync)) {
+    if (rg_store_sync_is_current(s->sync)) {
         /* The response holds the store's state when the call arrived there, or
          * a later one. */
         rg_store_client_confirm(s, now);
@@ -230,8 +314,13 @@
 
     counters(s)[RG_METRIC_CONTROL_RECEIVED_BYTES] += response->body.len;
     s->response_ms = rg_clock_boottime_ms();
+    if (response->status != 0 && check_era(s, response) != RG_STORE_SYNC_USE) {
+        make_next_call(s);
+        return;
+    }
     if (response->status == 200) {
-        rg_decoder_start(s->decoder, response->body);
+        rg_decoder_start(s->decoder, response->body,
+                         rg_store_sync_era(s->sync));
         return;
     }
     if (response->status == 410) {
@@ -271,6 +360,8 @@
     uint64_t now = rg_clock_boottime_ms();
     struct rg_store_sync_step next = rg_store_sync_next(s->sync, now);
 
+    rg_pool_set_provisional(rg_balancer_pool(s->opts.balancer),
+                            rg_store_sync_is_provisional(s->sync));
     if (is_busy(s)) {
         return;
     }
@@ -297,7 +388,8 @@
     counters(s)[RG_METRIC_STORE_REFRESHES]++;
     rg_log_event(s->opts.log, RG_LOG_NOTICE, "STORE_ASKED",
                  "why=\"behind\" revision=\"%llu\"",
-                 (unsigned long long)rg_store_sync_revision(s->sync));
+                 (unsigned long long)rg_revision_number(
+                     rg_store_sync_revision(s->sync)));
     rg_store_sync_refresh(s->sync);
     make_next_call(s);
 }
@@ -315,12 +407,19 @@
 rg_store_client_snapshot_applied(struct rg_store_client *s, uint64_t revision,
                                  uint64_t confirmed_ms)
 {
+    struct rg_pool *pool = rg_balancer_pool(s->opts.balancer);
+    uint32_t before = rg_store_sync_era(s->sync);
+    bool settled = !rg_pool_is_provisional(pool);
+
     rg_store_sync_snapshot_applied(s->sync, revision);
-    if (!rg_evacuations_are_complete(
-            rg_pool_evacuations(rg_balancer_pool(s->opts.balancer))))
-    {
+    if (!rg_evacuations_are_complete(rg_pool_evacuations(pool))) {
         rg_store_sync_list_again(s->sync);
     }
+    if (settled) {
+        rg_store_sync_settled(s->sync);
+    }
+    rg_pool_end_provisional_rows(pool); /* of a listing that this ends */
+    follow_era(s, before, "peer");
     rg_store_client_confirm(s, confirmed_ms);
 }
 
@@ -353,6 +452,18 @@
     return rg_store_sync_revision(s->sync);
 }
 
+uint32_t
+rg_store_client_era(const struct rg_store_client *s)
+{
+    return rg_store_sync_era(s->sync);
+}
+
+bool
+rg_store_client_is_settling(const struct rg_store_client *s)
+{
+    return rg_store_sync_is_settling(s->sync);
+}
+
 uint64_t
 rg_store_client_confirmed_ms(const struct rg_store_client *s)
 {
@@ -399,6 +510,7 @@
         .connect_ms = opts->sync.connect_ms,
         .idle_ms = opts->sync.call_ms,
         .body_max = MAX_BODY_BYTES,
+        .header = rg_kv_era_header,
         .cb = on_response,
         .ctx = s,
     };
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -346,7 +346,7 @@
 static void
 pack_boot(msgpack_packer *pk, const struct rg_msg_boot *m)
 {
-    rg_pack_list(pk, 12);
+    rg_pack_list(pk, 14);
     rg_pack_name(pk, &m->id);
     rg_pack_u64(pk, m->wire_id);
     rg_pack_u64(pk, m->boot_ms);
@@ -359,6 +359,8 @@
     rg_pack_u64(pk, m->keep_ms);
     rg_pack_u64(pk, m->cold_left_ms);
     rg_pack_u64(pk, m->revision);
+    rg_pack_u64(pk, m->era);
+    rg_pack_u64(pk, m->heartbeats);
 }
 
 static bool
@@ -416,15 +418,29 @@
         return false;
     }
     m->revision = (uint64_t)value;
+    if (o->via.array.size > 12) {
+        if (!rg_unpack_u64(&o->via.array.ptr[12], 4294967295U, &value)) {
+            return false;
+        }
+        m->era = (uint32_t)value;
+    }
+    if (o->via.array.size > 13) {
+        if (!rg_unpack_u64(&o->via.array.ptr[13], 18446744073709551615ULL,
+                           &value)) {
+            return false;
+        }
+        m->heartbeats = (uint64_t)value;
+    }
     return true;
 }
 
 static void
 pack_evacuation(msgpack_packer *pk, const struct rg_msg_evacuation *m)
 {
-    rg_pack_list(pk, 4);
+    rg_pack_list(pk, 5);
     rg_pack_name(pk, &m->data_centre);
     rg_pack_u64(pk, m->revision);
+    rg_pack_u64(pk, m->era);
     rg_pack_u64(pk, m->in_force);
     rg_pack_u64(pk, m->age_ms);
 }
@@ -434,7 +450,7 @@
 {
     uint64_t value;
 
-    if (!rg_unpack_shape(o, 4)) {
+    if (!rg_unpack_shape(o, 5)) {
         return false;
     }
     if (!rg_unpack_name(&o->via.array.ptr[0], &m->data_centre)) {
@@ -445,11 +461,15 @@
         return false;
     }
     m->revision = (uint64_t)value;
-    if (!rg_unpack_u64(&o->via.array.ptr[2], 255U, &value)) {
+    if (!rg_unpack_u64(&o->via.array.ptr[2], 4294967295U, &value)) {
+        return false;
+    }
+    m->era = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[3], 255U, &value)) {
         return false;
     }
     m->in_force = (uint8_t)value;
-    if (!rg_unpack_u64(&o->via.array.ptr[3], 4294967295U, &value)) {
+    if (!rg_unpack_u64(&o->via.array.ptr[4], 4294967295U, &value)) {
         return false;
     }
     m->age_ms = (uint32_t)value;
@@ -969,6 +989,9 @@
     rg_pack_u64(pk, m->opening_tokens);
     rg_pack_u64(pk, m->latest_source);
     rg_pack_u64(pk, m->latest_serial);
+    rg_pack_u64(pk, m->era);
+    rg_pack_u64(pk, m->latest_era);
+    rg_pack_u64(pk, m->provisional);
 }
 
 static bool
@@ -1084,6 +1107,24 @@
         }
         m->latest_serial = (uint32_t)value;
     }
+    if (o->via.array.size > 21) {
+        if (!rg_unpack_u64(&o->via.array.ptr[21], 4294967295U, &value)) {
+            return false;
+        }
+        m->era = (uint32_t)value;
+    }
+    if (o->via.array.size > 22) {
+        if (!rg_unpack_u64(&o->via.array.ptr[22], 4294967295U, &value)) {
+            return false;
+        }
+        m->latest_era = (uint32_t)value;
+    }
+    if (o->via.array.size > 23) {
+        if (!rg_unpack_u64(&o->via.array.ptr[23], 255U, &value)) {
+            return false;
+        }
+        m->provisional = (uint8_t)value;
+    }
     return true;
 }
 
@@ -1143,6 +1184,8 @@
         pack_evacuation(pk, &m->evacuations[i]);
     }
     rg_pack_u64(pk, m->evacuations_known);
+    rg_pack_u64(pk, m->era);
+    rg_pack_u64(pk, m->provisional);
 }
 
 static bool
@@ -1198,6 +1241,18 @@
         }
         m->evacuations_known = (uint8_t)value;
     }
+    if (o->via.array.size > 9) {
+        if (!rg_unpack_u64(&o->via.array.ptr[9], 4294967295U, &value)) {
+            return false;
+        }
+        m->era = (uint32_t)value;
+    }
+    if (o->via.array.size > 10) {
+        if (!rg_unpack_u64(&o->via.array.ptr[10], 255U, &value)) {
+            return false;
+        }
+        m->provisional = (uint8_t)value;
+    }
     return true;
 }
 
@@ -1376,7 +1431,7 @@
         pack_content(&pk, &m->u.content);
         break;
     case RG_MSG_DIGEST:
-        rg_pack_list(&pk, 21);
+        rg_pack_list(&pk, 24);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_digest(&pk, &m->u.digest);
@@ -1388,7 +1443,7 @@
         pack_routes_part(&pk, &m->u.routes_part);
         break;
     case RG_MSG_BOOTS_PART:
-        rg_pack_list(&pk, 9);
+        rg_pack_list(&pk, 11);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_boots_part(&pk, &m->u.boots_part);
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -154,6 +154,11 @@
     uint32_t cold_left_ms;
     /* revision of its entry */
     uint64_t revision;
+    /* era of the store that this revision is of */
+    uint32_t era;
+    /* number of its last heartbeat, which only rises within an incarnation; 0:
+     * not known */
+    uint64_t heartbeats;
 };
 
 /* The last request to evacuate a data centre, or its lift. */
@@ -162,6 +167,8 @@
     struct rg_name data_centre;
     /* revision of the store at which it was requested or lifted */
     uint64_t revision;
+    /* era of the store that this revision is of */
+    uint32_t era;
     /* 1: requested, 0: lifted */
     uint8_t in_force;
     /* time since the sender, or who told it, learnt of that */
@@ -374,6 +381,13 @@
     uint32_t latest_source;
     /* number of that answer there */
     uint32_t latest_serial;
+    /* era of the store that `revision` is of */
+    uint32_t era;
+    /* era of the store that `latest_revision` is of */
+    uint32_t latest_era;
+    /* 1: entries of the sender's view may be older than what others know, as
+     * the era is new */
+    uint8_t provisional;
 };
 
 /* HTTP: part of a snapshot, with routes of the configuration in force. */
@@ -407,6 +421,11 @@
     /* 1: the parts contain all evacuations; 0: the sender does not know them
      */
     uint8_t evacuations_known;
+    /* era of the store that `revision` and `after` are of */
+    uint32_t era;
+    /* 1: endpoints may be older than what the receiver knows, as the era is
+     * new */
+    uint8_t provisional;
 };
 
 /* Open flows that two upstreams may have, or that the receiver asked for. */
--- a/test/test_evacuation.c
+++ b/test/test_evacuation.c
@@ -3,6 +3,7 @@
  * bring an evacuation back or lift one. */
 #include "balance/evacuation.h"
 #include "balance/pick.h"
+#include "balance/revision.h"
 #include "balance/snapshot.h"
 #include "balance/token.h"
 #include "test/fake_service.h"
@@ -229,6 +230,50 @@
     rg_balancer_destroy(to);
 }
 
+/* Guards against an evacuation that ends because the store was restored from a
+ * copy without it: neither the first listing of the new era nor a peer's view
+ * of that listing lifts it; the next listing does. */
+static void
+test_restored_store(void)
+{
+    struct rg_balancer *from = create_balancer();
+    struct rg_balancer *to = create_balancer();
+    uint64_t restored = rg_revision_make(1, 90);
+    uint64_t revision = 150;
+
+    update(evacuations_of(from), "dc1", true, 120);
+    update(evacuations_of(to), "dc1", true, 120);
+    rg_evacuations_begin_listing(evacuations_of(from));
+    rg_evacuations_end_listing(evacuations_of(from), 0, NOW_MS);
+    g_assert_true(is_in_force(evacuations_of(from), "dc1"));
+
+    rg_pool_set_provisional(rg_balancer_pool(from), true);
+    transfer(from, restored, to, &revision);
+    g_assert_cmpuint(revision, ==, restored);
+    g_assert_true(is_in_force(evacuations_of(to), "dc1"));
+
+    rg_evacuations_begin_listing(evacuations_of(to));
+    rg_evacuations_end_listing(evacuations_of(to), restored, NOW_MS);
+    g_assert_false(is_in_force(evacuations_of(to), "dc1"));
+    rg_balancer_destroy(from);
+    rg_balancer_destroy(to);
+}
+
+/* Guards against a lift that is taken for older than the evacuation, since the
+ * restored store reissues revisions. */
+static void
+test_lift_after_restore(void)
+{
+    struct rg_evacuations *x = rg_evacuations_create(NULL);
+
+    update(x, "a", true, 120);
+    update(x, "a", false, rg_revision_make(1, 91));
+    g_assert_false(is_in_force(x, "a"));
+    update(x, "a", true, 121);
+    g_assert_false(is_in_force(x, "a"));
+    rg_evacuations_destroy(x);
+}
+
 /* --- choices ------------------------------------------------------------- */
 
 static void
@@ -568,6 +613,8 @@
     g_test_add_func("/evacuation/snapshot", test_snapshot);
     g_test_add_func("/evacuation/peer-without-evacuations",
                     test_peer_without_evacuations);
+    g_test_add_func("/evacuation/restored-store", test_restored_store);
+    g_test_add_func("/evacuation/lift-after-restore", test_lift_after_restore);
     g_test_add_func("/evacuation/no-openings", test_no_openings);
     g_test_add_func("/evacuation/no-tests", test_no_tests);
     g_test_add_func("/evacuation/all-evacuated", test_all_evacuated);
