peers, store_client: no call for a configuration that a restore has lost

If the only instance that had the newest configuration ends after a restore, all others know its version from digests and none has it. Each standby instance then called the store five times a second until operators wrote it again.

The second listing of an era no longer begins while a watch is in progress, whose events would be dropped.

--- a/balance/peers.c
+++ b/balance/peers.c
@@ -388,6 +388,17 @@
     return peer->version > view->version || peer->revision > view->revision;
 }
 
+/* True if what is required was lost in a restore of the store: its answer to
+ * a call that was made later does not have it. Otherwise a configuration that
+ * no instance has any more would be asked for all the time. */
+static bool
+is_lost(const struct rg_peers *p, const struct rg_peers_view *view,
+        uint64_t limit_ms)
+{
+    return rg_revision_era(view->revision) > 0 &&
+           view->answered_ms >= p->required_ms + limit_ms;
+}
+
 bool
 rg_peers_is_behind(struct rg_peers *p, const struct rg_peers_view *view,
                    uint64_t now_ms)
@@ -406,6 +417,10 @@
     if (limit_ms < BEHIND_MIN_MS) {
         limit_ms = BEHIND_MIN_MS;
     }
+    if (is_lost(p, view, limit_ms)) {
+        p->required_ms = now_ms;
+        return false;
+    }
     return now_ms - p->required_ms >= limit_ms;
 }
 
--- a/edge/store_client.c
+++ b/edge/store_client.c
@@ -316,13 +316,13 @@
 {
     char path[RG_KV_PATH_MAX];
     uint64_t now = rg_clock_boottime_ms();
-    struct rg_store_sync_step next = rg_store_sync_next(s->sync, now);
 
-    rg_pool_set_provisional(rg_balancer_pool(s->opts.balancer),
-                            rg_store_sync_is_provisional(s->sync));
     if (is_busy(s)) {
         return;
     }
+    struct rg_store_sync_step next = rg_store_sync_next(s->sync, now);
+    rg_pool_set_provisional(rg_balancer_pool(s->opts.balancer),
+                            rg_store_sync_is_provisional(s->sync));
     if (next.kind == RG_STORE_SYNC_WAIT) {
         uv_timer_start(&s->timer, on_timer, next.at_ms - now, 0);
         return;
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -573,6 +573,32 @@
     rg_peers_destroy(p);
 }
 
+/* Guards against a standby instance that calls the store five times a second
+ * for a configuration that was lost in a restore, if the only instance that
+ * had it has ended: the store has answered without it. */
+static void
+test_lost_version(void)
+{
+    struct rg_peers *p = create_peers(0);
+    struct rg_peers_view view = {.version = 4,
+                                 .revision = rg_revision_make(1, 40)};
+    struct rg_msg_digest d = {.latest_version = 5};
+    int calls = 0;
+
+    d.addr = addr_of(1);
+    g_assert_false(rg_peers_is_behind(p, &view, 5000));
+    rg_peers_digest_received(p, &d, 5000);
+    for (uint64_t now = 5000; now < 15000; now += RG_PEERS_PERIOD_MS) {
+        if (rg_peers_is_behind(p, &view, now)) {
+            view.answered_ms = now + 1;
+            calls++;
+        }
+    }
+    g_assert_cmpint(calls, >=, 4); /* it may be written again */
+    g_assert_cmpint(calls, <=, 14);
+    rg_peers_destroy(p);
+}
+
 /* The era of the own view is passed on. */
 static void
 test_era_in_digests(void)
@@ -698,6 +724,7 @@
     g_test_add_func("/peers/opening-tokens", test_opening_tokens);
     g_test_add_func("/peers/flow-targets", test_flow_targets);
     g_test_add_func("/peers/newer-era", test_newer_era);
+    g_test_add_func("/peers/lost-version", test_lost_version);
     g_test_add_func("/peers/era-in-digests", test_era_in_digests);
     return g_test_run();
 }
