--- a/balance/snapshot.c
+++ b/balance/snapshot.c
@@ -175,7 +175,10 @@
         write_routes(rg_balancer_routes(b), out);
     }
     bool settles = base->provisional && !rg_pool_is_provisional(pool);
-    if (base->revision >= rg_pool_compacted_revision(pool) && !settles) {
+    bool same_era =
+        rg_revision_era(base->revision) == rg_revision_era(revision);
+    if (same_era && base->revision >= rg_pool_compacted_revision(pool) &&
+        !settles) {
         w->after = base->revision;
     }
     w->m.kind = RG_MSG_BOOTS_PART;
