--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -232,6 +232,12 @@
     rg_bal_ignore_untracked(b, RG_TRACKED_IDLE_TIMEOUT_MS);
 }
 
+void
+rg_balancer_peer_heard(struct rg_balancer *b, uint64_t now_ms)
+{
+    b->peer_heard_ms = now_ms;
+}
+
 struct rg_metrics *
 rg_balancer_metrics(struct rg_balancer *b)
 {
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -109,6 +109,9 @@
                                            const struct rg_segment *segment,
                                            uint64_t now_ms);
 
+/* A message of a peer has come. */
+void rg_balancer_peer_heard(struct rg_balancer *b, uint64_t now_ms);
+
 /* The process was suspended for a while: the time that its flows waited
  * meanwhile says nothing about their upstreams. */
 void rg_balancer_paused(struct rg_balancer *b, uint64_t now_ms);
--- a/balance/balancer_outcomes.c
+++ b/balance/balancer_outcomes.c
@@ -67,8 +67,13 @@
 static void
 update_reported(struct rg_balancer *b, struct rg_endpoint *endpoint)
 {
-    endpoint->outlier.reported = rg_outcome_table_sum_others(
-        b->outcome_table, endpoint->token, endpoint->outlier.changed_ms);
+    struct rg_outlier_state *s = &endpoint->outlier;
+
+    s->reported = rg_outcome_table_sum_others(b->outcome_table,
+                                              endpoint->token, s->changed_ms);
+    if (s->reported.failed_ms > s->reported_failed_ms) {
+        s->reported_failed_ms = s->reported.failed_ms;
+    }
 }
 
 static void
@@ -99,27 +104,66 @@
     }
 }
 
-/* Puts this instance's outcomes at an endpoint into the table, from which they
- * are sent to peers. */
-static void
-share_outcomes(struct rg_balancer *b, const struct rg_endpoint *endpoint)
+/* A row of this instance without outcomes. */
+static struct rg_outcome_row
+row_of(const struct rg_balancer *b, const struct rg_endpoint *endpoint)
 {
-    const struct rg_outlier_state *s = &endpoint->outlier;
-    struct rg_outcome_row row = {
+    return (struct rg_outcome_row){
         .token = endpoint->token,
         .source = rg_outcome_table_self(b->outcome_table),
-        .serial = s->serial,
+        .serial = endpoint->outlier.serial,
         .last_ms = b->now_ms,
-        .failed_ms = s->own.last_ms[RG_OUTCOME_FAILED],
-        .answered_ms = s->own.last_ms[RG_OUTCOME_ANSWERED],
+        .unacknowledged = {.at_ms = endpoint->unacknowledged.own_ms,
+                           .response_ms = endpoint->last_response_ms,
+                           .dc_response_ms =
+                               endpoint->data_centre->last_response_ms},
     };
+}
 
-    if (rg_bal_service_failure_rate(b, endpoint->service) >
-        SHARE_FAILURE_RATE_MAX) {
-        return;
-    }
+static bool
+may_share_outcomes(const struct rg_balancer *b,
+                   const struct rg_endpoint *endpoint)
+{
+    return rg_bal_service_failure_rate(b, endpoint->service) <=
+           SHARE_FAILURE_RATE_MAX;
+}
+
+static void
+add_counts(const struct rg_balancer *b, const struct rg_endpoint *endpoint,
+           struct rg_outcome_row *row)
+{
+    const struct rg_outcomes *own = &endpoint->outlier.own;
+
+    row->failed_ms = own->last_ms[RG_OUTCOME_FAILED];
+    row->answered_ms = own->last_ms[RG_OUTCOME_ANSWERED];
     for (int kind = 0; kind < RG_OUTCOME_KINDS; kind++) {
-        row.counts[kind] = rg_outcomes_count(&s->own, kind, b->now_ms);
+        row->counts[kind] = rg_outcomes_count(own, kind, b->now_ms);
+    }
+}
+
+/* Puts this instance's outcomes at an endpoint into the table, from which they
+ * are sent to peers. */
+static void
+share_outcomes(struct rg_balancer *b, const struct rg_endpoint *endpoint)
+{
+    struct rg_outcome_row row = row_of(b, endpoint);
+
+    if (may_share_outcomes(b, endpoint)) {
+        add_counts(b, endpoint, &row);
+        rg_outcome_table_put(b->outcome_table, &row, b->now_ms);
+    }
+}
+
+void
+rg_bal_share_response(struct rg_balancer *b, struct rg_endpoint *endpoint)
+{
+    endpoint->outlier.serial++;
+    struct rg_outcome_row row = row_of(b, endpoint);
+    /* Answers from before the first failure say nothing. */
+    if (rg_endpoint_is_suspect(endpoint, b->now_ms) &&
+        may_share_outcomes(b, endpoint))
+    {
+        add_counts(b, endpoint, &row);
     }
     rg_outcome_table_put(b->outcome_table, &row, b->now_ms);
 }
@@ -162,6 +206,9 @@
         return;
     }
     rg_bal_count(b, RG_METRIC_OUTCOMES_REPORTED);
+    if (row->source != rg_outcome_table_self(b->outcome_table)) {
+        rg_unacknowledged_add_report(endpoint, &row->unacknowledged, now_ms);
+    }
     update_reported(b, endpoint);
     check_outlier(b, endpoint);
 }
--- a/balance/flow_records.c
+++ b/balance/flow_records.c
@@ -56,8 +56,8 @@
 {
     struct rg_flow_sync *sync = &b->flow_sync;
 
-    if (!t->repeated || !t->proven || !is_open(t) || t->told == sync->round ||
-        !is_due(b, t))
+    if (!t->repeated || !t->proven || t->resumed || !is_open(t) ||
+        t->told == sync->round || !is_due(b, t))
     {
         return;
     }
@@ -76,7 +76,7 @@
 {
     const struct rg_tracked_flow *t = rg_tracked_flows_find(b->flows, flow);
 
-    if (!t || !t->proven || !is_open(t)) {
+    if (!t || !t->proven || t->resumed || !is_open(t)) {
         return false;
     }
     *out = (struct rg_flow_record){
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -187,6 +187,7 @@
         .last_ms = b->now_ms,
         .state = RG_TRACKED_IDLE,
         .answer_ms = RG_TRACKED_UNANSWERED,
+        .adopted = true,
     };
     acquire(t, endpoint);
     return t;
@@ -217,6 +218,19 @@
            (bytes > 0 && only_acknowledges);
 }
 
+/* The endpoint has responded to a caller. Peers that have evidence to the
+ * contrary are told. */
+static void
+note_response(struct rg_balancer *b, struct rg_endpoint *endpoint)
+{
+    bool tell = rg_unacknowledged_responded(endpoint, b->now_ms);
+
+    rg_endpoint_responded(endpoint, b->now_ms);
+    if (tell) {
+        rg_bal_share_response(b, endpoint);
+    }
+}
+
 /* Updates the mean time between two responses of any upstream. */
 static void
 update_response_gap(struct rg_balancer *b)
@@ -242,7 +256,7 @@
             ? (double)ms
             : b->opening_ms + OPENING_GAIN * ((double)ms - b->opening_ms);
     update_response_gap(b);
-    rg_endpoint_responded(t->endpoint, b->now_ms);
+    note_response(b, t->endpoint);
     rg_bal_update_lost_share(b, false);
     t->last_ack = s->ack;
     rg_flows_set_state(t, RG_TRACKED_IDLE, b->now_ms);
@@ -275,11 +289,13 @@
     }
     t->last_ack = s->ack;
     update_response_gap(b);
+    t->adopted = false;
+    note_response(b, t->endpoint);
     if (t->state != RG_TRACKED_REQUEST) {
-        rg_endpoint_responded(t->endpoint, b->now_ms);
         return;
     }
     uint64_t ms = b->now_ms - t->since_ms;
+    rg_unacknowledged_answered(t->endpoint, t->retransmissions > 0);
     rg_metrics_observe(&b->metrics, RG_METRIC_ANSWER_MS, ms);
     rg_endpoint_request_answered(t->endpoint, (double)ms, b->now_ms);
     report_to_admission(b, t, (double)ms, route);
@@ -295,9 +311,7 @@
         return;
     }
     if (t->state == RG_TRACKED_REQUEST && s->seq == t->last_seq) {
-        if (t->retransmissions++ == 0) {
-            rg_endpoint_request_retransmitted(t->endpoint, b->now_ms);
-        }
+        rg_request_retransmitted(b, t);
         return;
     }
     t->last_seq = s->seq;
@@ -341,3 +355,16 @@
         rg_flows_set_state(t, RG_TRACKED_CLOSED, b->now_ms);
     }
 }
+
+void
+rg_flows_resume(struct rg_balancer *b, const struct rg_segment *s,
+                struct rg_endpoint *endpoint, struct rg_route *route)
+{
+    struct rg_tracked_flow *t = rg_flows_adopt(b, NULL, &s->flow, 0, endpoint);
+
+    if (t) {
+        t->resumed = true;
+        t->last_ack = s->ack;
+        rg_flows_update(b, t, s, route);
+    }
+}
--- a/balance/metrics.c
+++ b/balance/metrics.c
@@ -47,6 +47,10 @@
     [RG_METRIC_STORE_RELISTED] = "store_relisted",
     [RG_METRIC_ENTRIES_UNREADABLE] = "entries_unreadable",
     [RG_METRIC_CONFIGS_UNREADABLE] = "configs_unreadable",
+    [RG_METRIC_RESET_GONE] = "resets_upstream_gone",
+    [RG_METRIC_RESET_DATA_CENTRE] = "resets_data_centre_silent",
+    [RG_METRIC_RESET_UPSTREAM] = "resets_upstream_silent",
+    [RG_METRIC_RESET_HUNG] = "resets_upstream_hung",
 };
 
 static const char *const histogram_names[RG_METRIC_HISTOGRAMS] = {
--- a/balance/open_flows.c
+++ b/balance/open_flows.c
@@ -7,6 +7,8 @@
  * all of this size but the last one. */
 #define CALLER_WINDOW_PACKETS 16
 #define CALLER_PACKET_BYTES 1200
+/* Peers send several digests in this time. */
+#define PEERS_SILENT_MS 1000
 
 /* Whether a packet to this route's address may be sent to the endpoint that
  * its token names. Any endpoint is allowed while flows may exist that were
@@ -211,6 +213,15 @@
     return b->opts.can_hold && b->fleet.instances > 1;
 }
 
+/* True if this instance has peers but gets nothing from them, so that no
+ * answer to a question says nothing. */
+static bool
+is_cut_off(const struct rg_balancer *b)
+{
+    return b->fleet.instances > 1 && b->peer_heard_ms != 0 &&
+           b->now_ms - b->peer_heard_ms > PEERS_SILENT_MS;
+}
+
 /* The packet does not show where its flow is. If it cannot wait until peers
  * have said so, it is dropped, and its retransmission finds the flow. */
 static struct rg_decision
@@ -244,6 +255,17 @@
     }
 }
 
+/* True if the packet starts a request of a flow whose entry has expired, or
+ * that has moved here, and its token proves its endpoint. While an instance
+ * writes the same token into openings, it proves nothing. */
+static bool
+resumes_flow(const struct rg_balancer *b, const struct rg_segment *s,
+             const struct named *named)
+{
+    return named->kind == TOKEN_FLOW && b->fleet.opening_tokens &&
+           s->len > 0 && !s->fin && !s->reset;
+}
+
 /* At the start of a flow the token is that of the answer that the caller took,
  * if the packet is the acknowledgement of that answer. Before later packets,
  * other answers may have come, and peers may know better.
@@ -262,10 +284,17 @@
     if (named->kind == TOKEN_START && !is_pure_ack(s) && ask_and_hold(b, s)) {
         return rg_bal_hold(b, s, "moved-at-start");
     }
+    if (named->kind == TOKEN_START && !is_pure_ack(s) && is_cut_off(b)) {
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_UNPROVEN_TOKEN,
+                           "no-peers-to-ask");
+    }
     rg_bal_note_untracked(b, s, endpoint);
     if (named->kind == TOKEN_START) {
         adopt(b, ended, s, route, named);
     }
+    else if (resumes_flow(b, s, named)) {
+        rg_flows_resume(b, s, endpoint, route);
+    }
     return rg_bal_forward(b, endpoint, endpoint->token);
 }
 
@@ -288,12 +317,10 @@
                            "wrong-service");
     }
     rg_flows_update(b, t, s, route);
-    if (rg_request_is_lost(b, t)) {
-        rg_request_log_unanswered(b, t, "reset");
-        struct rg_decision refused = rg_bal_refuse(
-            b, s, RG_METRIC_REFUSED_DEAD_UPSTREAM, "dead-upstream");
-        rg_flows_set_state(t, RG_TRACKED_CLOSED, b->now_ms);
-        return refused;
+    enum rg_lost why = rg_request_is_lost(b, t);
+    if (why != RG_LOST_NOT) {
+        rg_request_reset(b, t, s, why);
+        return (struct rg_decision){.kind = RG_DECISION_REFUSE};
     }
     return rg_bal_forward(b, endpoint, endpoint->token);
 }
--- a/balance/openings.c
+++ b/balance/openings.c
@@ -18,6 +18,9 @@
 /* Copies of an opening that arrive closer together than this have waited on
  * their way: callers send them 200 ms apart or more. */
 #define COPY_MIN_INTERVAL_MS 100
+/* A copy of an opening is at most this many bytes before the packets of its
+ * flow. */
+#define LATE_COPY_DISTANCE_MAX (1 << 20)
 
 static uint32_t
 overdue_ms(const struct rg_balancer *b)
@@ -149,6 +152,16 @@
     return t && s->seq == t->opening_seq;
 }
 
+/* A late copy of the opening of a flow that is tracked from later data on. */
+static bool
+is_late_copy(const struct rg_tracked_flow *t, const struct rg_segment *s)
+{
+    uint32_t distance = t ? t->last_seq - s->seq : 0;
+
+    return t && t->resumed && t->state != RG_TRACKED_CLOSED && distance > 0 &&
+           distance <= LATE_COPY_DISTANCE_MAX;
+}
+
 /* An opening to an address without a route. If it is a copy, the flow may be
  * open by way of an instance that has a newer version, unless the route is one
  * that was removed. */
@@ -208,7 +221,7 @@
     uint32_t service;
 
     rg_bal_count(b, RG_METRIC_OPENINGS);
-    if ((copy && t->state != RG_TRACKED_OPENING) ||
+    if ((copy && t->state != RG_TRACKED_OPENING) || is_late_copy(t, s) ||
         (!copy && rg_bal_was_seen_open(b, s)))
     {
         /* It was late on its way: the flow has opened since. */
--- a/balance/outcome_table.h
+++ b/balance/outcome_table.h
@@ -16,6 +16,7 @@
 #include <stdint.h>
 
 #include "balance/outcomes.h"
+#include "balance/unacknowledged.h"
 
 /* Maximum number of rows; the oldest is replaced. */
 #define RG_OUTCOME_ROWS_MAX 512
@@ -23,7 +24,7 @@
 #define RG_OUTCOME_ROW_LIFETIME_MS 4000
 
 /* Outcomes that one instance has seen at one endpoint since it became
- * suspect. */
+ * suspect, and whether it responds. */
 struct rg_outcome_row {
     uint32_t token;  /* of the endpoint */
     uint32_t source; /* random number of the instance, new with each start */
@@ -32,6 +33,7 @@
     uint64_t last_ms;     /* last outcome of any kind */
     uint64_t failed_ms;   /* last failure, 0: none */
     uint64_t answered_ms; /* last answer in time, 0: none */
+    struct rg_unacknowledged_report unacknowledged;
 };
 
 /* Sum over several sources. */
--- a/balance/outlier.c
+++ b/balance/outlier.c
@@ -88,6 +88,9 @@
     if (outcome == RG_OUTCOME_FAILED && !rg_endpoint_is_suspect(e, now_ms)) {
         rg_outcomes_clear(&s->own);
     }
+    if (outcome == RG_OUTCOME_FAILED) {
+        s->failed_before_ms = s->own.last_ms[RG_OUTCOME_FAILED];
+    }
     rg_outcomes_add(&s->own, outcome, now_ms);
     s->serial++;
 }
@@ -123,6 +126,16 @@
            total(e, RG_OUTCOME_LATE, now_ms) == 0;
 }
 
+uint64_t
+rg_endpoint_other_failure_ms(const struct rg_endpoint *e, uint64_t own_ms)
+{
+    const struct rg_outlier_state *s = &e->outlier;
+    uint64_t last_ms = s->own.last_ms[RG_OUTCOME_FAILED];
+
+    return later(s->reported_failed_ms,
+                 last_ms == own_ms ? s->failed_before_ms : last_ms);
+}
+
 bool
 rg_endpoint_only_failures_since(const struct rg_endpoint *e, uint64_t since_ms,
                                 uint64_t now_ms)
--- a/balance/outlier.h
+++ b/balance/outlier.h
@@ -61,10 +61,16 @@
 bool rg_endpoint_no_answer_since(const struct rg_endpoint *e,
                                  uint64_t since_ms, uint64_t now_ms);
 
-/* The same, and several requests have failed, here or elsewhere, and no peer
- * that reports failures reports an answer. That no answer is known since
- * `since_ms` proves little by itself: there may have been no other request, or
- * its answer may have passed another instance, whose report is on its way. */
+/* When a request failed last at this endpoint, here or elsewhere, other than
+ * one of this instance that failed at `own_ms`; 0: never. */
+uint64_t rg_endpoint_other_failure_ms(const struct rg_endpoint *e,
+                                      uint64_t own_ms);
+
+/* As rg_endpoint_no_answer_since(), and several requests have failed, here or
+ * elsewhere, and no peer that reports failures reports an answer. That no
+ * answer is known since `since_ms` proves little by itself: there may have
+ * been no other request, or its answer may have passed another instance, whose
+ * report is on its way. */
 bool rg_endpoint_only_failures_since(const struct rg_endpoint *e,
                                      uint64_t since_ms, uint64_t now_ms);
 
--- a/balance/pool.h
+++ b/balance/pool.h
@@ -15,6 +15,8 @@
 
 #include "balance/outcome_table.h"
 #include "balance/outcomes.h"
+#include "balance/unacknowledged.h"
+#include "balance/usual_time.h"
 #include "common/addr.h"
 #include "common/log.h"
 #include "common/str.h"
@@ -49,6 +51,7 @@
     uint32_t retransmissions; /* of requests and openings since the last
                                  response */
     uint64_t first_retransmission_ms; /* when the first of them was seen */
+    struct rg_unacknowledged_dc unacknowledged;
 };
 
 /* Outcomes of requests at an endpoint, and whether it is an outlier; see
@@ -63,9 +66,11 @@
     uint64_t changed_ms;  /* last detection or clearing; earlier outcomes no
                              longer count */
     uint64_t answered_ms; /* last answer known when it changed */
-    uint64_t until_ms;    /* end of the exclusion of an outlier */
-    uint64_t probed_ms;   /* last flow sent as a probe */
-    bool slow;            /* an outlier that has answered late */
+    uint64_t failed_before_ms;   /* own failure before the last one */
+    uint64_t reported_failed_ms; /* last failure ever reported */
+    uint64_t until_ms;           /* end of the exclusion of an outlier */
+    uint64_t probed_ms;          /* last flow sent as a probe */
+    bool slow;                   /* an outlier that has answered late */
 };
 
 /* One incarnation of an upstream, and what this instance knows of it. */
@@ -105,7 +110,9 @@
     uint64_t failure_rate_ms;
     double latency_ms; /* moving average from request to answer, 0: none */
     uint64_t latency_at_ms;
+    struct rg_usual_time usual; /* of its answers that passed here */
     struct rg_outlier_state outlier;
+    struct rg_unacknowledged unacknowledged;
 };
 
 struct rg_pool_opts {
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -16,6 +16,7 @@
 struct rg_bal_service {
     struct rg_admit admit;
     struct rg_outcomes outcomes; /* of this instance's requests */
+    struct rg_usual_time usual;  /* of its answers, over all routes */
     uint64_t choices;            /* upstream choices made so far */
     uint64_t overloaded_ms;      /* last time it was overloaded, 0: never */
 };
@@ -51,6 +52,7 @@
     uint32_t dropped_lines;   /* dropped and held packets logged
                                   since then */
     uint32_t untracked_lines; /* untracked flows logged since then */
+    uint64_t peer_heard_ms;   /* last message of any peer, 0: none */
     uint64_t now_ms;
     bool held_in_vain; /* the present packet was held, and no peer knows it */
 };
@@ -168,6 +170,9 @@
  * state of its upstream. */
 void rg_bal_add_outcome(struct rg_balancer *b, struct rg_endpoint *endpoint,
                         enum rg_outcome outcome);
+/* Tells peers whether the upstream responds, beside the outcomes there. */
+void rg_bal_share_response(struct rg_balancer *b,
+                           struct rg_endpoint *endpoint);
 /* True while so many answers of a service are slow that chance does not
  * explain it. */
 bool rg_bal_is_overloaded(const struct rg_balancer *b, uint32_t service);
@@ -222,10 +227,25 @@
 
 /* Requests waiting for an answer, in requests.c. */
 
-/* True if the flow's request will not be answered and is safe to retry. For
+/* Why a request will not be answered. */
+enum rg_lost {
+    RG_LOST_NOT,
+    RG_LOST_GONE,        /* its upstream's entry is gone */
+    RG_LOST_DATA_CENTRE, /* its upstream's data centre is silent */
+    RG_LOST_UPSTREAM,    /* its upstream is silent */
+    RG_LOST_HUNG,        /* acknowledged, but its upstream answers nothing */
+};
+
+/* Whether the flow's request will not be answered and is safe to retry. For
  * use when a packet of the flow has come: it has not moved. */
-bool rg_request_is_lost(const struct rg_balancer *b,
-                        const struct rg_tracked_flow *t);
+enum rg_lost rg_request_is_lost(const struct rg_balancer *b,
+                                const struct rg_tracked_flow *t);
+/* Counts and logs that the flow of a lost request is reset, and ends it. */
+void rg_request_reset(struct rg_balancer *b, struct rg_tracked_flow *t,
+                      const struct rg_segment *last, enum rg_lost why);
+/* The request was retransmitted. */
+void rg_request_retransmitted(struct rg_balancer *b,
+                              struct rg_tracked_flow *t);
 /* Checks the deadlines of a waiting request. */
 void rg_request_tick(struct rg_balancer *b, struct rg_tracked_flow *t);
 /* The caller will receive no more of the answer to its last request. Records
@@ -255,6 +275,10 @@
                                        const struct rg_flow_id *flow,
                                        uint32_t opening_seq,
                                        struct rg_endpoint *endpoint);
+/* Starts tracking a flow again that was idle for long, or has moved here, from
+ * data with the token of an open flow. */
+void rg_flows_resume(struct rg_balancer *b, const struct rg_segment *s,
+                     struct rg_endpoint *endpoint, struct rg_route *route);
 /* Moves the flow to another endpoint. */
 void rg_flows_move(struct rg_balancer *b, struct rg_tracked_flow *t,
                    struct rg_endpoint *endpoint);
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -5,11 +5,16 @@
 #include "balance/outlier.h"
 #include "balance/passive_health.h"
 #include "balance/priv.h"
+#include "balance/unacknowledged.h"
+#include "balance/usual_time.h"
 
 /* A request is overdue, and counts as failed, after this many times the median
  * answer time of its route, and not before the minimum. */
 #define OVERDUE_FACTOR 6
 #define OVERDUE_MIN_MS 100
+/* Nor before this many times the usual time of its upstream over all routes:
+ * some requests take several times the mean, others wait for them. */
+#define OVERDUE_USUAL_FACTOR 4
 /* The same for a probe of an outlier. */
 #define PROBE_OVERDUE_FACTOR 5
 #define PROBE_OVERDUE_MIN_MS 60
@@ -20,13 +25,27 @@
 #define LOST_MIN_MS 250
 #define LOST_DEADLINE_SHARE 0.4
 #define LOST_DEADLINE_SHARE_MAX 0.5
+/* Nor before this many times the usual time of its upstream over all routes:
+ * its work takes seven times as long at times. */
+#define LOST_USUAL_FACTOR 8
+/* A long deadline delays the reset no further than this, at an outlier and at
+ * another upstream: what is known of the upstream is out of date by then. */
+#define LOST_WAIT_MAX_MS 1600
+#define LOST_NO_OUTLIER_WAIT_MAX_MS 2000
+/* Another request must have failed there within this time. The fault that it
+ * shows has then ended less than 5 s ago, if at all. */
+#define LOST_EVIDENCE_MAX_MS 1500
 /* The same where requests fail but the upstream is no outlier. */
 #define LOST_NO_OUTLIER_FACTOR 32
 /* Answers needed before the median of a route is relied on. */
 #define LOST_MIN_ANSWERS 5
-/* Retransmissions that show by themselves that a request is not
- * acknowledged: copies are acknowledged before the answer. */
-#define UNREACHABLE_REPEATS 2
+/* A request is reset as unreachable within this time of its last
+ * retransmission; later its flow may have moved, or a path may have been
+ * mended. */
+#define RETRANSMITTED_MAX_MS 500
+/* Callers send the second retransmission of a request 600 ms after it. Copies
+ * that come much sooner have waited on their way. */
+#define RETRANSMITTED_TWICE_MIN_MS 400
 /* Queues may remain for this long after a service was overloaded. */
 #define OVERLOAD_EXPIRY_MS 3000
 /* From this share of its deadline on, peers are asked at intervals whether the
@@ -44,22 +63,40 @@
     return rg_routes_find(b->routes, t->flow.service_ip, t->flow.service_port);
 }
 
+/* What requests at an upstream take, over all routes. */
 static double
-overdue_after_ms(const struct rg_route *route, const struct rg_tracked_flow *t)
+usual_ms(const struct rg_balancer *b, const struct rg_endpoint *e)
 {
-    return t->probe ? fmax(PROBE_OVERDUE_FACTOR * route->median_ms,
-                           PROBE_OVERDUE_MIN_MS)
-                    : fmax(OVERDUE_FACTOR * route->median_ms, OVERDUE_MIN_MS);
+    double own = rg_usual_time_ms(&e->usual);
+
+    return e->service < b->service_count
+               ? fmax(own, rg_usual_time_ms(&b->services[e->service].usual))
+               : own;
 }
 
 static double
-lost_after_ms(const struct rg_route *route, const struct rg_tracked_flow *t)
+overdue_after_ms(const struct rg_balancer *b, const struct rg_route *route,
+                 const struct rg_tracked_flow *t)
+{
+    double limit =
+        t->probe ? fmax(PROBE_OVERDUE_FACTOR * route->median_ms,
+                        PROBE_OVERDUE_MIN_MS)
+                 : fmax(OVERDUE_FACTOR * route->median_ms, OVERDUE_MIN_MS);
+
+    return fmax(limit, OVERDUE_USUAL_FACTOR * usual_ms(b, t->endpoint));
+}
+
+static double
+lost_after_ms(const struct rg_balancer *b, const struct rg_route *route,
+              const struct rg_tracked_flow *t)
 {
     double limit = fmax(LOST_FACTOR * route->median_ms, LOST_MIN_MS);
 
-    limit = fmax(limit, LOST_DEADLINE_SHARE * route->timeout_ms);
+    limit = fmax(limit, fmin(LOST_DEADLINE_SHARE * route->timeout_ms,
+                             LOST_WAIT_MAX_MS));
     limit = fmin(limit, LOST_DEADLINE_SHARE_MAX * route->timeout_ms);
-    return fmax(limit, overdue_after_ms(route, t));
+    limit = fmax(limit, LOST_USUAL_FACTOR * usual_ms(b, t->endpoint));
+    return fmax(limit, overdue_after_ms(b, route, t));
 }
 
 /* True within OVERLOAD_EXPIRY_MS of the upstream's service being overloaded.
@@ -75,14 +112,23 @@
 }
 
 /* A long wait proves a failure only if the median of the route is known well
- * enough and no queue at the upstreams explains it. */
+ * enough, neither a queue at the upstreams nor the usual work there explains
+ * it, and another request has failed there lately. When the request of an
+ * adopted flow was sent, and whether it has been answered elsewhere, is not
+ * known. */
 static bool
 wait_proves_failure(const struct rg_balancer *b,
                     const struct rg_tracked_flow *t,
                     const struct rg_route *route)
 {
-    return t->endpoint->service < b->service_count &&
+    uint64_t failed_ms =
+        rg_endpoint_other_failure_ms(t->endpoint, t->overdue_ms);
+
+    return t->endpoint->service < b->service_count && !t->adopted &&
            route->answers >= LOST_MIN_ANSWERS &&
+           LOST_USUAL_FACTOR * usual_ms(b, t->endpoint) <=
+               LOST_DEADLINE_SHARE_MAX * route->timeout_ms &&
+           failed_ms != 0 && b->now_ms - failed_ms <= LOST_EVIDENCE_MAX_MS &&
            !was_overloaded(b, t->endpoint);
 }
 
@@ -91,9 +137,11 @@
 static double
 lost_no_outlier_after_ms(const struct rg_route *route)
 {
-    return fmax(
-        LOST_NO_OUTLIER_FACTOR * route->median_ms,
-        fmax(LOST_DEADLINE_SHARE_MAX * route->timeout_ms, LOST_MIN_MS));
+    double share_ms = fmin(LOST_DEADLINE_SHARE_MAX * route->timeout_ms,
+                           LOST_NO_OUTLIER_WAIT_MAX_MS);
+
+    return fmax(LOST_NO_OUTLIER_FACTOR * route->median_ms,
+                fmax(share_ms, LOST_MIN_MS));
 }
 
 /* True if other upstreams respond as often as usual, so that the fault is not
@@ -104,7 +152,7 @@
 {
     double silent_ms = (double)(b->now_ms - *t->endpoint->any_response_ms);
 
-    return silent_ms <= fmax(overdue_after_ms(route, t),
+    return silent_ms <= fmax(overdue_after_ms(b, route, t),
                              RESPONSE_GAP_FACTOR * b->response_gap_ms);
 }
 
@@ -118,24 +166,68 @@
             b->now_ms - b->late_tick_ms < RG_BALANCER_TICK_MS);
 }
 
-/* True if the upstream cannot be reached: it is silent, and the request was
+/* Whether the upstream cannot be reached: it is silent, and the request was
  * retransmitted more than once. A sound upstream that is busy need not
  * acknowledge a request before its answer, but it acknowledges a copy, so that
  * there is no further one. */
+static enum rg_lost
+check_unreachable(const struct rg_balancer *b, const struct rg_tracked_flow *t,
+                  const struct rg_route *route)
+{
+    static const enum rg_lost reasons[] = {
+        [RG_REACHABLE] = RG_LOST_NOT,
+        [RG_UNREACHABLE_GONE] = RG_LOST_GONE,
+        [RG_UNREACHABLE_DATA_CENTRE] = RG_LOST_DATA_CENTRE,
+        [RG_UNREACHABLE_UPSTREAM] = RG_LOST_UPSTREAM,
+    };
+    struct rg_unacknowledged_request request = {
+        .sent_ms = t->since_ms,
+        .timeout_ms = route->timeout_ms,
+        .has_peers = b->fleet.local_instances > 1,
+        .overloaded = was_overloaded(b, t->endpoint),
+    };
+
+    if (t->retransmissions < RG_UNACKNOWLEDGED_REPEATS ||
+        b->now_ms - t->retransmitted_ms > RETRANSMITTED_MAX_MS ||
+        b->now_ms - t->since_ms < RETRANSMITTED_TWICE_MIN_MS ||
+        !rg_endpoint_no_answer_since(t->endpoint, t->since_ms, b->now_ms))
+    {
+        return RG_LOST_NOT;
+    }
+    return reasons[rg_unacknowledged_check(t->endpoint, &request, b->now_ms)];
+}
+
+/* True if the request waits although its upstream responds to others: it was
+ * acknowledged, and its upstream answers nothing. */
 static bool
-is_unreachable(const struct rg_balancer *b, const struct rg_tracked_flow *t)
+is_hung(const struct rg_balancer *b, const struct rg_tracked_flow *t,
+        const struct rg_route *route)
 {
-    return t->retransmissions >= UNREACHABLE_REPEATS &&
-           rg_endpoint_is_unreachable(t->endpoint, b->now_ms) &&
-           rg_endpoint_no_answer_since(t->endpoint, t->since_ms, b->now_ms) &&
-           !was_overloaded(b, t->endpoint);
+    const struct rg_endpoint *e = t->endpoint;
+
+    /* Without a deadline nobody knows how long callers would have waited. */
+    if (route->timeout_ms == 0 || !t->overdue ||
+        b->now_ms < e->cold_until_ms || !others_respond(b, t, route) ||
+        !wait_proves_failure(b, t, route) ||
+        rg_unacknowledged_may_be_frozen(e, route->timeout_ms, b->now_ms))
+    {
+        return false;
+    }
+    double waited_ms = (double)(b->now_ms - t->since_ms);
+    if (rg_endpoint_is_unresponsive(e, b->now_ms) &&
+        rg_endpoint_no_answer_since(e, t->since_ms, b->now_ms) &&
+        waited_ms >= lost_after_ms(b, route, t))
+    {
+        return true;
+    }
+    return waited_ms >= lost_no_outlier_after_ms(route) &&
+           rg_endpoint_only_failures_since(e, t->since_ms, b->now_ms);
 }
 
-/* True for a request that is safe to retry at an upstream that will not answer
- * it. A reset makes the caller retry now instead of after its deadline.
- * Requests that are not safe to retry are left alone, since nobody knows
- * whether they were executed. */
-bool
+/* A reset makes the caller retry now instead of after its deadline. Requests
+ * that are not safe to retry are left alone, since nobody knows whether they
+ * were executed. */
+enum rg_lost
 rg_request_is_lost(const struct rg_balancer *b,
                    const struct rg_tracked_flow *t)
 {
@@ -145,28 +237,34 @@
         route->repeat != RG_REPEAT_SAFE || has_backlog(b) ||
         rg_bal_may_have_missed_packets(b, t))
     {
-        return false;
+        return RG_LOST_NOT;
     }
-    if (is_unreachable(b, t)) {
-        return true;
+    enum rg_lost why = check_unreachable(b, t, route);
+    if (why != RG_LOST_NOT) {
+        return why;
     }
-    /* Without a deadline nobody knows how long callers would have waited. */
-    if (route->timeout_ms == 0 || !t->overdue ||
-        b->now_ms < t->endpoint->cold_until_ms ||
-        !others_respond(b, t, route) || !wait_proves_failure(b, t, route))
-    {
-        return false;
+    return is_hung(b, t, route) ? RG_LOST_HUNG : RG_LOST_NOT;
+}
+
+void
+rg_request_retransmitted(struct rg_balancer *b, struct rg_tracked_flow *t)
+{
+    if (t->retransmissions < UINT8_MAX) {
+        t->retransmissions++;
     }
-    double waited_ms = (double)(b->now_ms - t->since_ms);
-    if (rg_endpoint_is_unresponsive(t->endpoint, b->now_ms) &&
-        rg_endpoint_no_answer_since(t->endpoint, t->since_ms, b->now_ms) &&
-        waited_ms >= lost_after_ms(route, t))
+    t->retransmitted_ms = b->now_ms;
+    if (t->retransmissions == 1) {
+        rg_endpoint_request_retransmitted(t->endpoint, b->now_ms);
+    }
+    if (t->retransmissions < RG_UNACKNOWLEDGED_REPEATS || has_backlog(b) ||
+        rg_bal_may_have_missed_packets(b, t) ||
+        b->now_ms - t->since_ms < RETRANSMITTED_TWICE_MIN_MS)
     {
-        return true;
+        return;
     }
-    return waited_ms >= lost_no_outlier_after_ms(route) &&
-           rg_endpoint_only_failures_since(t->endpoint, t->since_ms,
-                                           b->now_ms);
+    rg_unacknowledged_add(t->endpoint, t->since_ms, t->retransmissions,
+                          b->now_ms);
+    rg_bal_share_response(b, t->endpoint);
 }
 
 /* Asks peers whether the flow of a waiting request has moved. Its answer may
@@ -194,10 +292,34 @@
 /* True if no peer has got packets of the flow since its request came here.
  * Retransmissions show by themselves that it has not moved. */
 static bool
-has_not_moved(const struct rg_balancer *b, const struct rg_tracked_flow *t)
+has_not_moved(const struct rg_balancer *b, const struct rg_tracked_flow *t,
+              enum rg_lost why)
 {
-    return is_unreachable(b, t) || (t->asked_ms > t->since_ms &&
-                                    b->now_ms - t->asked_ms >= ASK_TIMEOUT_MS);
+    return why != RG_LOST_HUNG || (t->asked_ms > t->since_ms &&
+                                   b->now_ms - t->asked_ms >= ASK_TIMEOUT_MS);
+}
+
+void
+rg_request_reset(struct rg_balancer *b, struct rg_tracked_flow *t,
+                 const struct rg_segment *last, enum rg_lost why)
+{
+    static const struct {
+        enum rg_metric_counter counter;
+        const char *text;
+    } reasons[] = {
+        [RG_LOST_NOT] = {RG_METRIC_RESET_HUNG, "reset"},
+        [RG_LOST_GONE] = {RG_METRIC_RESET_GONE, "reset: upstream gone"},
+        [RG_LOST_DATA_CENTRE] = {RG_METRIC_RESET_DATA_CENTRE,
+                                 "reset: data centre silent"},
+        [RG_LOST_UPSTREAM] = {RG_METRIC_RESET_UPSTREAM,
+                              "reset: upstream silent"},
+        [RG_LOST_HUNG] = {RG_METRIC_RESET_HUNG, "reset: upstream hung"},
+    };
+
+    rg_bal_count(b, reasons[why].counter);
+    rg_request_log_unanswered(b, t, reasons[why].text);
+    rg_bal_refuse(b, last, RG_METRIC_REFUSED_DEAD_UPSTREAM, "dead-upstream");
+    rg_flows_set_state(t, RG_TRACKED_CLOSED, b->now_ms);
 }
 
 /* Resets the flow of a lost request without waiting for its next packet. */
@@ -205,13 +327,12 @@
 reset_lost(struct rg_balancer *b, struct rg_tracked_flow *t)
 {
     struct rg_segment last = {.flow = t->flow, .ack = t->last_ack};
+    enum rg_lost why = rg_request_is_lost(b, t);
 
-    if (!b->opts.refuse || !rg_request_is_lost(b, t) || !has_not_moved(b, t)) {
+    if (!b->opts.refuse || why == RG_LOST_NOT || !has_not_moved(b, t, why)) {
         return;
     }
-    rg_request_log_unanswered(b, t, "reset");
-    rg_bal_refuse(b, &last, RG_METRIC_REFUSED_DEAD_UPSTREAM, "dead-upstream");
-    rg_flows_set_state(t, RG_TRACKED_CLOSED, b->now_ms);
+    rg_request_reset(b, t, &last, why);
     b->opts.refuse(b->opts.ctx, &last);
 }
 
@@ -220,7 +341,7 @@
 static void
 note_overdue(struct rg_balancer *b, struct rg_tracked_flow *t)
 {
-    if (t->state != RG_TRACKED_REQUEST || t->overdue ||
+    if (t->state != RG_TRACKED_REQUEST || t->overdue || t->adopted ||
         rg_bal_may_have_missed_packets(b, t))
     {
         return;
@@ -229,10 +350,11 @@
     if (!route || route->median_ms <= 0) {
         return;
     }
-    if ((double)(b->now_ms - t->since_ms) > overdue_after_ms(route, t) &&
+    if ((double)(b->now_ms - t->since_ms) > overdue_after_ms(b, route, t) &&
         others_respond(b, t, route))
     {
         t->overdue = true;
+        t->overdue_ms = b->now_ms;
         rg_bal_count(b, RG_METRIC_REQUESTS_OVERDUE);
         rg_bal_add_outcome(b, t->endpoint, RG_OUTCOME_FAILED);
     }
@@ -258,6 +380,15 @@
     return t->overdue ? RG_OUTCOME_LATE : RG_OUTCOME_ANSWERED;
 }
 
+static void
+note_usual_time(struct rg_balancer *b, struct rg_endpoint *e, double ms)
+{
+    rg_usual_time_add(&e->usual, ms);
+    if (e->service < b->service_count) {
+        rg_usual_time_add(&b->services[e->service].usual, ms);
+    }
+}
+
 void
 rg_request_answered(struct rg_balancer *b, struct rg_tracked_flow *t,
                     struct rg_route *route)
@@ -274,6 +405,9 @@
     if (error_like) {
         rg_bal_count(b, RG_METRIC_ANSWERS_ERROR_LIKE);
     }
+    else {
+        note_usual_time(b, t->endpoint, ms);
+    }
     rg_log_event(b->opts.log, error_like ? RG_LOG_INFO : RG_LOG_DEBUG,
                  "CLOSED",
                  "flow=\"%s\" upstream=\"%s\" answer_ms=\"%u\" bytes=\"%u\" "
--- a/balance/tracked_flows.h
+++ b/balance/tracked_flows.h
@@ -36,10 +36,12 @@
     struct rg_flow_id flow;
     struct rg_endpoint *endpoint; /* the current one, NULL: entry is free */
     struct rg_endpoint *tried[RG_TRACKED_TRIES_MAX]; /* earlier, or NULL */
-    uint64_t opened_ms;   /* first copy of its opening */
-    uint64_t since_ms;    /* start of the current state */
-    uint64_t last_ms;     /* last packet, or what a peer told of the flow */
-    uint64_t packet_ms;   /* last packet but openings, 0: none */
+    uint64_t opened_ms;  /* first copy of its opening */
+    uint64_t since_ms;   /* start of the current state */
+    uint64_t last_ms;    /* last packet, or what a peer told of the flow */
+    uint64_t packet_ms;  /* last packet but openings, 0: none */
+    uint64_t overdue_ms; /* when the request counted as failed */
+    uint64_t retransmitted_ms; /* last retransmission of the last data */
     uint64_t asked_ms;    /* when peers were first asked whether the flow has
                              moved since its request */
     uint32_t opening_seq; /* initial sequence number of the caller */
@@ -53,6 +55,9 @@
     bool repeated;           /* its opening was: two upstreams may have it */
     bool probe;              /* tests whether an outlier has recovered */
     bool has_first_copy;     /* the first copy of its opening passed here */
+    bool adopted; /* opened elsewhere or long ago, and no response to it has
+                     passed here: when its request was sent is not known */
+    bool resumed; /* began with later data: opening_seq is not known */
     bool proven;  /* the caller is known to have taken this endpoint */
     uint8_t told; /* round in which peers were told of it, or
                      RG_FLOW_NOT_TOLD */
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -123,6 +123,22 @@
     return age_ms == AGE_NEVER || age_ms > now_ms ? 0 : now_ms - age_ms;
 }
 
+/* The same in appended fields, which are 0 in messages of older builds: 0 is
+ * "never", and other ages are 1 ms at least. */
+static uint32_t
+nonzero_age_since(uint64_t at_ms, uint64_t now_ms)
+{
+    uint32_t age_ms = age_since(at_ms, now_ms);
+
+    return age_ms == AGE_NEVER ? 0 : age_ms + (age_ms == 0);
+}
+
+static uint64_t
+nonzero_time_before(uint32_t age_ms, uint64_t now_ms)
+{
+    return age_ms == 0 ? 0 : time_before(age_ms, now_ms);
+}
+
 static void
 add_outcomes(struct rg_gossip *g, struct rg_msg_digest *d, uint64_t now)
 {
@@ -141,6 +157,12 @@
             .age_ms = age_since(rows[i].last_ms, now),
             .failed_age_ms = age_since(rows[i].failed_ms, now),
             .answered_age_ms = age_since(rows[i].answered_ms, now),
+            .unacknowledged_age_ms =
+                nonzero_age_since(rows[i].unacknowledged.at_ms, now),
+            .response_age_ms =
+                nonzero_age_since(rows[i].unacknowledged.response_ms, now),
+            .dc_response_age_ms =
+                nonzero_age_since(rows[i].unacknowledged.dc_response_ms, now),
         };
     }
     d->outcomes_count = (uint16_t)count;
@@ -162,6 +184,11 @@
             .last_ms = time_before(o->age_ms, now),
             .failed_ms = time_before(o->failed_age_ms, now),
             .answered_ms = time_before(o->answered_age_ms, now),
+            .unacknowledged =
+                {.at_ms = nonzero_time_before(o->unacknowledged_age_ms, now),
+                 .response_ms = nonzero_time_before(o->response_age_ms, now),
+                 .dc_response_ms =
+                     nonzero_time_before(o->dc_response_age_ms, now)},
         };
         rg_balancer_add_reported_outcomes(g->opts.balancer, &row, now);
     }
@@ -275,6 +302,7 @@
         counters(g)[RG_METRIC_MALFORMED]++;
         return;
     }
+    rg_balancer_peer_heard(g->opts.balancer, rg_clock_boottime_ms());
     handle_message(g, &g->in);
 }
 
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -198,7 +198,7 @@
 static void
 pack_outcomes(msgpack_packer *pk, const struct rg_msg_outcomes *m)
 {
-    rg_pack_list(pk, 9);
+    rg_pack_list(pk, 12);
     rg_pack_u64(pk, m->token);
     rg_pack_u64(pk, m->source);
     rg_pack_u64(pk, m->serial);
@@ -208,6 +208,9 @@
     rg_pack_u64(pk, m->age_ms);
     rg_pack_u64(pk, m->failed_age_ms);
     rg_pack_u64(pk, m->answered_age_ms);
+    rg_pack_u64(pk, m->unacknowledged_age_ms);
+    rg_pack_u64(pk, m->response_age_ms);
+    rg_pack_u64(pk, m->dc_response_age_ms);
 }
 
 static bool
@@ -254,6 +257,24 @@
         return false;
     }
     m->answered_age_ms = (uint32_t)value;
+    if (o->via.array.size > 9) {
+        if (!rg_unpack_u64(&o->via.array.ptr[9], 4294967295U, &value)) {
+            return false;
+        }
+        m->unacknowledged_age_ms = (uint32_t)value;
+    }
+    if (o->via.array.size > 10) {
+        if (!rg_unpack_u64(&o->via.array.ptr[10], 4294967295U, &value)) {
+            return false;
+        }
+        m->response_age_ms = (uint32_t)value;
+    }
+    if (o->via.array.size > 11) {
+        if (!rg_unpack_u64(&o->via.array.ptr[11], 4294967295U, &value)) {
+            return false;
+        }
+        m->dc_response_age_ms = (uint32_t)value;
+    }
     return true;
 }
 
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -97,6 +97,14 @@
     uint32_t failed_age_ms;
     /* time since the last normal answer, 4294967295: none */
     uint32_t answered_age_ms;
+    /* time since a request there was last retransmitted twice without a
+     * response, 1 at least; 0: never */
+    uint32_t unacknowledged_age_ms;
+    /* time since the last response of the endpoint, 1 at least; 0: never */
+    uint32_t response_age_ms;
+    /* time since the last response of any endpoint of its data centre, 1 at
+     * least; 0: never */
+    uint32_t dc_response_age_ms;
 };
 
 /* A service that a route sends flows to. */
--- a/test/test_flow_records.c
+++ b/test/test_flow_records.c
@@ -297,6 +297,36 @@
     g_assert_cmpuint(counter(f, 1, RG_METRIC_HELD), ==, 2);
 }
 
+/* Guards against following the token of an answer that the caller did not take
+ * where no peer can say so: the flow moved to an instance that heard nothing
+ * from its peers, asked in vain, and reached an upstream that reset it (soak,
+ * seed 74050). Without known peers the token is followed. */
+static void
+test_no_peers_to_ask(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    hold_packets(f);
+    rg_balancer_peer_heard(f->instances[1], f->now_ms);
+    struct two_answers a = open_at_two(f);
+    acknowledge(f, 0, a.taken.opening);
+    send_data(f, 0, a.taken.opening, 0, 0, 100);
+    f->now_ms += 1100;
+    struct rg_segment s = first_data(a.other.opening);
+    g_assert_cmpint(rg_balancer_packet(f->instances[1], &s, f->now_ms).kind,
+                    ==, RG_DECISION_HOLD);
+    g_assert_cmpint(
+        rg_balancer_held_packet(f->instances[1], &s, f->now_ms + 30).kind, ==,
+        RG_DECISION_DROP);
+    rg_balancer_set_fleet(f->instances[1],
+                          &(struct rg_fleet){.instances = 1,
+                                             .local_instances = 1,
+                                             .share = 1,
+                                             .opening_tokens = true});
+    g_assert_cmpint(
+        rg_balancer_packet(f->instances[1], &s, f->now_ms + 400).kind, ==,
+        RG_DECISION_FORWARD);
+}
+
 /* Guards against a flow that counts as moved, so that its hung request is
  * forgotten, because a peer was told of it or got a late copy of its opening.
  */
@@ -422,6 +452,7 @@
         {"/flow-records/held-at-start", test_held_at_start},
         {"/flow-records/held-after-late-copy", test_held_after_late_copy},
         {"/flow-records/held-in-vain", test_held_in_vain},
+        {"/flow-records/no-peers-to-ask", test_no_peers_to_ask},
         {"/flow-records/no-false-sighting", test_no_false_sighting},
         {"/flow-records/record-of-earlier-flow", test_record_of_earlier_flow},
         {"/flow-records/many-flows", test_many_flows},
--- /dev/null
+++ b/test/test_wrong_resets.c
@@ -0,0 +1,308 @@
+/* Guards against resets at upstreams that are sound: on evidence that is out
+ * of date, on the answers of a route that says little about its upstreams, and
+ * of flows that this instance knows only in part. One balancer, no network. */
+#include <glib.h>
+#include <stdio.h>
+
+#include "balance/balancer.h"
+#include "balance/outlier.h"
+#include "balance/priv.h"
+#include "balance/token.h"
+#include "test/captured_log.h"
+
+#define SERVICE_IP 0xc6120001
+#define MAIN_PORT 443
+#define QUIET_PORT 444
+#define UNSAFE_PORT 445 /* its requests do not probe outliers */
+#define CALLER_IP 0x64400007
+#define START_MS 100000
+#define RTT_MS 6
+#define UPSTREAMS 8
+#define ANSWER_BYTES 1000
+#define OPENING_SEQ 1000
+
+struct fixture {
+    struct rg_balancer *balancer;
+    struct captured_log log;
+    uint64_t now_ms;
+    uint16_t next_port;
+    uint32_t resets;
+};
+
+struct flow {
+    struct rg_flow_id id;
+    uint32_t token;
+};
+
+static struct rg_name
+name(const char *text)
+{
+    struct rg_name n;
+
+    g_assert_true(rg_name_set(&n, rg_str_of(text)));
+    return n;
+}
+
+static void
+on_refuse(void *ctx, const struct rg_segment *last)
+{
+    struct fixture *f = ctx;
+
+    (void)last;
+    f->resets++;
+}
+
+static struct rg_route
+route_to(uint16_t port, uint32_t timeout_ms)
+{
+    struct rg_route r = {.ip = SERVICE_IP,
+                         .port = port,
+                         .repeat = RG_REPEAT_SAFE,
+                         .timeout_ms = timeout_ms,
+                         .share_count = 1};
+
+    r.shares[0] =
+        (struct rg_route_share){.service = name("shop"), .weight = 1};
+    return r;
+}
+
+static struct fixture *
+create_fixture(uint32_t main_timeout_ms, uint32_t quiet_timeout_ms)
+{
+    struct fixture *f = g_new0(struct fixture, 1);
+    struct rg_route *routes = calloc(3, sizeof(*routes));
+    struct rg_balancer_opts opts = {
+        .data_centre = name("dc1"),
+        .flow_age_ms = 60000,
+        .stale_ms = 3000,
+        .tracked_flows = 4096,
+        .seed = 5,
+        .refuse = on_refuse,
+        .ctx = f,
+    };
+
+    f->log = captured_log_make(100000);
+    f->now_ms = START_MS;
+    opts.log = &f->log.log;
+    routes[0] = route_to(MAIN_PORT, main_timeout_ms);
+    routes[1] = route_to(QUIET_PORT, quiet_timeout_ms);
+    routes[2] = route_to(UNSAFE_PORT, main_timeout_ms);
+    routes[2].repeat = RG_REPEAT_UNSAFE;
+    f->balancer = rg_balancer_create(&opts, START_MS);
+    rg_balancer_set_routes(f->balancer, rg_routes_create(1, routes, 3));
+    rg_balancer_set_confirmed(f->balancer, START_MS);
+    for (int i = 0; i < UPSTREAMS; i++) {
+        g_autofree char *id = g_strdup_printf("u-%d", i);
+        struct rg_endpoint_info r = {
+            .id = name(id),
+            .wire_id = (uint64_t)i + 1,
+            .boot_ms = 5,
+            .service = name("shop"),
+            .data_centre = name("dc1"),
+            .slots = 2,
+        };
+        rg_addr_parse(&r.addr, "10.0.0.1:80");
+        rg_pool_update(rg_balancer_pool(f->balancer), &r, 1, START_MS);
+    }
+    return f;
+}
+
+static void
+destroy_fixture(struct fixture *f)
+{
+    rg_balancer_destroy(f->balancer);
+    captured_log_done(&f->log);
+    g_free(f);
+}
+
+static void
+run(struct fixture *f, uint32_t ms)
+{
+    uint64_t end = f->now_ms + ms;
+
+    while (f->now_ms < end) {
+        f->now_ms++;
+        if (f->now_ms % RG_BALANCER_TICK_MS == 0) {
+            rg_balancer_set_confirmed(f->balancer, f->now_ms);
+            rg_balancer_tick(f->balancer, f->now_ms);
+        }
+    }
+}
+
+/* A reset instead of forwarding counts, too. */
+static struct rg_decision
+send_packet(struct fixture *f, const struct flow *flow, struct rg_segment s)
+{
+    s.flow = flow->id;
+    struct rg_decision d = rg_balancer_packet(f->balancer, &s, f->now_ms);
+    f->resets += d.kind == RG_DECISION_REFUSE;
+    return d;
+}
+
+static struct flow
+new_flow(struct fixture *f, uint16_t port)
+{
+    return (struct flow){.id = {.caller_ip = CALLER_IP,
+                                .service_ip = SERVICE_IP,
+                                .caller_port = ++f->next_port,
+                                .service_port = port}};
+}
+
+static void
+send_data(struct fixture *f, const struct flow *flow)
+{
+    send_packet(f, flow,
+                (struct rg_segment){.token = flow->token,
+                                    .seq = OPENING_SEQ + 1,
+                                    .ack = 1,
+                                    .len = 100});
+}
+
+/* Opens a flow and sends its request. */
+static struct flow
+send_request(struct fixture *f, uint16_t port)
+{
+    struct flow flow = new_flow(f, port);
+    struct rg_decision d = send_packet(
+        f, &flow, (struct rg_segment){.opening = true, .seq = OPENING_SEQ});
+
+    g_assert_cmpint(d.kind, ==, RG_DECISION_FORWARD);
+    flow.token = d.endpoint->token;
+    run(f, RTT_MS);
+    send_data(f, &flow);
+    return flow;
+}
+
+static void
+send_answer(struct fixture *f, const struct flow *flow)
+{
+    send_packet(f, flow,
+                (struct rg_segment){.token = flow->token,
+                                    .seq = OPENING_SEQ + 101,
+                                    .ack = 1 + ANSWER_BYTES,
+                                    .fin = true});
+}
+
+static void
+serve(struct fixture *f, uint16_t port, int count, uint32_t work_ms)
+{
+    for (int i = 0; i < count; i++) {
+        struct flow flow = send_request(f, port);
+        run(f, work_ms);
+        send_answer(f, &flow);
+    }
+}
+
+/* A peer reports failures at the upstream of this flow. */
+static void
+report_failures(struct fixture *f, const struct flow *flow, uint32_t source,
+                uint32_t failed)
+{
+    struct rg_outcome_row row = {
+        .token = flow->token,
+        .source = source,
+        .serial = (uint32_t)f->now_ms,
+        .counts = {[RG_OUTCOME_FAILED] = failed},
+        .last_ms = f->now_ms,
+        .failed_ms = f->now_ms,
+    };
+
+    rg_balancer_add_reported_outcomes(f->balancer, &row, f->now_ms);
+}
+
+/* A route with a deadline of 8 s whose answers take 5 ms. Its request was
+ * reset after 3.2 s, on failures that were as old: the fault that they showed
+ * had ended 5 s before. Failures after the request was sent are evidence, and
+ * it then does not wait for a share of its long deadline. */
+static void
+test_long_deadline(void)
+{
+    for (int fresh = 0; fresh < 2; fresh++) {
+        struct fixture *f = create_fixture(8000, 8000);
+        serve(f, MAIN_PORT, 60, 5);
+        struct flow flow = send_request(f, MAIN_PORT);
+        uint64_t sent_ms = f->now_ms;
+        report_failures(f, &flow, 1, 2);
+        report_failures(f, &flow, 2, 2);
+        uint64_t reset_ms = 0;
+        while (f->now_ms < sent_ms + 3900) {
+            if (fresh && f->now_ms - sent_ms < 500) {
+                report_failures(f, &flow, 1, 3);
+            }
+            serve(f, UNSAFE_PORT, 1, 5);
+            if (f->resets > 0 && reset_ms == 0) {
+                reset_ms = f->now_ms - sent_ms;
+            }
+        }
+        g_assert_cmpuint(f->resets, ==, fresh);
+        g_assert_cmpuint(reset_ms, <, 2000);
+        destroy_fixture(f);
+    }
+}
+
+/* A quiet route whose few answers took 1 to 2 ms shares its upstreams with one
+ * of 47 ms, at times seven times as long. Its requests, which wait for those,
+ * were reset after 405 to 520 ms at an outlier that was sound. */
+static void
+test_quiet_route(void)
+{
+    struct fixture *f = create_fixture(4000, 1000);
+
+    for (int i = 0; i < 12; i++) {
+        serve(f, MAIN_PORT, 9, 47);
+        serve(f, MAIN_PORT, 1, 329);
+        serve(f, QUIET_PORT, 1, 1 + (uint32_t)i % 2);
+    }
+    struct flow flow = send_request(f, QUIET_PORT);
+    uint64_t sent_ms = f->now_ms;
+    report_failures(f, &flow, 1, 2);
+    report_failures(f, &flow, 2, 2);
+    g_assert_true(rg_endpoint_is_outlier(
+        rg_pool_by_token(rg_balancer_pool(f->balancer), flow.token)));
+    while (f->now_ms < sent_ms + 900) {
+        serve(f, MAIN_PORT, 1, 47);
+        g_assert_cmpuint(f->resets, ==, 0);
+    }
+    send_answer(f, &flow);
+    destroy_fixture(f);
+}
+
+/* A request whose copy was the first that came here was reset for its wait
+ * (soak, seed 4). Its first copy was sent by way of another instance, to which
+ * the flow went back, and whose answers to questions were lost. */
+static void
+test_adopted_request(void)
+{
+    struct fixture *f = create_fixture(1500, 1500);
+
+    serve(f, MAIN_PORT, 60, 20);
+    struct flow known = send_request(f, MAIN_PORT);
+    struct flow flow = new_flow(f, MAIN_PORT);
+    run(f, 20);
+    send_answer(f, &known);
+    run(f, 1);
+    flow.token = rg_token_of_opening(known.token, OPENING_SEQ);
+    send_data(f, &flow);
+    flow.token = known.token;
+    uint64_t sent_ms = f->now_ms;
+    report_failures(f, &flow, 1, 2);
+    report_failures(f, &flow, 2, 2);
+    while (f->now_ms < sent_ms + 1400) {
+        if (f->now_ms < sent_ms + 500) {
+            report_failures(f, &flow, 1, 2);
+        }
+        serve(f, UNSAFE_PORT, 1, 20);
+    }
+    g_assert_cmpuint(f->resets, ==, 0);
+    destroy_fixture(f);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/wrong-resets/long-deadline", test_long_deadline);
+    g_test_add_func("/wrong-resets/quiet-route", test_quiet_route);
+    g_test_add_func("/wrong-resets/adopted-request", test_adopted_request);
+    return g_test_run();
+}
