balance: answers count at their own time, reports need several instances

The outcome of an answered request was recorded with the time of the flow's next request. It now has the time of the answer, and is recorded 1 s after its last byte.

Among more than four local instances two others must have seen unacknowledged requests at an upstream; a data centre must be silent for longer than its usual gaps between responses; rows carry the latest response known when they are sent.

--- a/balance/balancer_outcomes.c
+++ b/balance/balancer_outcomes.c
@@ -113,10 +113,7 @@
         .source = rg_outcome_table_self(b->outcome_table),
         .serial = endpoint->outlier.serial,
         .last_ms = b->now_ms,
-        .unacknowledged = {.at_ms = endpoint->unacknowledged.own_ms,
-                           .response_ms = endpoint->last_response_ms,
-                           .dc_response_ms =
-                               endpoint->data_centre->last_response_ms},
+        .unacknowledged = {.at_ms = endpoint->unacknowledged.own_ms},
     };
 }
 
@@ -170,7 +167,7 @@
 
 void
 rg_bal_add_outcome(struct rg_balancer *b, struct rg_endpoint *endpoint,
-                   enum rg_outcome outcome)
+                   enum rg_outcome outcome, uint64_t at_ms)
 {
     if (endpoint->service < b->service_count) {
         rg_outcomes_add(&b->services[endpoint->service].outcomes, outcome,
@@ -185,7 +182,7 @@
         rg_endpoint_update_failure_rate(endpoint, outcome == RG_OUTCOME_FAILED,
                                         b->now_ms);
     }
-    rg_endpoint_add_outcome(endpoint, outcome, b->now_ms);
+    rg_endpoint_add_outcome_at(endpoint, outcome, at_ms, b->now_ms);
     if (rg_endpoint_is_suspect(endpoint, b->now_ms)) {
         share_outcomes(b, endpoint);
         check_outlier(b, endpoint);
@@ -207,7 +204,8 @@
     }
     rg_bal_count(b, RG_METRIC_OUTCOMES_REPORTED);
     if (row->source != rg_outcome_table_self(b->outcome_table)) {
-        rg_unacknowledged_add_report(endpoint, &row->unacknowledged, now_ms);
+        rg_unacknowledged_add_report(endpoint, row->source,
+                                     &row->unacknowledged, now_ms);
     }
     update_reported(b, endpoint);
     check_outlier(b, endpoint);
@@ -217,7 +215,17 @@
 rg_balancer_next_outcomes(struct rg_balancer *b, struct rg_outcome_row *out,
                           size_t max)
 {
-    return rg_outcome_table_next(b->outcome_table, out, max);
+    size_t count = rg_outcome_table_next(b->outcome_table, out, max);
+
+    for (size_t i = 0; i < count; i++) {
+        const struct rg_endpoint *endpoint =
+            rg_pool_by_token(b->pool, out[i].token);
+        if (endpoint) {
+            rg_unacknowledged_update_responses(endpoint,
+                                               &out[i].unacknowledged);
+        }
+    }
+    return count;
 }
 
 bool
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -288,6 +288,7 @@
         return;
     }
     t->last_ack = s->ack;
+    t->acked_ms = b->now_ms;
     update_response_gap(b);
     t->adopted = false;
     note_response(b, t->endpoint);
@@ -299,6 +300,10 @@
     rg_metrics_observe(&b->metrics, RG_METRIC_ANSWER_MS, ms);
     rg_endpoint_request_answered(t->endpoint, (double)ms, b->now_ms);
     report_to_admission(b, t, (double)ms, route);
+    if (t->endpoint->service < b->service_count) {
+        rg_usual_time_note_begun(&b->services[t->endpoint->service].usual,
+                                 (double)ms, b->now_ms);
+    }
     t->answer_ms = (uint32_t)ms;
     rg_flows_set_state(t, RG_TRACKED_IDLE, b->now_ms);
 }
--- a/balance/openings.c
+++ b/balance/openings.c
@@ -54,7 +54,7 @@
         /* The probe failed: the outlier stays excluded, and peers need not
          * probe it for a while. */
         t->probe = false;
-        rg_bal_add_outcome(b, t->endpoint, RG_OUTCOME_FAILED);
+        rg_bal_add_outcome(b, t->endpoint, RG_OUTCOME_FAILED, b->now_ms);
     }
     if (!before && rg_endpoint_is_ejected(t->endpoint, b->now_ms)) {
         rg_bal_count(b, RG_METRIC_EJECTIONS);
--- a/balance/outcomes.c
+++ b/balance/outcomes.c
@@ -29,11 +29,20 @@
 }
 
 void
-rg_outcomes_add(struct rg_outcomes *o, enum rg_outcome kind, uint64_t now_ms)
+rg_outcomes_add_at(struct rg_outcomes *o, enum rg_outcome kind, uint64_t at_ms,
+                   uint64_t now_ms)
 {
     rotate(o, now_ms);
     o->current[kind]++;
-    o->last_ms[kind] = now_ms;
+    if (at_ms > o->last_ms[kind]) {
+        o->last_ms[kind] = at_ms;
+    }
+}
+
+void
+rg_outcomes_add(struct rg_outcomes *o, enum rg_outcome kind, uint64_t now_ms)
+{
+    rg_outcomes_add_at(o, kind, now_ms, now_ms);
 }
 
 uint32_t
--- a/balance/outcomes.h
+++ b/balance/outcomes.h
@@ -25,6 +25,9 @@
 
 void rg_outcomes_add(struct rg_outcomes *o, enum rg_outcome kind,
                      uint64_t now_ms);
+/* The same for an outcome of `at_ms` that becomes known now. */
+void rg_outcomes_add_at(struct rg_outcomes *o, enum rg_outcome kind,
+                        uint64_t at_ms, uint64_t now_ms);
 
 /* Outcomes of a kind in the current and the previous window. */
 uint32_t rg_outcomes_count(const struct rg_outcomes *o, enum rg_outcome kind,
--- a/balance/outlier.c
+++ b/balance/outlier.c
@@ -78,8 +78,8 @@
 }
 
 void
-rg_endpoint_add_outcome(struct rg_endpoint *e, enum rg_outcome outcome,
-                        uint64_t now_ms)
+rg_endpoint_add_outcome_at(struct rg_endpoint *e, enum rg_outcome outcome,
+                           uint64_t at_ms, uint64_t now_ms)
 {
     struct rg_outlier_state *s = &e->outlier;
 
@@ -91,10 +91,17 @@
     if (outcome == RG_OUTCOME_FAILED) {
         s->failed_before_ms = s->own.last_ms[RG_OUTCOME_FAILED];
     }
-    rg_outcomes_add(&s->own, outcome, now_ms);
+    rg_outcomes_add_at(&s->own, outcome, at_ms, now_ms);
     s->serial++;
 }
 
+void
+rg_endpoint_add_outcome(struct rg_endpoint *e, enum rg_outcome outcome,
+                        uint64_t now_ms)
+{
+    rg_endpoint_add_outcome_at(e, outcome, now_ms, now_ms);
+}
+
 double
 rg_endpoint_pooled_failure_rate(const struct rg_endpoint *e, uint64_t now_ms)
 {
--- a/balance/outlier.h
+++ b/balance/outlier.h
@@ -28,6 +28,9 @@
 /* Records the outcome of a request of this instance. */
 void rg_endpoint_add_outcome(struct rg_endpoint *e, enum rg_outcome outcome,
                              uint64_t now_ms);
+/* The same for an outcome of `at_ms` that becomes known now. */
+void rg_endpoint_add_outcome_at(struct rg_endpoint *e, enum rg_outcome outcome,
+                                uint64_t at_ms, uint64_t now_ms);
 
 /* Share of recent requests that failed, by the outcomes of all instances.
  * Stays low while few outcomes are known. */
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -166,10 +166,10 @@
 
 /* Outcomes of requests, in balancer_outcomes.c. */
 
-/* Records the outcome of a request of this instance and updates the outlier
- * state of its upstream. */
+/* Records the outcome of a request of this instance, as of `at_ms`, and
+ * updates the outlier state of its upstream. */
 void rg_bal_add_outcome(struct rg_balancer *b, struct rg_endpoint *endpoint,
-                        enum rg_outcome outcome);
+                        enum rg_outcome outcome, uint64_t at_ms);
 /* Tells peers whether the upstream responds, beside the outcomes there. */
 void rg_bal_share_response(struct rg_balancer *b,
                            struct rg_endpoint *endpoint);
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -28,10 +28,16 @@
 /* Nor before this many times the usual time of its upstream over all routes:
  * its work takes seven times as long at times. */
 #define LOST_USUAL_FACTOR 8
+/* Nor before this many times the longest time that an answer of the service
+ * took of late: its upstreams may all have become slow at once. */
+#define LOST_LONGEST_FACTOR 3
 /* A long deadline delays the reset no further than this, at an outlier and at
  * another upstream: what is known of the upstream is out of date by then. */
 #define LOST_WAIT_MAX_MS 1600
 #define LOST_NO_OUTLIER_WAIT_MAX_MS 2000
+/* If a greater share of this instance's requests to the service fails, its
+ * upstreams are slow rather than one of them hung. */
+#define LOST_SERVICE_RATE_MAX 0.5
 /* Another request must have failed there within this time. The fault that it
  * shows has then ended less than 5 s ago, if at all. */
 #define LOST_EVIDENCE_MAX_MS 1500
@@ -46,6 +52,9 @@
 /* Callers send the second retransmission of a request 600 ms after it. Copies
  * that come much sooner have waited on their way. */
 #define RETRANSMITTED_TWICE_MIN_MS 400
+/* An answer counts as complete, and its outcome is recorded, once no more of
+ * it has come for this long: several retransmissions of its packets. */
+#define ANSWER_COMPLETE_MS 1000
 /* Queues may remain for this long after a service was overloaded. */
 #define OVERLOAD_EXPIRY_MS 3000
 /* From this share of its deadline on, peers are asked at intervals whether the
@@ -74,6 +83,19 @@
                : own;
 }
 
+/* What a request may take there although its upstream is sound. */
+static double
+possible_ms(const struct rg_balancer *b, const struct rg_endpoint *e)
+{
+    double longest = e->service < b->service_count
+                         ? rg_usual_time_longest_ms(
+                               &b->services[e->service].usual, b->now_ms)
+                         : 0;
+
+    return fmax(LOST_USUAL_FACTOR * usual_ms(b, e),
+                LOST_LONGEST_FACTOR * longest);
+}
+
 static double
 overdue_after_ms(const struct rg_balancer *b, const struct rg_route *route,
                  const struct rg_tracked_flow *t)
@@ -95,7 +117,7 @@
     limit = fmax(limit, fmin(LOST_DEADLINE_SHARE * route->timeout_ms,
                              LOST_WAIT_MAX_MS));
     limit = fmin(limit, LOST_DEADLINE_SHARE_MAX * route->timeout_ms);
-    limit = fmax(limit, LOST_USUAL_FACTOR * usual_ms(b, t->endpoint));
+    limit = fmax(limit, possible_ms(b, t->endpoint));
     return fmax(limit, overdue_after_ms(b, route, t));
 }
 
@@ -126,8 +148,10 @@
 
     return t->endpoint->service < b->service_count && !t->adopted &&
            route->answers >= LOST_MIN_ANSWERS &&
-           LOST_USUAL_FACTOR * usual_ms(b, t->endpoint) <=
+           possible_ms(b, t->endpoint) <=
                LOST_DEADLINE_SHARE_MAX * route->timeout_ms &&
+           rg_bal_service_failure_rate(b, t->endpoint->service) <=
+               LOST_SERVICE_RATE_MAX &&
            failed_ms != 0 && b->now_ms - failed_ms <= LOST_EVIDENCE_MAX_MS &&
            !was_overloaded(b, t->endpoint);
 }
@@ -183,7 +207,7 @@
     struct rg_unacknowledged_request request = {
         .sent_ms = t->since_ms,
         .timeout_ms = route->timeout_ms,
-        .has_peers = b->fleet.local_instances > 1,
+        .instances = b->fleet.local_instances,
         .overloaded = was_overloaded(b, t->endpoint),
     };
 
@@ -197,14 +221,18 @@
     return reasons[rg_unacknowledged_check(t->endpoint, &request, b->now_ms)];
 }
 
-/* True if the request waits although its upstream responds to others: it was
- * acknowledged, and its upstream answers nothing. */
+/* True if the request was acknowledged, and its upstream answers nothing. */
 static bool
 is_hung(const struct rg_balancer *b, const struct rg_tracked_flow *t,
         const struct rg_route *route)
 {
     const struct rg_endpoint *e = t->endpoint;
 
+    if (t->retransmissions >= RG_UNACKNOWLEDGED_REPEATS &&
+        rg_unacknowledged_can_wait(route->timeout_ms))
+    {
+        return false;
+    }
     /* Without a deadline nobody knows how long callers would have waited. */
     if (route->timeout_ms == 0 || !t->overdue ||
         b->now_ms < e->cold_until_ms || !others_respond(b, t, route) ||
@@ -356,7 +384,21 @@
         t->overdue = true;
         t->overdue_ms = b->now_ms;
         rg_bal_count(b, RG_METRIC_REQUESTS_OVERDUE);
-        rg_bal_add_outcome(b, t->endpoint, RG_OUTCOME_FAILED);
+        rg_bal_add_outcome(b, t->endpoint, RG_OUTCOME_FAILED, b->now_ms);
+    }
+}
+
+/* The next request of a flow may be far off, and its upstream gone by then. */
+static void
+note_complete(struct rg_balancer *b, struct rg_tracked_flow *t)
+{
+    struct rg_route *route =
+        rg_routes_find(b->routes, t->flow.service_ip, t->flow.service_port);
+
+    if (t->state == RG_TRACKED_IDLE && route &&
+        b->now_ms - t->acked_ms >= ANSWER_COMPLETE_MS)
+    {
+        rg_request_answered(b, t, route);
     }
 }
 
@@ -366,6 +408,7 @@
     if (has_backlog(b)) {
         return;
     }
+    note_complete(b, t);
     note_overdue(b, t);
     ask_if_waiting(b, t);
     reset_lost(b, t);
@@ -401,7 +444,7 @@
     }
     double ms = fmax((double)t->answer_ms - b->opening_ms, 0);
     bool error_like = rg_route_answered(route, ms, bytes);
-    rg_bal_add_outcome(b, t->endpoint, outcome_of(t, error_like));
+    rg_bal_add_outcome(b, t->endpoint, outcome_of(t, error_like), t->acked_ms);
     if (error_like) {
         rg_bal_count(b, RG_METRIC_ANSWERS_ERROR_LIKE);
     }
--- a/balance/tracked_flows.h
+++ b/balance/tracked_flows.h
@@ -40,6 +40,7 @@
     uint64_t since_ms;   /* start of the current state */
     uint64_t last_ms;    /* last packet, or what a peer told of the flow */
     uint64_t packet_ms;  /* last packet but openings, 0: none */
+    uint64_t acked_ms;   /* the caller last acknowledged new bytes */
     uint64_t overdue_ms; /* when the request counted as failed */
     uint64_t retransmitted_ms; /* last retransmission of the last data */
     uint64_t asked_ms;    /* when peers were first asked whether the flow has
--- a/balance/unacknowledged.h
+++ b/balance/unacknowledged.h
@@ -10,6 +10,7 @@
 #define RG_BALANCE_UNACKNOWLEDGED_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 struct rg_endpoint;
@@ -19,11 +20,17 @@
 /* Upstreams of a data centre of which evidence is kept. */
 #define RG_UNACKNOWLEDGED_UPSTREAMS 4
 
+/* Other instances whose evidence of one endpoint is kept. */
+#define RG_UNACKNOWLEDGED_REPORTS 2
+
 /* At one endpoint. Zero-initialise it. */
 struct rg_unacknowledged {
-    uint64_t own_ms;      /* last evidence here, 0: none */
-    uint64_t reported_ms; /* last evidence of other instances, 0: none */
-    uint64_t since_ms;    /* silent since then, as far as evidence shows */
+    uint64_t own_ms; /* last evidence here, 0: none */
+    struct {
+        uint32_t source;
+        uint64_t at_ms;                   /* last evidence, 0: free */
+    } reports[RG_UNACKNOWLEDGED_REPORTS]; /* of other instances */
+    uint64_t since_ms; /* silent since then, as far as evidence shows */
     uint64_t reported_response_ms; /* last response reported by peers */
     uint64_t denied_ms; /* peers were last told of a response, 0: never */
 };
@@ -33,9 +40,10 @@
     struct {
         uint32_t token;
         uint64_t at_ms; /* last evidence, 0: free */
-        bool reported;  /* by another instance, too */
     } upstreams[RG_UNACKNOWLEDGED_UPSTREAMS];
+    uint64_t reported_ms; /* last evidence of other instances, 0: none */
     uint64_t reported_response_ms; /* last response reported by peers */
+    double response_gap_ms;        /* mean time between two responses here */
     double retransmitted_share;    /* of answered requests, moving average */
 };
 
@@ -52,10 +60,16 @@
     uint64_t response_ms;    /* last response of the endpoint */
     uint64_t dc_response_ms; /* last response from its data centre */
 };
-void rg_unacknowledged_add_report(struct rg_endpoint *e,
+/* `source` is the number of that instance. */
+void rg_unacknowledged_add_report(struct rg_endpoint *e, uint32_t source,
                                   const struct rg_unacknowledged_report *r,
                                   uint64_t now_ms);
 
+/* The last responses that are known, here or from peers; the rest of the
+ * report is left as it is. */
+void rg_unacknowledged_update_responses(const struct rg_endpoint *e,
+                                        struct rg_unacknowledged_report *r);
+
 /* The endpoint has responded to a caller of this instance. Returns true if
  * peers have evidence to the contrary and should be told of the response. */
 bool rg_unacknowledged_responded(struct rg_endpoint *e, uint64_t now_ms);
@@ -67,7 +81,7 @@
 struct rg_unacknowledged_request {
     uint64_t sent_ms;
     uint32_t timeout_ms; /* its deadline, 0: none */
-    bool has_peers;      /* in this data centre, that could corroborate */
+    size_t instances;    /* in this data centre, this one included */
     bool overloaded;     /* queues at its service may explain long waits */
 };
 
@@ -84,6 +98,10 @@
                         const struct rg_unacknowledged_request *r,
                         uint64_t now_ms);
 
+/* True if a request with this deadline, 0 if it is not known, can wait for a
+ * frozen upstream to go on. */
+bool rg_unacknowledged_can_wait(uint32_t timeout_ms);
+
 /* True if the upstream may be frozen for a moment, and a request with this
  * deadline, 0 if it is not known, can wait for it to go on. */
 bool rg_unacknowledged_may_be_frozen(const struct rg_endpoint *e,
--- a/test/fake_service.h
+++ b/test/fake_service.h
@@ -97,6 +97,9 @@
     uint32_t lost_twice;       /* openings whose retransmission failed, too */
     uint32_t resets;           /* of flows with an outstanding request */
     uint32_t premature_resets; /* of these, at upstreams that answer */
+    /* Gets resets instead of fake_reset_flow(), unless it is NULL. */
+    void (*on_reset)(void *ctx, const struct rg_segment *last);
+    void *on_reset_ctx;
 };
 
 static inline double
@@ -431,6 +434,10 @@
 {
     struct fake_service *s = ctx;
 
+    if (s->on_reset) {
+        s->on_reset(s->on_reset_ctx, last);
+        return;
+    }
     for (int n = 0; n < s->flow_end; n++) {
         struct fake_flow *f = &s->flows[n];
         if (f->phase == FAKE_FREE ||
@@ -458,10 +465,13 @@
 fake_send_digest(struct fake_service *s, int from)
 {
     struct rg_outcome_row rows[FAKE_ROWS_MAX];
-    int local_instances = s->balancer_count / s->data_centres;
+    int data_centre = from % s->data_centres;
+    int local_instances =
+        s->balancer_count / s->data_centres +
+        (s->balancer_count % s->data_centres > data_centre ? 1 : 0);
     size_t count =
         rg_balancer_next_outcomes(s->balancers[from], rows, FAKE_ROWS_MAX);
-    int to = from % s->data_centres +
+    int to = data_centre +
              s->data_centres *
                  (int)rg_rand_below(&s->rand, (uint32_t)local_instances);
 
