balance: hung requests need a failure of the last 4.5 s

Reset for a wait on a deadline of 8 s: an outlier stays one until a probe is answered, however old its failures are. Another request must have failed there within 4.5 s, so that the fault that it shows has ended less than 5 s ago. Responses are sent in rows only while there is evidence in their data centre: 3 bytes a row otherwise.

--- a/balance/balancer_outcomes.c
+++ b/balance/balancer_outcomes.c
@@ -221,8 +221,8 @@
         const struct rg_endpoint *endpoint =
             rg_pool_by_token(b->pool, out[i].token);
         if (endpoint) {
-            rg_unacknowledged_update_responses(endpoint,
-                                               &out[i].unacknowledged);
+            rg_unacknowledged_update_responses(
+                endpoint, &out[i].unacknowledged, b->now_ms);
         }
     }
     return count;
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -35,12 +35,10 @@
  * another upstream: what is known of the upstream is out of date by then. */
 #define LOST_WAIT_MAX_MS 1600
 #define LOST_NO_OUTLIER_WAIT_MAX_MS 2000
-/* If a greater share of this instance's requests to the service fails, its
- * upstreams are slow rather than one of them hung. */
-#define LOST_SERVICE_RATE_MAX 0.5
-/* Another request must have failed there within this time. The fault that it
- * shows has then ended less than 5 s ago, if at all. */
-#define LOST_EVIDENCE_MAX_MS 1500
+/* Another request must have failed there within this time. Requests fail
+ * within 500 ms, so the fault that it shows has ended less than 5 s ago, if at
+ * all. */
+#define LOST_EVIDENCE_MAX_MS 4500
 /* The same where requests fail but the upstream is no outlier. */
 #define LOST_NO_OUTLIER_FACTOR 32
 /* Answers needed before the median of a route is relied on. */
@@ -150,8 +148,6 @@
            route->answers >= LOST_MIN_ANSWERS &&
            possible_ms(b, t->endpoint) <=
                LOST_DEADLINE_SHARE_MAX * route->timeout_ms &&
-           rg_bal_service_failure_rate(b, t->endpoint->service) <=
-               LOST_SERVICE_RATE_MAX &&
            failed_ms != 0 && b->now_ms - failed_ms <= LOST_EVIDENCE_MAX_MS &&
            !was_overloaded(b, t->endpoint);
 }
--- a/balance/unacknowledged.c
+++ b/balance/unacknowledged.c
@@ -184,8 +184,18 @@
 
 void
 rg_unacknowledged_update_responses(const struct rg_endpoint *e,
-                                   struct rg_unacknowledged_report *r)
+                                   struct rg_unacknowledged_report *r,
+                                   uint64_t now_ms)
 {
+    const struct rg_unacknowledged_dc *dc = &e->data_centre->unacknowledged;
+    bool matter = false;
+
+    for (int i = 0; i < RG_UNACKNOWLEDGED_UPSTREAMS; i++) {
+        matter = matter || is_recent(dc->upstreams[i].at_ms, now_ms);
+    }
+    if (!matter) {
+        return;
+    }
     r->response_ms = last_response_ms(e);
     r->dc_response_ms = dc_last_response_ms(e->data_centre);
 }
--- a/balance/unacknowledged.h
+++ b/balance/unacknowledged.h
@@ -65,10 +65,12 @@
                                   const struct rg_unacknowledged_report *r,
                                   uint64_t now_ms);
 
-/* The last responses that are known, here or from peers; the rest of the
- * report is left as it is. */
+/* Sets the last responses that are known, here or from peers, while there is
+ * recent evidence in the data centre. Otherwise they are of no use, and cost
+ * bytes. */
 void rg_unacknowledged_update_responses(const struct rg_endpoint *e,
-                                        struct rg_unacknowledged_report *r);
+                                        struct rg_unacknowledged_report *r,
+                                        uint64_t now_ms);
 
 /* The endpoint has responded to a caller of this instance. Returns true if
  * peers have evidence to the contrary and should be told of the response. */
--- a/test/test_wrong_resets.c
+++ b/test/test_resets.c
@@ -158,9 +158,9 @@
                                     .len = 100});
 }
 
-/* Opens a flow and sends its request. */
+/* Opens a flow; its caller has acknowledged the answer. */
 static struct flow
-send_request(struct fixture *f, uint16_t port)
+open_flow(struct fixture *f, uint16_t port)
 {
     struct flow flow = new_flow(f, port);
     struct rg_decision d = send_packet(
@@ -169,6 +169,17 @@
     g_assert_cmpint(d.kind, ==, RG_DECISION_FORWARD);
     flow.token = d.endpoint->token;
     run(f, RTT_MS);
+    send_packet(f, &flow,
+                (struct rg_segment){
+                    .token = flow.token, .seq = OPENING_SEQ + 1, .ack = 1});
+    return flow;
+}
+
+static struct flow
+send_request(struct fixture *f, uint16_t port)
+{
+    struct flow flow = open_flow(f, port);
+
     send_data(f, &flow);
     return flow;
 }
@@ -211,30 +222,29 @@
 }
 
 /* A route with a deadline of 8 s whose answers take 5 ms. Its request was
- * reset after 3.2 s, on failures that were as old: the fault that they showed
- * had ended 5 s before. Failures after the request was sent are evidence, and
- * it then does not wait for a share of its long deadline. */
+ * reset after 3.2 s at an upstream whose fault had ended more than 5 s before.
+ * On recent evidence it is reset, but does not wait for a share of its
+ * deadline first. */
 static void
 test_long_deadline(void)
 {
-    for (int fresh = 0; fresh < 2; fresh++) {
+    for (int recent = 0; recent < 2; recent++) {
         struct fixture *f = create_fixture(8000, 8000);
         serve(f, MAIN_PORT, 60, 5);
-        struct flow flow = send_request(f, MAIN_PORT);
-        uint64_t sent_ms = f->now_ms;
+        struct flow flow = open_flow(f, MAIN_PORT);
         report_failures(f, &flow, 1, 2);
         report_failures(f, &flow, 2, 2);
+        serve(f, UNSAFE_PORT, recent ? 20 : 280, 5);
+        send_data(f, &flow);
+        uint64_t sent_ms = f->now_ms;
         uint64_t reset_ms = 0;
         while (f->now_ms < sent_ms + 3900) {
-            if (fresh && f->now_ms - sent_ms < 500) {
-                report_failures(f, &flow, 1, 3);
-            }
             serve(f, UNSAFE_PORT, 1, 5);
             if (f->resets > 0 && reset_ms == 0) {
                 reset_ms = f->now_ms - sent_ms;
             }
         }
-        g_assert_cmpuint(f->resets, ==, fresh);
+        g_assert_cmpuint(f->resets, ==, recent);
         g_assert_cmpuint(reset_ms, <, 2000);
         destroy_fixture(f);
     }
@@ -297,12 +307,160 @@
     destroy_fixture(f);
 }
 
+/* Sends the flow's next request, or a copy of it. */
+static struct rg_decision
+send_next(struct fixture *f, const struct flow *flow, uint32_t request)
+{
+    return send_packet(
+        f, flow,
+        (struct rg_segment){.token = flow->token,
+                            .seq = OPENING_SEQ + 1 + 100 * request,
+                            .ack = 1 + ANSWER_BYTES * request,
+                            .len = 100});
+}
+
+/* Opens a flow whose first request is answered, at the upstream of `other` if
+ * that is not NULL. */
+static struct flow
+open_kept_flow(struct fixture *f, uint16_t port, const struct flow *other)
+{
+    for (int i = 0; i < 1000; i++) {
+        struct flow flow = send_request(f, port);
+        run(f, 20);
+        if (!other || flow.token == other->token) {
+            send_packet(f, &flow,
+                        (struct rg_segment){.token = flow.token,
+                                            .seq = OPENING_SEQ + 101,
+                                            .ack = 1 + ANSWER_BYTES});
+            return flow;
+        }
+        send_answer(f, &flow);
+    }
+    g_assert_not_reached();
+}
+
+/* Serves requests elsewhere until `ms` after `from_ms`. */
+static void
+serve_until(struct fixture *f, const struct flow *gone, uint64_t from_ms,
+            uint32_t ms)
+{
+    while (f->now_ms < from_ms + ms) {
+        struct flow flow = send_request(f, UNSAFE_PORT);
+        run(f, 5);
+        if (flow.token != gone->token) {
+            send_answer(f, &flow);
+        }
+    }
+}
+
+/* An upstream is gone. Its flows' requests were never reset, as the next
+ * request of a further flow there recorded the answer to the one before, with
+ * the time of that request. */
+static void
+test_answer_before_next_request(void)
+{
+    struct fixture *f = create_fixture(1500, 1500);
+
+    serve(f, MAIN_PORT, 60, 20);
+    struct flow a = open_kept_flow(f, MAIN_PORT, NULL);
+    struct flow b = open_kept_flow(f, MAIN_PORT, &a);
+    struct flow other = open_kept_flow(f, UNSAFE_PORT, &a);
+    run(f, 300);
+    uint64_t sent_ms = f->now_ms;
+    send_next(f, &a, 1);
+    send_next(f, &b, 1);
+    serve_until(f, &a, sent_ms, 100);
+    send_next(f, &other, 1);
+    serve_until(f, &a, sent_ms, 200);
+    send_next(f, &a, 1);
+    send_next(f, &b, 1);
+    serve_until(f, &a, sent_ms, 600);
+    send_next(f, &a, 1);
+    send_next(f, &b, 1);
+    serve_until(f, &a, sent_ms, 800);
+    g_assert_cmpuint(f->resets, ==, 2);
+    destroy_fixture(f);
+}
+
+/* Guards against requests on flows that paused for longer than an idle entry
+ * is kept: they were not tracked, and waited for their deadline at an upstream
+ * that was gone. Those that must not run twice are left alone, and with peers
+ * that know no tokens of openings the token proves nothing. */
+static void
+test_resumed_flows(void)
+{
+    enum {
+        SAFE,
+        UNSAFE,
+        OLDER_PEERS,
+        CASES
+    };
+
+    for (int i = 0; i < CASES; i++) {
+        struct fixture *f = create_fixture(1500, 1500);
+        uint16_t port = i == UNSAFE ? UNSAFE_PORT : MAIN_PORT;
+        serve(f, MAIN_PORT, 60, 20);
+        struct flow a = open_kept_flow(f, port, NULL);
+        struct flow b = open_kept_flow(f, port, &a);
+        run(f, 6000);
+        g_assert_cmpuint(rg_balancer_tracked_count(f->balancer), ==, 0);
+        struct rg_fleet fleet = {.instances = 1,
+                                 .local_instances = 1,
+                                 .share = 1,
+                                 .opening_tokens = i != OLDER_PEERS};
+        rg_balancer_set_fleet(f->balancer, &fleet);
+        uint64_t sent_ms = f->now_ms;
+        static const uint32_t sends_ms[] = {0, 200, 600};
+        for (size_t n = 0; n < G_N_ELEMENTS(sends_ms); n++) {
+            serve_until(f, &a, sent_ms, sends_ms[n]);
+            send_next(f, &a, 1);
+            send_next(f, &b, 1);
+        }
+        serve_until(f, &a, sent_ms, 800);
+        g_assert_cmpuint(f->resets, ==, i == SAFE ? 2 : 0);
+        destroy_fixture(f);
+    }
+}
+
+/* Guards against a late copy of the opening that is taken for a new flow at an
+ * instance which tracks the flow only from later data on. */
+static void
+test_late_copy_of_resumed_flow(void)
+{
+    struct fixture *f = create_fixture(1500, 1500);
+
+    struct flow flow = open_kept_flow(f, MAIN_PORT, NULL);
+    run(f, 6000);
+    /* It is tracked for longer than an untracked packet is remembered. */
+    for (uint32_t request = 1; request < 4; request++) {
+        send_next(f, &flow, request);
+        run(f, 2500);
+    }
+    struct rg_decision d = send_packet(
+        f, &flow,
+        (struct rg_segment){.opening = true, .seq = OPENING_SEQ, .ack = 1});
+    g_assert_cmpint(d.kind, ==, RG_DECISION_DROP);
+    /* Its request is still known. */
+    send_packet(f, &flow,
+                (struct rg_segment){.token = flow.token,
+                                    .seq = OPENING_SEQ + 401,
+                                    .ack = 1 + 4 * ANSWER_BYTES});
+    g_assert_cmpuint(rg_balancer_tracked_count(f->balancer), ==, 1);
+    g_assert_cmpuint(captured_log_count(&f->log, "UNANSWERED"), ==, 0);
+    destroy_fixture(f);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/wrong-resets/long-deadline", test_long_deadline);
-    g_test_add_func("/wrong-resets/quiet-route", test_quiet_route);
-    g_test_add_func("/wrong-resets/adopted-request", test_adopted_request);
+    g_test_add_func("/resets/long-deadline", test_long_deadline);
+    g_test_add_func("/resets/quiet-route", test_quiet_route);
+    g_test_add_func("/resets/adopted-request", test_adopted_request);
+    g_test_add_func("/resets/answer-before-next-request",
+                    test_answer_before_next_request);
+    g_test_add_func("/resets/resumed-flows", test_resumed_flows);
+    g_test_add_func("/resets/late-copy-of-resumed-flow",
+                    test_late_copy_of_resumed_flow);
     return g_test_run();
 }
