--- a/balance/unacknowledged.c
+++ b/balance/unacknowledged.c
@@ -293,7 +293,7 @@
 rg_unacknowledged_may_be_frozen(const struct rg_endpoint *e,
                                 uint32_t timeout_ms, uint64_t now_ms)
 {
-    return timeout_ms > FROZEN_MAX_MS &&
+    return rg_unacknowledged_can_wait(timeout_ms) &&
            rg_unacknowledged_is_recent(e, now_ms) &&
            now_ms - e->unacknowledged.since_ms < FROZEN_MAX_MS;
 }
