balance: a flow that has just opened is not reset for a removed route

The route had been removed and added again; the flow opened by way of an instance with version 12, and its first acknowledgement reached one with version 10, REFUSED reason="route-removed". The token of an opening shows that the flow has just opened where its route exists, so its packets are dropped here until the newer version comes. Older flows are reset as before.

Test, red before: test_flow_records /route-added-again.

--- a/balance/open_flows.c
+++ b/balance/open_flows.c
@@ -24,21 +24,6 @@
            b->now_ms - b->started_ms < b->opts.flow_age_ms;
 }
 
-/* A packet of an open flow to an address without a route. The route was
- * removed, or a newer version that only peers have so far adds it. */
-static struct rg_decision
-handle_missing_route(struct rg_balancer *b, const struct rg_segment *s)
-{
-    if (!rg_bal_is_confirmed(b) ||
-        !rg_routes_was_removed(b->routes, s->flow.service_ip,
-                               s->flow.service_port))
-    {
-        return rg_bal_drop(b, s, RG_METRIC_DROPPED_UNKNOWN_ROUTE,
-                           "unknown-route");
-    }
-    return rg_bal_refuse(b, s, RG_METRIC_REFUSED_NO_ROUTE, "route-removed");
-}
-
 /* What the token of a packet says of its flow's endpoint. */
 enum token_kind {
     TOKEN_UNKNOWN,
@@ -54,6 +39,23 @@
     uint32_t opening_seq;         /* for TOKEN_START */
 };
 
+/* A packet of an open flow to an address without a route. The route was
+ * removed, or a newer version that only peers have so far adds it. A flow that
+ * has just opened did so by way of an instance that has the route. */
+static struct rg_decision
+handle_missing_route(struct rg_balancer *b, const struct rg_segment *s,
+                     const struct named *named)
+{
+    if (!rg_bal_is_confirmed(b) || named->kind == TOKEN_START ||
+        !rg_routes_was_removed(b->routes, s->flow.service_ip,
+                               s->flow.service_port))
+    {
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_UNKNOWN_ROUTE,
+                           "unknown-route");
+    }
+    return rg_bal_refuse(b, s, RG_METRIC_REFUSED_NO_ROUTE, "route-removed");
+}
+
 /* Reads the token of an opening of a flow that is not tracked here. The
  * caller's initial sequence number is not known, but the first packets of a
  * flow show it: they are full, but for the last one of a request. */
@@ -340,7 +342,7 @@
         return handle_unplaced(b, s, &named);
     }
     if (!route) {
-        return handle_missing_route(b, s);
+        return handle_missing_route(b, s, &named);
     }
     /* At its start, a flow with other sequence numbers is a new one. */
     return t && named.kind != TOKEN_START
--- a/test/test_flow_records.c
+++ b/test/test_flow_records.c
@@ -327,6 +327,42 @@
         RG_DECISION_FORWARD);
 }
 
+/* A version of the configuration with or without the shop's route. */
+static void
+set_version(struct fixture *f, int instance, uint64_t version, bool has_route)
+{
+    struct rg_route *route = g_new0(struct rg_route, 1);
+
+    *route = (struct rg_route){.ip = SHOP_IP,
+                               .port = has_route ? SHOP_PORT : SHOP_PORT + 1,
+                               .share_count = 1};
+    route->shares[0] =
+        (struct rg_route_share){.service = name("shop"), .weight = 1};
+    rg_balancer_set_routes(f->instances[instance],
+                           rg_routes_create(version, route, 1));
+}
+
+/* Guards against a reset of a flow whose route was removed and added again: it
+ * has just opened by way of an instance that has the latest version, and its
+ * next packet reaches one that has only seen the removal (soak, sanitized
+ * build, seed 5). An older flow is reset there. */
+static void
+test_route_added_again(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    set_version(f, 0, 2, false);
+    set_version(f, 1, 2, false);
+    set_version(f, 0, 3, true);
+    struct tokens token = open_at(f, 0, 0);
+    f->now_ms += RTT_MS;
+    g_assert_cmpint(acknowledge(f, 1, token.opening).kind, ==,
+                    RG_DECISION_DROP);
+    g_assert_cmpint(send_data(f, 1, token.opening, 0, 0, 100).kind, ==,
+                    RG_DECISION_DROP);
+    g_assert_cmpint(send_data(f, 1, token.flow, 100, 1000, 100).kind, ==,
+                    RG_DECISION_REFUSE);
+}
+
 /* Guards against a flow that counts as moved, so that its hung request is
  * forgotten, because a peer was told of it or got a late copy of its opening.
  */
@@ -453,6 +489,7 @@
         {"/flow-records/held-after-late-copy", test_held_after_late_copy},
         {"/flow-records/held-in-vain", test_held_in_vain},
         {"/flow-records/no-peers-to-ask", test_no_peers_to_ask},
+        {"/flow-records/route-added-again", test_route_added_again},
         {"/flow-records/no-false-sighting", test_no_false_sighting},
         {"/flow-records/record-of-earlier-flow", test_record_of_earlier_flow},
         {"/flow-records/many-flows", test_many_flows},
