--- a/balance/outlier.c
+++ b/balance/outlier.c
@@ -78,8 +78,8 @@
 }
 
 void
-rg_endpoint_add_outcome(struct rg_endpoint *e, enum rg_outcome outcome,
-                        uint64_t now_ms)
+rg_endpoint_add_outcome_at(struct rg_endpoint *e, enum rg_outcome outcome,
+                           uint64_t at_ms, uint64_t now_ms)
 {
     struct rg_outlier_state *s = &e->outlier;
 
@@ -88,10 +88,20 @@
     if (outcome == RG_OUTCOME_FAILED && !rg_endpoint_is_suspect(e, now_ms)) {
         rg_outcomes_clear(&s->own);
     }
-    rg_outcomes_add(&s->own, outcome, now_ms);
+    if (outcome == RG_OUTCOME_FAILED) {
+        s->failed_before_ms = s->own.last_ms[RG_OUTCOME_FAILED];
+    }
+    rg_outcomes_add_at(&s->own, outcome, at_ms, now_ms);
     s->serial++;
 }
 
+void
+rg_endpoint_add_outcome(struct rg_endpoint *e, enum rg_outcome outcome,
+                        uint64_t now_ms)
+{
+    rg_endpoint_add_outcome_at(e, outcome, now_ms, now_ms);
+}
+
 double
 rg_endpoint_pooled_failure_rate(const struct rg_endpoint *e, uint64_t now_ms)
 {
@@ -123,6 +133,16 @@
            total(e, RG_OUTCOME_LATE, now_ms) == 0;
 }
 
+uint64_t
+rg_endpoint_other_failure_ms(const struct rg_endpoint *e, uint64_t own_ms)
+{
+    const struct rg_outlier_state *s = &e->outlier;
+    uint64_t last_ms = s->own.last_ms[RG_OUTCOME_FAILED];
+
+    return later(s->reported_failed_ms,
+                 last_ms == own_ms ? s->failed_before_ms : last_ms);
+}
+
 bool
 rg_endpoint_only_failures_since(const struct rg_endpoint *e, uint64_t since_ms,
                                 uint64_t now_ms)
--- a/test/test_flow_records.c
+++ b/test/test_flow_records.c
@@ -297,6 +297,72 @@
     g_assert_cmpuint(counter(f, 1, RG_METRIC_HELD), ==, 2);
 }
 
+/* Guards against following the token of an answer that the caller did not take
+ * where no peer can say so: the flow moved to an instance that heard nothing
+ * from its peers, asked in vain, and reached an upstream that reset it (soak,
+ * seed 74050). Without known peers the token is followed. */
+static void
+test_no_peers_to_ask(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    hold_packets(f);
+    rg_balancer_peer_heard(f->instances[1], f->now_ms);
+    struct two_answers a = open_at_two(f);
+    acknowledge(f, 0, a.taken.opening);
+    send_data(f, 0, a.taken.opening, 0, 0, 100);
+    f->now_ms += 1100;
+    struct rg_segment s = first_data(a.other.opening);
+    g_assert_cmpint(rg_balancer_packet(f->instances[1], &s, f->now_ms).kind,
+                    ==, RG_DECISION_HOLD);
+    g_assert_cmpint(
+        rg_balancer_held_packet(f->instances[1], &s, f->now_ms + 30).kind, ==,
+        RG_DECISION_DROP);
+    rg_balancer_set_fleet(f->instances[1],
+                          &(struct rg_fleet){.instances = 1,
+                                             .local_instances = 1,
+                                             .share = 1,
+                                             .opening_tokens = true});
+    g_assert_cmpint(
+        rg_balancer_packet(f->instances[1], &s, f->now_ms + 400).kind, ==,
+        RG_DECISION_FORWARD);
+}
+
+/* A version of the configuration with or without the shop's route. */
+static void
+set_version(struct fixture *f, int instance, uint64_t version, bool has_route)
+{
+    struct rg_route *route = g_new0(struct rg_route, 1);
+
+    *route = (struct rg_route){.ip = SHOP_IP,
+                               .port = has_route ? SHOP_PORT : SHOP_PORT + 1,
+                               .share_count = 1};
+    route->shares[0] =
+        (struct rg_route_share){.service = name("shop"), .weight = 1};
+    rg_balancer_set_routes(f->instances[instance],
+                           rg_routes_create(version, route, 1));
+}
+
+/* Guards against a reset of a flow whose route was removed and added again: it
+ * has just opened by way of an instance that has the latest version, and its
+ * next packet reaches one that has only seen the removal (soak, sanitized
+ * build, seed 5). An older flow is reset there. */
+static void
+test_route_added_again(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    set_version(f, 0, 2, false);
+    set_version(f, 1, 2, false);
+    set_version(f, 0, 3, true);
+    struct tokens token = open_at(f, 0, 0);
+    f->now_ms += RTT_MS;
+    g_assert_cmpint(acknowledge(f, 1, token.opening).kind, ==,
+                    RG_DECISION_DROP);
+    g_assert_cmpint(send_data(f, 1, token.opening, 0, 0, 100).kind, ==,
+                    RG_DECISION_DROP);
+    g_assert_cmpint(send_data(f, 1, token.flow, 100, 1000, 100).kind, ==,
+                    RG_DECISION_REFUSE);
+}
+
 /* Guards against a flow that counts as moved, so that its hung request is
  * forgotten, because a peer was told of it or got a late copy of its opening.
  */
@@ -422,6 +488,8 @@
         {"/flow-records/held-at-start", test_held_at_start},
         {"/flow-records/held-after-late-copy", test_held_after_late_copy},
         {"/flow-records/held-in-vain", test_held_in_vain},
+        {"/flow-records/no-peers-to-ask", test_no_peers_to_ask},
+        {"/flow-records/route-added-again", test_route_added_again},
         {"/flow-records/no-false-sighting", test_no_false_sighting},
         {"/flow-records/record-of-earlier-flow", test_record_of_earlier_flow},
         {"/flow-records/many-flows", test_many_flows},
