cold_start: a limit on openings to cold upstreams, for all instances together

An upstream that has just started is slower; nothing but a factor on its cost kept openings away, and each instance decided by its own work there. With more instances than the limit has openings, one opening of each is too many.

Each instance keeps to a share by the most instances known lately, by digests or by registrations in the store, so that a partition does not widen it: up to as many instances as the limit has openings it spaces its own, beyond that it has turns, drawn by hash, so few that chance exceeds the limit in less than one second in a million. The predicate is asked for every candidate and copy. Where only cold upstreams are left, the rest is refused at once.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -76,6 +76,7 @@
     }
     rg_routes_destroy(b->routes);
     b->routes = routes;
+    rg_bal_set_cold_limits(b);
     return true;
 }
 
@@ -149,6 +150,7 @@
 rg_balancer_set_fleet(struct rg_balancer *b, const struct rg_fleet *fleet)
 {
     b->fleet = *fleet;
+    rg_instances_known_add(&b->instances_known, fleet->instances, b->now_ms);
 }
 
 uint32_t
@@ -222,6 +224,7 @@
     rg_pool_tick(b->pool, now_ms);
     rg_bal_tick_admission(b);
     rg_bal_tick_outcomes(b);
+    rg_bal_tick_cold_start(b);
 }
 
 void
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -12,6 +12,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "balance/cold_start.h"
 #include "balance/flow_records.h"
 #include "balance/metrics.h"
 #include "balance/outcome_table.h"
@@ -32,7 +33,8 @@
      * called from rg_balancer_tick(). */
     void (*refuse)(void *ctx, const struct rg_segment *last);
     void *ctx;
-    bool can_hold; /* RG_DECISION_HOLD is understood */
+    bool can_hold;                     /* RG_DECISION_HOLD is understood */
+    struct rg_cold_bounds cold_bounds; /* of openings to cold upstreams */
 };
 
 enum rg_decision_kind {
@@ -82,6 +84,11 @@
 void rg_balancer_set_fleet(struct rg_balancer *b,
                            const struct rg_fleet *fleet);
 
+/* So many instances are registered in the store, whether or not they can be
+ * reached. */
+void rg_balancer_set_registered(struct rg_balancer *b, size_t instances,
+                                uint64_t now_ms);
+
 /* New flows per second that this instance gets (moving average). */
 uint32_t rg_balancer_openings_per_s(const struct rg_balancer *b);
 
--- a/balance/metrics.c
+++ b/balance/metrics.c
@@ -14,6 +14,7 @@
     [RG_METRIC_REFUSED_NO_UPSTREAM] = "refused_no_upstream",
     [RG_METRIC_REFUSED_DEAD_UPSTREAM] = "refused_dead_upstream",
     [RG_METRIC_REFUSED_OVERLOAD] = "refused_overload",
+    [RG_METRIC_REFUSED_COLD] = "refused_cold",
     [RG_METRIC_DROPPED_NOT_READY] = "dropped_not_ready",
     [RG_METRIC_DROPPED_STALE_VIEW] = "dropped_stale_view",
     [RG_METRIC_DROPPED_UNKNOWN_TOKEN] = "dropped_unknown_token",
--- a/balance/openings.c
+++ b/balance/openings.c
@@ -1,6 +1,7 @@
 /* Openings of flows: whether one is forwarded, refused or dropped, and where
  * its copies go. */
 #include <math.h>
+#include <string.h>
 
 #include "balance/passive_health.h"
 #include "balance/pick.h"
@@ -18,6 +19,9 @@
 /* Copies of an opening that arrive closer together than this have waited on
  * their way: callers send them 200 ms apart or more. */
 #define COPY_MIN_INTERVAL_MS 100
+/* Reason of a refusal: the upstreams that are left are cold, and get no more
+ * for now. */
+#define COLD "cold-upstreams"
 
 static uint32_t
 overdue_ms(const struct rg_balancer *b)
@@ -91,6 +95,7 @@
                   .idempotent = route->repeat == RG_REPEAT_SAFE,
                   .now_ms = b->now_ms},
         .rand = &b->rand,
+        .cold = rg_bal_cold_start(b, service),
     };
     struct rg_pick picked = rg_pick_upstream(b->pool, &opts);
 
@@ -132,13 +137,17 @@
               uint32_t service)
 {
     struct rg_pick same = {.endpoint = t->endpoint, .rule = RG_PICK_SAME};
-    struct rg_pick none = {.rule = RG_PICK_NONE, .diverted = true};
+    struct rg_pick none = {
+        .rule = RG_PICK_NONE,
+        .diverted = t->endpoint->data_centre->evacuation->in_force,
+        .cold = !rg_bal_cold_start_allows(b, t->endpoint),
+    };
 
     if (came_too_soon(b, t)) {
-        return t->endpoint->data_centre->evacuation->in_force ? none : same;
+        return none.diverted || none.cold ? none : same;
     }
     bool stays = s->ack <= 1 && has_responded_since(b, t) &&
-                 rg_pick_takes_flows(t->endpoint);
+                 rg_pick_takes_flows(t->endpoint) && !none.cold;
     note_unanswered_opening(b, t);
     return stays ? same : pick_upstream(b, t, route, service);
 }
@@ -180,7 +189,11 @@
     if (may_be_open) {
         return rg_bal_drop(b, s, RG_METRIC_DROPPED_NO_UPSTREAM, reason);
     }
-    return rg_bal_refuse(b, s, RG_METRIC_REFUSED_NO_UPSTREAM, reason);
+    return rg_bal_refuse(b, s,
+                         strcmp(reason, COLD) == 0
+                             ? RG_METRIC_REFUSED_COLD
+                             : RG_METRIC_REFUSED_NO_UPSTREAM,
+                         reason);
 }
 
 /* The token for an opening. It must not be taken for that of an open flow. */
@@ -232,7 +245,8 @@
         rg_bal_count(b, RG_METRIC_OPENINGS_DIVERTED);
     }
     if (!picked.endpoint) {
-        return opening_without_upstream(b, s, may_be_open, "no-upstream");
+        return opening_without_upstream(b, s, may_be_open,
+                                        picked.cold ? COLD : "no-upstream");
     }
     uint32_t token = opening_token(b, picked.endpoint, s->seq);
     rg_bal_log_opening(b, s, t, &picked, token);
@@ -248,5 +262,6 @@
         t->probe = picked.rule == RG_PICK_PROBE;
     }
     rg_endpoint_opening_sent(picked.endpoint, b->now_ms);
+    rg_bal_cold_start_sent(b, picked.endpoint);
     return rg_bal_forward(b, picked.endpoint, token);
 }
--- a/balance/pick.c
+++ b/balance/pick.c
@@ -305,6 +305,7 @@
     size_t local;   /* of these, in the local data centre; they rotate among
                        themselves */
     bool evacuated; /* an upstream was left out since its data centre is */
+    bool cold;      /* the same since it is cold */
 };
 
 /* False if the choice with this draw holds back from the data centre, to which
@@ -331,6 +332,10 @@
         if (!takes_flows(e)) {
             out->evacuated |= is_usable(e);
         }
+        else if (!rg_cold_start_allows(opts->cold, e, opts->probe.self,
+                                       opts->now_ms)) {
+            out->cold = true;
+        }
         else if (may_consider(e->data_centre, draw, opts->now_ms)) {
             out->endpoints[out->count++] = e;
         }
@@ -350,6 +355,7 @@
 
     out->count = 0;
     out->evacuated = false;
+    out->cold = false;
     add_candidates(out, endpoints, local, max, opts, draw);
     out->local = out->count;
     add_candidates(out, endpoints + local, count - local, CANDIDATES_MAX, opts,
@@ -398,6 +404,9 @@
 {
     for (size_t i = 0; i < candidates->count; i++) {
         struct rg_endpoint *e = candidates->endpoints[i];
+        if (rg_cold_start_applies(opts->cold, e, opts->now_ms)) {
+            continue; /* its turns are rare, and not used by all at once */
+        }
         size_t round = e->local ? candidates->local : candidates->count;
         if (e->last_choice != 0 &&
             opts->choice - e->last_choice <= ROUNDS_MISSED_MAX * round)
@@ -429,12 +438,12 @@
         }
         if (probe_is_due(e, opts)) {
             e->outlier.probed_ms = opts->now_ms;
-            best = (struct rg_pick){e, RG_PICK_PROBE, 0, false};
+            best = (struct rg_pick){e, RG_PICK_PROBE, 0, false, false};
             break;
         }
         if (second_request_is_due(e, opts)) {
             e->outlier.probed_ms = opts->now_ms;
-            best = (struct rg_pick){e, RG_PICK_SECOND, 0, false};
+            best = (struct rg_pick){e, RG_PICK_SECOND, 0, false, false};
             break;
         }
         if (is_excluded(e, opts->now_ms) && !use_excluded) {
@@ -442,17 +451,18 @@
         }
         if (trial_is_due(e, opts->now_ms)) {
             e->data_centre->trial_ms = opts->now_ms;
-            best = (struct rg_pick){e, RG_PICK_TRIAL, 0, false};
+            best = (struct rg_pick){e, RG_PICK_TRIAL, 0, false, false};
             break;
         }
         double cost = cost_of(e, mean_ms, opts);
         if (is_better(&best, e, cost)) {
-            best = (struct rg_pick){e, RG_PICK_BEST, cost, false};
+            best = (struct rg_pick){e, RG_PICK_BEST, cost, false, false};
         }
     }
     if (best.endpoint) {
         best.endpoint->last_choice = opts->choice;
     }
     best.diverted = candidates.evacuated;
+    best.cold = candidates.cold;
     return best;
 }
--- a/balance/pick.h
+++ b/balance/pick.h
@@ -8,6 +8,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "balance/cold_start.h"
 #include "balance/outlier.h"
 #include "balance/passive_health.h"
 #include "balance/pool.h"
@@ -35,6 +36,8 @@
     double lost_share;   /* of recent openings, 0 to 1 */
     double service_failure_rate; /* of this instance's requests to it */
     bool overloaded; /* the service is: failures are due to queues */
+    const struct rg_cold_start *cold; /* limit for cold upstreams, NULL: none;
+                                         borrowed */
     struct rg_probe_opts probe;
     struct rg_rand *rand; /* borrowed; for random tie breaking */
 };
@@ -45,6 +48,7 @@
     double cost;   /* of the chosen upstream, in queued requests */
     bool diverted; /* upstreams were left out as their data centre is
                       evacuated */
+    bool cold;     /* the same as they are cold and get no more for now */
 };
 
 /* True if the upstream may get openings at all, whatever its health. */
--- a/balance/pool.h
+++ b/balance/pool.h
@@ -86,6 +86,7 @@
     uint64_t revision;      /* of its entry */
     uint64_t keep_until_ms; /* MISSING: usable until; GONE: retained until */
     uint64_t cold_until_ms;
+    uint64_t cold_opening_ms; /* last opening sent while it was cold */
     uint32_t listing; /* number of the last listing that contained it */
     uint32_t refs;    /* tracked flows that point to it */
 
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -4,6 +4,7 @@
 
 #include "balance/admit.h"
 #include "balance/balancer.h"
+#include "balance/cold_start.h"
 #include "balance/flow_records.h"
 #include "balance/moved_flows.h"
 #include "balance/outcome_table.h"
@@ -18,6 +19,8 @@
     struct rg_outcomes outcomes; /* of this instance's requests */
     uint64_t choices;            /* upstream choices made so far */
     uint64_t overloaded_ms;      /* last time it was overloaded, 0: never */
+    double cold_per_s;           /* configured limit, 0: none */
+    struct rg_cold_start cold;   /* what this instance may send */
 };
 
 struct rg_balancer {
@@ -33,6 +36,7 @@
     struct rg_bal_service *services; /* by service index */
     size_t service_count;
     struct rg_fleet fleet;
+    struct rg_instances_known instances_known;
     double openings_per_s;    /* moving average */
     uint64_t openings_before; /* value of the counter at the last tick */
     /* Moving averages: share of openings that were lost and retransmitted,
@@ -152,6 +156,20 @@
  * does not exist. */
 bool rg_bal_is_confirmed(const struct rg_balancer *b);
 
+/* Limits on openings to cold upstreams, in balancer_cold_start.c. */
+
+/* Applies the limits of the routes in force. */
+void rg_bal_set_cold_limits(struct rg_balancer *b);
+/* What this instance may send; NULL: no limit. */
+const struct rg_cold_start *rg_bal_cold_start(const struct rg_balancer *b,
+                                              uint32_t service);
+bool rg_bal_cold_start_allows(const struct rg_balancer *b,
+                              const struct rg_endpoint *e);
+/* An opening is sent to the upstream. */
+void rg_bal_cold_start_sent(struct rg_balancer *b, struct rg_endpoint *e);
+/* Call every RG_BALANCER_TICK_MS. */
+void rg_bal_tick_cold_start(struct rg_balancer *b);
+
 /* Admission control, in balancer_admission.c. */
 
 /* Allocates the state of services up to this index. */
--- a/balance/routes.c
+++ b/balance/routes.c
@@ -25,6 +25,8 @@
     size_t size;       /* a power of two */
     uint64_t *removed; /* addresses of removed routes */
     size_t removed_count;
+    struct rg_cold_limit *cold_limits;
+    size_t cold_limit_count;
 };
 
 static uint64_t
@@ -80,10 +82,27 @@
         free(r->routes);
         free(r->slots);
         free(r->removed);
+        free(r->cold_limits);
         free(r);
     }
 }
 
+void
+rg_routes_set_cold_limits(struct rg_routes *r, struct rg_cold_limit *limits,
+                          size_t count)
+{
+    free(r->cold_limits);
+    r->cold_limits = limits;
+    r->cold_limit_count = count;
+}
+
+const struct rg_cold_limit *
+rg_routes_cold_limits(const struct rg_routes *r, size_t *count)
+{
+    *count = r->cold_limit_count;
+    return r->cold_limits;
+}
+
 uint64_t
 rg_routes_version(const struct rg_routes *r)
 {
--- a/balance/routes.h
+++ b/balance/routes.h
@@ -41,6 +41,12 @@
     uint32_t answers;    /* that the medians are based on */
 };
 
+/* What an upstream of a service can handle while it is cold. */
+struct rg_cold_limit {
+    struct rg_name service;
+    double per_s; /* openings a second */
+};
+
 struct rg_routes;
 
 /* Takes ownership of `routes`, an array allocated with malloc(). Of two routes
@@ -49,6 +55,13 @@
                                    size_t count);
 void rg_routes_destroy(struct rg_routes *r);
 
+/* Limits of the services of this version; takes ownership of `limits`, an
+ * array allocated with malloc(). None by default. */
+void rg_routes_set_cold_limits(struct rg_routes *r,
+                               struct rg_cold_limit *limits, size_t count);
+const struct rg_cold_limit *rg_routes_cold_limits(const struct rg_routes *r,
+                                                  size_t *count);
+
 uint64_t rg_routes_version(const struct rg_routes *r);
 size_t rg_routes_count(const struct rg_routes *r);
 struct rg_route *rg_routes_at(struct rg_routes *r, size_t i);
--- a/balance/snapshot.c
+++ b/balance/snapshot.c
@@ -8,6 +8,7 @@
 
 #define LENGTH_BYTES 4
 #define MESSAGE_MAX 16384
+#define MILLI 1000
 
 /* --- writing ------------------------------------------------------------- */
 
@@ -42,6 +43,31 @@
     }
 }
 
+/* Adds the limits of services to the part that is being written, and to
+ * further ones if there are many. */
+static void
+write_cold_limits(struct rg_msg *m, const struct rg_routes *routes,
+                  struct rg_strbuf *out)
+{
+    struct rg_msg_routes_part *part = &m->u.routes_part;
+    size_t max = sizeof(part->cold_limits) / sizeof(part->cold_limits[0]);
+    size_t count;
+    const struct rg_cold_limit *limits = rg_routes_cold_limits(routes, &count);
+
+    for (size_t i = 0; i < count; i++) {
+        if (part->cold_limits_count == max) {
+            write_message(m, out);
+            part->routes_count = 0;
+            part->cold_limits_count = 0;
+        }
+        part->cold_limits[part->cold_limits_count++] =
+            (struct rg_msg_cold_limit){
+                .service = limits[i].service,
+                .milli_per_s = (uint64_t)(limits[i].per_s * MILLI),
+            };
+    }
+}
+
 static void
 write_routes(struct rg_routes *routes, struct rg_strbuf *out)
 {
@@ -55,6 +81,9 @@
     for (size_t i = 0; i < total; i++) {
         encode_route(&part->routes[part->routes_count++],
                      rg_routes_at(routes, i));
+        if (i + 1 == total) {
+            write_cold_limits(&m, routes, out);
+        }
         if (part->routes_count == max || i + 1 == total) {
             write_message(&m, out);
             part->routes_count = 0;
@@ -191,6 +220,8 @@
     struct rg_route *routes;
     size_t route_count;
     size_t route_total;
+    struct rg_cold_limit *cold_limits;
+    size_t cold_limit_count;
     uint64_t revision;
     struct rg_msg_boot *endpoints;
     size_t endpoint_count;
@@ -221,6 +252,21 @@
     return r->repeat <= RG_REPEAT_UNSAFE;
 }
 
+static void
+add_cold_limits(struct contents *c, const struct rg_msg_routes_part *part)
+{
+    size_t count = c->cold_limit_count + part->cold_limits_count;
+
+    c->cold_limits =
+        rg_realloc(c->cold_limits, (count + 1) * sizeof(*c->cold_limits));
+    for (uint16_t i = 0; i < part->cold_limits_count; i++) {
+        c->cold_limits[c->cold_limit_count++] = (struct rg_cold_limit){
+            .service = part->cold_limits[i].service,
+            .per_s = (double)part->cold_limits[i].milli_per_s / MILLI,
+        };
+    }
+}
+
 static bool
 add_routes(struct contents *c, const struct rg_msg_routes_part *part)
 {
@@ -238,6 +284,7 @@
         }
     }
     c->route_count = count;
+    add_cold_limits(c, part);
     return true;
 }
 
@@ -373,9 +420,12 @@
 
     ok = ok && c.after <= *revision;
     if (ok && c.version > rg_balancer_version(b)) {
-        rg_balancer_set_routes(
-            b, rg_routes_create(c.version, c.routes, c.route_count));
+        struct rg_routes *routes =
+            rg_routes_create(c.version, c.routes, c.route_count);
+        rg_routes_set_cold_limits(routes, c.cold_limits, c.cold_limit_count);
+        rg_balancer_set_routes(b, routes);
         c.routes = NULL;
+        c.cold_limits = NULL;
     }
     if (ok && c.revision > *revision) {
         apply_evacuations(rg_balancer_pool(b), &c, now_ms);
@@ -383,6 +433,7 @@
         *revision = c.revision;
     }
     free(c.routes);
+    free(c.cold_limits);
     free(c.endpoints);
     free(c.evacuations);
     free(m);
--- a/edge/main.c
+++ b/edge/main.c
@@ -485,6 +485,8 @@
         .log = &e->log,
         .refuse = on_refuse,
         .can_hold = true,
+        .cold_bounds = {.overrun = settings->cold_overrun / 1000.0,
+                        .slack = settings->cold_slack / 1000.0},
         .ctx = e,
     };
 
--- a/edge/store_client.c
+++ b/edge/store_client.c
@@ -32,6 +32,7 @@
     uint64_t confirmed_ms;  /* last confirmation of the view, 0: never */
     uint64_t answered_ms;   /* the same by the store itself, not by peers */
     uint32_t answers;       /* number of these */
+    size_t registered;      /* instances in the listing so far */
 };
 
 static void make_next_call(struct rg_store_client *s);
@@ -105,6 +106,7 @@
         log_invalid(s, c);
         break;
     case RG_KV_INSTANCE:
+        s->registered++;
         s->opts.on_instance(s->opts.ctx, &c->instance);
         break;
     case RG_KV_OTHER:
@@ -182,6 +184,7 @@
         rg_pool_begin_listing(pool);
         rg_evacuations_begin_listing(rg_pool_evacuations(pool));
         s->first_page_ms = response->past_evacuations ? now : 0;
+        s->registered = 0;
     }
     for (size_t i = 0; i < decoded->count; i++) {
         apply_change(s, &decoded->changes[i]);
@@ -203,6 +206,7 @@
                             rg_store_sync_keep_ms(s->sync, now), now);
         rg_evacuations_end_listing(rg_pool_evacuations(pool),
                                    rg_store_sync_revision(s->sync), now);
+        rg_balancer_set_registered(s->opts.balancer, s->registered, now);
     }
     set_reachable(s, true, "answered");
     if (rg_store_sync_complete(s->sync)) {
--- a/options/edge.gen.h
+++ b/options/edge.gen.h
@@ -53,6 +53,12 @@
     /* longest time until the upstreams of an evacuated data centre get no new
      * flows; no limit of its own by default */
     uint32_t evacuate_ms;
+    /* factor on the rate that a service states for its cold upstreams: the
+     * limit in any second, in thousandths */
+    uint32_t cold_overrun;
+    /* openings beyond that limit that a cold upstream may get in any second,
+     * in thousandths */
+    uint32_t cold_slack;
     /* time from a stop signal until the process is killed, ms */
     uint32_t grace_ms;
     /* limit on flows tracked at once; others are steered by token alone */
--- a/options/opt.c
+++ b/options/opt.c
@@ -75,7 +75,7 @@
 load_duration(struct loader *l, const struct rg_opt *row, void *out,
               struct json_object *o, const char *path)
 {
-    double unit_ms = row->type == RG_OPT_SECONDS ? 1000 : 1;
+    double unit_ms = row->type == RG_OPT_MILLIS ? 1 : 1000;
     double ms = ceil(json_object_get_double(o) * unit_ms);
     char expected[96];
 
@@ -213,6 +213,7 @@
         break;
     case RG_OPT_SECONDS:
     case RG_OPT_MILLIS:
+    case RG_OPT_THOUSANDTHS:
         load_duration(l, row, out, o, path);
         break;
     case RG_OPT_CHOICE:
@@ -241,6 +242,7 @@
     case RG_OPT_U32:
     case RG_OPT_SECONDS:
     case RG_OPT_MILLIS:
+    case RG_OPT_THOUSANDTHS:
     case RG_OPT_CHOICE:
         memcpy(out, &value32, sizeof(value32));
         break;
--- a/options/opt.h
+++ b/options/opt.h
@@ -21,6 +21,8 @@
      * Fractions are allowed and rounded up to a whole millisecond. */
     RG_OPT_SECONDS,
     RG_OPT_MILLIS,
+    /* A number, stored in thousandths like seconds. */
+    RG_OPT_THOUSANDTHS,
     RG_OPT_TEXT,   /* char *, owned */
     RG_OPT_NAME,   /* struct rg_name */
     RG_OPT_ADDR,   /* struct rg_addr, "ip:port" */
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -456,6 +456,33 @@
     return true;
 }
 
+static void
+pack_cold_limit(msgpack_packer *pk, const struct rg_msg_cold_limit *m)
+{
+    rg_pack_list(pk, 2);
+    rg_pack_name(pk, &m->service);
+    rg_pack_u64(pk, m->milli_per_s);
+}
+
+static bool
+unpack_cold_limit(const msgpack_object *o, struct rg_msg_cold_limit *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 2)) {
+        return false;
+    }
+    if (!rg_unpack_name(&o->via.array.ptr[0], &m->service)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[1], 18446744073709551615ULL, &value))
+    {
+        return false;
+    }
+    m->milli_per_s = (uint64_t)value;
+    return true;
+}
+
 static void
 pack_flow_id(msgpack_packer *pk, const struct rg_msg_flow_id *m)
 {
@@ -1096,6 +1123,10 @@
     for (uint16_t i = 0; i < m->routes_count; i++) {
         pack_route(pk, &m->routes[i]);
     }
+    rg_pack_list(pk, m->cold_limits_count);
+    for (uint16_t i = 0; i < m->cold_limits_count; i++) {
+        pack_cold_limit(pk, &m->cold_limits[i]);
+    }
 }
 
 static bool
@@ -1124,6 +1155,18 @@
             return false;
         }
     }
+    if (o->via.array.size > 5) {
+        if (!rg_unpack_list(&o->via.array.ptr[5], 16, &m->cold_limits_count)) {
+            return false;
+        }
+        for (uint16_t i = 0; i < m->cold_limits_count; i++) {
+            if (!unpack_cold_limit(&o->via.array.ptr[5].via.array.ptr[i],
+                                   &m->cold_limits[i]))
+            {
+                return false;
+            }
+        }
+    }
     return true;
 }
 
@@ -1382,7 +1425,7 @@
         pack_digest(&pk, &m->u.digest);
         break;
     case RG_MSG_ROUTES_PART:
-        rg_pack_list(&pk, 5);
+        rg_pack_list(&pk, 6);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_routes_part(&pk, &m->u.routes_part);
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -168,6 +168,14 @@
     uint32_t age_ms;
 };
 
+/* What a cold upstream of a service can handle. */
+struct rg_msg_cold_limit {
+    /* name of the service */
+    struct rg_name service;
+    /* openings in 1000 s */
+    uint64_t milli_per_s;
+};
+
 /* Both ends of a flow. */
 struct rg_msg_flow_id {
     /* IPv4 address of the caller, host byte order */
@@ -385,6 +393,9 @@
     /* routes */
     uint16_t routes_count;
     struct rg_msg_route routes[16];
+    /* limits of services, in the last parts */
+    uint16_t cold_limits_count;
+    struct rg_msg_cold_limit cold_limits[16];
 };
 
 /* HTTP: part of a snapshot, with endpoints. */
--- a/test/fake_service.h
+++ b/test/fake_service.h
@@ -147,6 +147,7 @@
     bool unsafe;          /* requests must not be retried */
     uint32_t deadline_ms; /* 0: FAKE_DEADLINE_MS */
     uint64_t seed;
+    struct rg_cold_bounds cold_bounds;
 };
 
 static inline struct rg_balancer *
@@ -160,6 +161,7 @@
         .seed = o->seed + (uint64_t)b,
         .refuse = fake_reset_flow,
         .ctx = s,
+        .cold_bounds = o->cold_bounds,
     };
     struct rg_route *route = calloc(1, sizeof(*route));
 
--- a/test/test_kv.c
+++ b/test/test_kv.c
@@ -23,6 +23,8 @@
     uint64_t version;
     size_t routes;
     struct rg_route route;
+    size_t limits;
+    struct rg_cold_limit limit; /* the last one */
 };
 
 static void
@@ -35,6 +37,11 @@
     if (c->kind == RG_KV_ROUTES) {
         seen->version = rg_routes_version(c->routes);
         seen->routes = rg_routes_count(c->routes);
+        const struct rg_cold_limit *limits =
+            rg_routes_cold_limits(c->routes, &seen->limits);
+        if (seen->limits > 0) {
+            seen->limit = limits[seen->limits - 1];
+        }
         if (seen->routes > 0) {
             seen->route = *rg_routes_at(c->routes, 0);
         }
@@ -527,6 +534,40 @@
     }
 }
 
+/* Guards against a limit of cold upstreams that is taken from a value which
+ * makes no sense, and against losing the routes, or the limits of other
+ * services, because of it. */
+static void
+test_cold_limits(void)
+{
+    static const char *const invalid[] = {"-1", "1e300", "\"10\"", "null",
+                                          "{}", "[3]",   "true",   "1000001"};
+    struct seen seen;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+        g_autofree char *value = g_strdup_printf(
+            "{\"Version\":3,\"Routes\":[{\"Host\":\"198.18.0.1\","
+            "\"Prefix\":\"/443/\",\"Service\":\"a\"}],\"Services\":[7,{},"
+            "{\"Name\":\"a\",\"ColdPerS\":0},"
+            "{\"Name\":\"b\",\"ColdPerS\":%s,\"ColdStartS\":-4},"
+            "{\"Name\":\"c\",\"ColdPerS\":12.5,\"ColdStartS\":20}]}",
+            invalid[i]);
+        decode_value("op/config", value, &seen);
+        g_assert_cmpint(seen.last.kind, ==, RG_KV_ROUTES);
+        g_assert_cmpuint(seen.routes, ==, 1);
+        g_assert_cmpuint(seen.limits, ==, 1);
+        g_assert_cmpstr(seen.limit.service.s, ==, "c");
+        g_assert_cmpfloat(seen.limit.per_s, ==, 12.5);
+        g_assert_nonnull(strstr(seen.last.why, "Services[3].ColdPerS"));
+    }
+    decode_value("op/config",
+                 "{\"Version\":3,\"Routes\":[],\"Services\":"
+                 "[{\"Name\":\"a\",\"ColdPerS\":4}]}",
+                 &seen);
+    g_assert_cmpuint(seen.limits, ==, 1);
+    g_assert_cmpstr(seen.last.why, ==, "");
+}
+
 /* Of several configurations in one response only the newest valid one is
  * used. */
 static void
@@ -579,6 +620,7 @@
     g_test_add_func("/kv/mixed-rows", test_mixed_rows);
     g_test_add_func("/kv/corrupted-response", test_corrupted_response);
     g_test_add_func("/kv/invalid-keys", test_invalid_keys);
+    g_test_add_func("/kv/cold-limits", test_cold_limits);
     g_test_add_func("/kv/evacuations", test_evacuations);
     g_test_add_func("/kv/page-past-evacuations", test_page_past_evacuations);
     g_test_add_func("/kv/newest-valid-config", test_newest_valid_config);
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -190,7 +190,7 @@
     note = c_comment(field["doc"])
     if kind in ("u32", "u64"):
         return f"{note}uint{INTS[kind]}_t {name};\n"
-    if kind in ("seconds", "millis"):
+    if kind in ("seconds", "millis", "thousandths"):
         return f"{note}uint32_t {name};\n"
     if kind == "choice":
         return f"{note}uint32_t {name}; /* enum rg_{owner}_{name} */\n"
@@ -229,7 +229,7 @@
     if base in ("u32", "u64"):
         row += f".min = {field['min']}U, .max = {field['max']}ULL, "
         row += f".fallback = {field.get('default', 0)}U, "
-    if base in ("seconds", "millis"):
+    if base in ("seconds", "millis", "thousandths"):
         row += f".max = {field['max']}ULL, .fallback = {field['default']}U, "
     if base == "choice":
         row += f".choices = {owner}_{field['name']}_choices, "
