--- a/test/test_store_sync.c
+++ b/test/test_store_sync.c
@@ -251,6 +251,29 @@
     rg_store_sync_destroy(s);
 }
 
+/* Guards against changes that stay unknown because a snapshot of an older
+ * build does not carry them: the store is listed again, but not from standby,
+ * and the view is used meanwhile. */
+static void
+test_list_again(void)
+{
+    struct rg_store_sync *s = create_sync();
+
+    rg_store_sync_snapshot_applied(s, 42);
+    rg_store_sync_list_again(s);
+    g_assert_true(rg_store_sync_complete(s));
+    g_assert_cmpuint(rg_store_sync_revision(s), ==, 42);
+    rg_store_sync_set_standby(s, true);
+    g_assert_cmpint(rg_store_sync_next(s, 1000).kind, ==, RG_STORE_SYNC_WAIT);
+    rg_store_sync_set_standby(s, false);
+    struct rg_store_sync_step step = rg_store_sync_next(s, 1000);
+    g_assert_cmpint(step.kind, ==, RG_STORE_SYNC_LIST);
+    g_assert_cmpstr(step.after, ==, "");
+    rg_store_sync_listed(s, "servers/i-1", false, 50, 1010);
+    g_assert_cmpint(rg_store_sync_next(s, 1010).kind, ==, RG_STORE_SYNC_WATCH);
+    rg_store_sync_destroy(s);
+}
+
 /* Pauses after failures grow, are bounded and differ between instances, so
  * that not all of them call a recovering store at once. */
 static void
@@ -343,6 +366,7 @@
     g_test_add_func("/store-sync/history-gone", test_history_gone);
     g_test_add_func("/store-sync/standby", test_standby);
     g_test_add_func("/store-sync/snapshot-applied", test_snapshot_applied);
+    g_test_add_func("/store-sync/list-again", test_list_again);
     g_test_add_func("/store-sync/backoff", test_backoff);
     g_test_add_func("/store-sync/lapsed-entries-kept",
                     test_lapsed_entries_kept);
