--- a/edge/store_client.c
+++ b/edge/store_client.c
@@ -33,6 +33,7 @@
     uint64_t confirmed_ms;  /* last confirmation of the view, 0: never */
     uint64_t answered_ms;   /* the same by the store itself, not by peers */
     uint32_t answers;       /* number of these */
+    size_t registered;      /* instances in the listing so far */
 };
 
 static void make_next_call(struct rg_store_client *s);
@@ -107,6 +108,7 @@
         log_invalid(s, c);
         break;
     case RG_KV_INSTANCE:
+        s->registered++;
         s->opts.on_instance(s->opts.ctx, &c->instance);
         break;
     case RG_KV_OTHER:
@@ -269,6 +271,7 @@
     if (listing && rg_store_sync_is_first_page(s->sync)) {
         begin_listing(s);
         s->first_page_ms = response->past_evacuations ? now : 0;
+        s->registered = 0;
     }
     for (size_t i = 0; i < decoded->count; i++) {
         apply_change(s, &decoded->changes[i]);
@@ -287,6 +290,7 @@
                                   response->revision, now))
     {
         end_listing(s, now);
+        rg_balancer_set_registered(s->opts.balancer, s->registered, now);
     }
     set_reachable(s, true, "answered");
     if (rg_store_sync_is_current(s->sync)) {
