--- a/test/test_kept_flows.c
+++ b/test/test_kept_flows.c
@@ -569,6 +569,30 @@
     }
 }
 
+/* Two fifths of the upstreams are silent, and come back. In a large
+ * fleet each instance hears of only a part of the evidence. */
+static void
+test_silent_for_a_while(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        struct site *t = create_site(sizes[i]);
+        for (int u = 0; u < UPSTREAMS; u++) {
+            t->dead_ms[u] = u % 5 < 2 ? t->s->now_ms : 0;
+        }
+        run(t, 4000);
+        for (int u = 0; u < UPSTREAMS; u++) {
+            t->disturbed_ms[u] = t->dead_ms[u] ? t->s->now_ms : 0;
+            t->dead_ms[u] = 0;
+        }
+        run(t, 10000);
+        report(t, "40% of the upstreams silent for 4 s");
+        g_assert_cmpuint(t->failed * (sizes[i] < 100 ? 4 : 2), <=,
+                         t->saved + t->failed);
+        g_assert_cmpuint(t->wrong_resets, ==, 0);
+        destroy_site(t);
+    }
+}
+
 static void
 check_no_resets(struct site *t, const char *what)
 {
@@ -669,6 +693,7 @@
     g_test_add_func("/kept-flows/dark-data-centre", test_dark_data_centre);
     g_test_add_func("/kept-flows/power-loss", test_power_loss);
     g_test_add_func("/kept-flows/single-upstreams", test_single_upstreams);
+    g_test_add_func("/kept-flows/silent-for-a-while", test_silent_for_a_while);
     g_test_add_func("/kept-flows/slow", test_slow);
     g_test_add_func("/kept-flows/overloaded", test_overloaded);
     g_test_add_func("/kept-flows/frozen", test_frozen);
