balance: peers are asked again right before a reset for a wait

Now they are asked at each tick of the last 200 ms, and the answer to any question 150 to 600 ms old is enough.

Test, red before: test_moved_flows /moved-before-reset.

--- a/balance/requests.c
+++ b/balance/requests.c
@@ -60,6 +60,11 @@
 #define ASK_DEADLINE_SHARE 0.2
 #define ASK_INTERVAL_MS 500
 #define ASK_TIMEOUT_MS 150
+/* They are asked again at each tick from this long before the request may be
+ * reset, since its flow may have moved after the last question. */
+#define ASK_BEFORE_RESET_MS 200
+/* An older question is repeated before a reset. */
+#define ASK_VALID_MS (ASK_INTERVAL_MS + RG_BALANCER_TICK_MS)
 /* The last response of any upstream may be this many mean intervals old; if it
  * is older, the fault may be in this instance. */
 #define RESPONSE_GAP_FACTOR 4
@@ -291,6 +296,22 @@
     rg_bal_share_response(b, t->endpoint);
 }
 
+static void
+ask(struct rg_balancer *b, struct rg_tracked_flow *t)
+{
+    for (int i = RG_TRACKED_QUESTIONS - 1; i > 0; i--) {
+        t->asked_ms[i] = t->asked_ms[i - 1];
+    }
+    t->asked_ms[0] = b->now_ms;
+    rg_bal_ask_for_flow(b, &t->flow);
+}
+
+static bool
+is_near(double waited_ms, double limit_ms)
+{
+    return waited_ms >= limit_ms - ASK_BEFORE_RESET_MS && waited_ms < limit_ms;
+}
+
 /* Asks peers whether the flow of a waiting request has moved. Its answer may
  * have gone by way of one of them. */
 static void
@@ -300,27 +321,39 @@
     double waited_ms = (double)(b->now_ms - t->since_ms);
 
     if (t->state != RG_TRACKED_REQUEST || !route ||
-        route->repeat != RG_REPEAT_SAFE || route->timeout_ms == 0 ||
-        waited_ms < ASK_DEADLINE_SHARE * route->timeout_ms)
+        route->repeat != RG_REPEAT_SAFE || route->timeout_ms == 0)
     {
         return;
     }
-    if (t->asked_ms <= t->since_ms) {
-        t->asked_ms = b->now_ms;
-    }
-    if ((b->now_ms - t->asked_ms) % ASK_INTERVAL_MS < RG_BALANCER_TICK_MS) {
-        rg_bal_ask_for_flow(b, &t->flow);
+    bool near =
+        t->overdue && (is_near(waited_ms, lost_after_ms(b, route, t)) ||
+                       is_near(waited_ms, lost_no_outlier_after_ms(route)));
+    bool waits = waited_ms >= ASK_DEADLINE_SHARE * route->timeout_ms;
+    uint64_t asked_ms_ago = b->now_ms - t->asked_ms[0];
+    if ((waits &&
+         (t->asked_ms[0] <= t->since_ms || asked_ms_ago >= ASK_INTERVAL_MS)) ||
+        near)
+    {
+        ask(b, t);
     }
 }
 
-/* True if no peer has got packets of the flow since its request came here.
- * Retransmissions show by themselves that it has not moved. */
+/* True if peers have had the time to answer a recent question, and none has
+ * got packets of the flow since its request came here. Retransmissions show by
+ * themselves that it has not moved. */
 static bool
 has_not_moved(const struct rg_balancer *b, const struct rg_tracked_flow *t,
               enum rg_lost why)
 {
-    return why != RG_LOST_HUNG || (t->asked_ms > t->since_ms &&
-                                   b->now_ms - t->asked_ms >= ASK_TIMEOUT_MS);
+    for (int i = 0; i < RG_TRACKED_QUESTIONS; i++) {
+        uint64_t ago_ms = b->now_ms - t->asked_ms[i];
+        if (t->asked_ms[i] > t->since_ms && ago_ms >= ASK_TIMEOUT_MS &&
+            ago_ms <= ASK_VALID_MS)
+        {
+            return true;
+        }
+    }
+    return why != RG_LOST_HUNG;
 }
 
 void
@@ -353,7 +386,13 @@
     struct rg_segment last = {.flow = t->flow, .ack = t->last_ack};
     enum rg_lost why = rg_request_is_lost(b, t);
 
-    if (!b->opts.refuse || why == RG_LOST_NOT || !has_not_moved(b, t, why)) {
+    if (!b->opts.refuse || why == RG_LOST_NOT) {
+        return;
+    }
+    if (!has_not_moved(b, t, why)) {
+        if (b->now_ms - t->asked_ms[0] > ASK_VALID_MS) {
+            ask(b, t);
+        }
         return;
     }
     rg_request_reset(b, t, &last, why);
--- a/balance/tracked_flows.h
+++ b/balance/tracked_flows.h
@@ -21,6 +21,9 @@
 
 #define RG_TRACKED_UNANSWERED UINT32_MAX
 
+/* Questions for a flow that are remembered: those of as many ticks. */
+#define RG_TRACKED_QUESTIONS 3
+
 /* An idle open flow is dropped from the table after this time; its packets are
  * still steered by their token. */
 #define RG_TRACKED_IDLE_TIMEOUT_MS 5000
@@ -43,8 +46,9 @@
     uint64_t acked_ms;   /* the caller last acknowledged new bytes */
     uint64_t overdue_ms; /* when the request counted as failed */
     uint64_t retransmitted_ms; /* last retransmission of the last data */
-    uint64_t asked_ms;    /* when peers were first asked whether the flow has
-                             moved since its request */
+    /* When peers were asked whether the flow has moved since its request, the
+     * last time first. */
+    uint64_t asked_ms[RG_TRACKED_QUESTIONS];
     uint32_t opening_seq; /* initial sequence number of the caller */
     uint32_t last_seq;    /* of the last data */
     uint32_t last_ack;
--- a/test/test_moved_flows.c
+++ b/test/test_moved_flows.c
@@ -468,6 +468,41 @@
     destroy_fleet(f);
 }
 
+/* Guards against a reset of a request whose flow moved after its peer was
+ * asked at an interval (soak, seed 81101): it is asked again before the reset.
+ */
+static void
+test_moved_before_reset(void)
+{
+    struct fleet *f = create_busy_fleet();
+    struct flow flow = send_request(f, 0);
+    uint64_t sent_ms = f->now_ms;
+    struct rg_outcome_row row = {
+        .token = flow.token,
+        .source = 9,
+        .serial = 1,
+        .counts = {[RG_OUTCOME_FAILED] = 4},
+        .last_ms = sent_ms + 50,
+        .failed_ms = sent_ms + 50,
+    };
+
+    f->hung_token = flow.token;
+    run(f, 50);
+    rg_balancer_add_reported_outcomes(f->balancers[0], &row, f->now_ms);
+    while (f->now_ms < sent_ms + DEADLINE_MS * 2 / 5 - 150) {
+        serve_requests(f, 1);
+    }
+    /* A later request of the flow, which has been answered. */
+    send_packet(
+        f, 1, &flow,
+        (struct rg_segment){.seq = 101, .ack = 1 + ANSWER_BYTES, .len = 100});
+    while (f->now_ms < sent_ms + DEADLINE_MS * 4 / 5) {
+        serve_requests(f, 1);
+    }
+    g_assert_cmpuint(f->resets, ==, 0);
+    destroy_fleet(f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -478,6 +513,8 @@
     g_test_add_func("/moved-flows/retransmitted-here",
                     test_retransmitted_here);
     g_test_add_func("/moved-flows/no-evidence", test_no_evidence);
+    g_test_add_func("/moved-flows/moved-before-reset",
+                    test_moved_before_reset);
     g_test_add_func("/moved-flows/new-instance", test_new_instance);
     g_test_add_func("/moved-flows/sent-at-once", test_sent_at_once);
     return g_test_run();
