soak: changes of other keys, so that restores take back many revisions

Upstreams and operators write again a second after a restore, 11 changes or so, which were more than a restore took back (1 to 8 revisions): instances without eras noticed little. 60 changes of another key a second make it 60 to 240, as in the measured case.

--- a/standin/soak/faults.c
+++ b/standin/soak/faults.c
@@ -10,6 +10,10 @@
 /* So long after a restore operators and upstreams write again what is in
  * force, and entries of upstreams that have ended lapse. */
 #define REWRITE_MS 1000
+/* Changes of other keys, so that a restore takes back many revisions and it
+ * takes as long as the copy is old until they are reissued. */
+#define OTHER_PERIOD_MS 1000
+#define OTHER_CHANGES 60
 #define REHASH_PERIOD_MS 1500 /* the same, until the fabric hashes anew */
 
 /* The deadline is the longest that callers wait. */
@@ -251,6 +255,18 @@
     end_faults(s, false);
 }
 
+static void
+change_other_keys(struct soak *s)
+{
+    if (s->now_ms - s->other_changed_ms < OTHER_PERIOD_MS) {
+        return;
+    }
+    s->other_changed_ms = s->now_ms;
+    for (int i = 0; i < OTHER_CHANGES; i++) {
+        soak_store_put(s, "other/key", "");
+    }
+}
+
 void
 soak_faults_tick(struct soak *s)
 {
@@ -267,6 +283,9 @@
     if (faults_on && rg_rand_below(&s->rand, FAULT_PERIOD_MS / tick_ms) == 0) {
         inject_fault(s);
     }
+    if (faults_on) {
+        change_other_keys(s);
+    }
     if (faults_on &&
         rg_rand_below(&s->restore_rand, RESTORE_PERIOD_MS / tick_ms) == 0)
     {
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -136,14 +136,15 @@
     struct soak_store *store;
     enum soak_store_fault store_fault;
     uint64_t store_disturbed_ms;
-    uint64_t restored_ms;    /* when the store was last; 0: not since all was
-                                written again */
-    uint64_t version;        /* of the configuration in the store */
-    bool large;              /* it has many routes without callers */
-    bool has_toggled_route;  /* it has the route SOAK_TOGGLED */
-    uint64_t toggled_ms;     /* when that last changed */
-    uint64_t fabric_hash;    /* drawn anew whenever the fabric moves flows */
-    GPtrArray *late_packets; /* see fabric.c */
+    uint64_t other_changed_ms; /* when other keys were last changed */
+    uint64_t restored_ms;      /* when the store was last; 0: not since all was
+                                  written again */
+    uint64_t version;          /* of the configuration in the store */
+    bool large;                /* it has many routes without callers */
+    bool has_toggled_route;    /* it has the route SOAK_TOGGLED */
+    uint64_t toggled_ms;       /* when that last changed */
+    uint64_t fabric_hash;      /* drawn anew whenever the fabric moves flows */
+    GPtrArray *late_packets;   /* see fabric.c */
     struct soak_callers *callers;
     GHashTable *executions; /* request number -> times executed */
     /* Results. */
