balance: rates of new flows here and elsewhere, from digests

An instance knew its share of the fleet's new flows, but not how many its own data centre gets, which decides whether the local upstreams suffice. Digests carry each instance's rate already; struct rg_fleet now has the sums of the local data centre and of all others.

A full peer table has at most 36 local instances, so that their number was too small in large data centres. It is estimated as the fleet's size is, from the local peers that sent digests. Without that, test_peers /openings finds 800 new flows a second for 100 instances with 20 each.

No message changes. Ruled out: utilisation by service in digests, as its size grows with the number of services.

--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -78,6 +78,10 @@
     /* All peers tell the tokens of openings from those of open flows. If one
      * does not, openings get the token of open flows. */
     bool opening_tokens;
+    /* New flows per second of the local data centre's instances, this one
+     * included, and of all others; 0: not known. */
+    double local_openings_per_s;
+    double remote_openings_per_s;
 };
 void rg_balancer_set_fleet(struct rg_balancer *b,
                            const struct rg_fleet *fleet);
@@ -85,6 +89,14 @@
 /* New flows per second that this instance gets (moving average). */
 uint32_t rg_balancer_openings_per_s(const struct rg_balancer *b);
 
+/* Services of which new flows leave the data centre on purpose at present, and
+ * the largest share. */
+struct rg_balancer_leaving {
+    size_t services;
+    double share;
+};
+struct rg_balancer_leaving rg_balancer_leaving(const struct rg_balancer *b);
+
 /* The store confirmed at `at_ms` that the view was complete and current. */
 void rg_balancer_set_confirmed(struct rg_balancer *b, uint64_t at_ms);
 
--- a/balance/peers.c
+++ b/balance/peers.c
@@ -65,6 +65,8 @@
     struct rg_peers_view required; /* state known at required_ms */
     uint64_t required_ms;
     struct rg_fleet_size fleet_size;
+    struct rg_fleet_size local_size; /* peers of the local data centre that
+                                        sent digests */
     struct peer peers[RG_PEERS_MAX];
     size_t count;
 };
@@ -211,6 +213,9 @@
         find_or_add(p, &d->contacts[i].addr, now_ms);
     }
     rg_fleet_size_add(&p->fleet_size, name_hash(&d->from), now_ms, now_ms);
+    if (local) {
+        rg_fleet_size_add(&p->local_size, name_hash(&d->from), now_ms, now_ms);
+    }
     for (uint16_t i = 0; i < d->members_count; i++) {
         const struct rg_msg_member *m = &d->members[i];
         uint64_t active_ms = m->age_ms > now_ms ? 0 : now_ms - m->age_ms;
@@ -496,6 +501,54 @@
     return mean > 0 ? openings_per_s / (mean * instances) : 1 / instances;
 }
 
+/* Instances of the local data centre, this one included. The peer table has
+ * all of them, unless it is full; those that ended stay in the estimate for a
+ * while. */
+static double
+local_instances(struct rg_peers *p, uint64_t now_ms)
+{
+    size_t known = rg_peers_local_count(p, now_ms);
+
+    if (p->count == RG_PEERS_MAX) {
+        rg_fleet_size_expire(&p->local_size, now_ms);
+        size_t estimate = rg_fleet_size_estimate(&p->local_size);
+        known = estimate > known ? estimate : known;
+    }
+    return (double)known + 1;
+}
+
+struct rg_peers_openings
+rg_peers_openings(struct rg_peers *p, uint32_t openings_per_s, uint64_t now_ms)
+{
+    double local = openings_per_s;
+    double remote = 0;
+    size_t local_count = 1;
+    size_t remote_count = 0;
+
+    for (size_t i = 0; i < p->count; i++) {
+        const struct peer *peer = &p->peers[i];
+        if (!is_recent(peer, now_ms) || peer->leaving) {
+            continue;
+        }
+        if (peer->local) {
+            local += peer->openings_per_s;
+            local_count++;
+        }
+        else {
+            remote += peer->openings_per_s;
+            remote_count++;
+        }
+    }
+    double instances = local_instances(p, now_ms);
+    double others = (double)rg_peers_fleet_size(p, now_ms) - instances;
+    return (struct rg_peers_openings){
+        .local = local / (double)local_count * instances,
+        .remote = remote_count && others > 0
+                      ? remote / (double)remote_count * others
+                      : 0,
+    };
+}
+
 struct rg_peers *
 rg_peers_create(const struct rg_peers_opts *opts)
 {
--- a/balance/peers.h
+++ b/balance/peers.h
@@ -120,4 +120,15 @@
 double rg_peers_flow_share(struct rg_peers *p, uint32_t openings_per_s,
                            uint64_t now_ms);
 
+/* New flows per second of all instances of the local data centre, this one
+ * with `openings_per_s` included, and of all others; 0 if no recent digest
+ * tells. */
+struct rg_peers_openings {
+    double local;
+    double remote;
+};
+struct rg_peers_openings rg_peers_openings(struct rg_peers *p,
+                                           uint32_t openings_per_s,
+                                           uint64_t now_ms);
+
 #endif
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -391,11 +391,15 @@
     bool reader = rg_peers_is_store_reader(g->peers, now);
 
     rg_store_client_set_standby(g->opts.store_client, !reader);
+    struct rg_peers_openings openings =
+        rg_peers_openings(g->peers, view->openings_per_s, now);
     struct rg_fleet fleet = {
         .instances = rg_peers_fleet_size(g->peers, now),
         .local_instances = rg_peers_local_count(g->peers, now) + 1,
         .share = rg_peers_flow_share(g->peers, view->openings_per_s, now),
         .opening_tokens = rg_peers_read_opening_tokens(g->peers, now),
+        .local_openings_per_s = openings.local,
+        .remote_openings_per_s = openings.remote,
     };
     rg_balancer_set_fleet(g->opts.balancer, &fleet);
     if (!reader || rg_store_client_failing(g->opts.store_client)) {
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -404,6 +404,52 @@
     }
 }
 
+static void
+receive_openings(struct rg_peers *p, int from, const char *data_centre,
+                 uint32_t openings_per_s)
+{
+    struct rg_msg_digest d = {.addr = addr_of(from),
+                              .openings_per_s = openings_per_s};
+    char name[16];
+
+    snprintf(name, sizeof(name), "edge-%d", from);
+    g_assert_true(rg_name_set(&d.from, rg_str_of(name)));
+    g_assert_true(rg_name_set(&d.data_centre, rg_str_of(data_centre)));
+    rg_peers_digest_received(p, &d, 5000);
+}
+
+/* Rates of new flows here and elsewhere, which decide how many flows leave the
+ * data centre: exact while the table has room, else estimated. Local instances
+ * that do not fit into it must not be taken for remote ones. */
+static void
+test_openings(void)
+{
+    struct rg_peers_opts opts = {.addr = addr_of(0), .bound_ms = BOUND_MS};
+    g_assert_true(rg_name_set(&opts.name, rg_str_of("edge-0")));
+    g_assert_true(rg_name_set(&opts.data_centre, rg_str_of("dc0")));
+    struct rg_peers *p = rg_peers_create(&opts);
+
+    g_assert_cmpfloat(rg_peers_openings(p, 20, 5000).local, ==, 20);
+    g_assert_cmpfloat(rg_peers_openings(p, 20, 5000).remote, ==, 0);
+    for (int i = 1; i <= 3; i++) {
+        receive_openings(p, i, "dc0", 10 * (uint32_t)i);
+    }
+    for (int i = 4; i <= 9; i++) {
+        receive_openings(p, i, "dc1", 5);
+    }
+    g_assert_cmpfloat(rg_peers_openings(p, 20, 5000).local, ==, 80);
+    g_assert_cmpfloat(rg_peers_openings(p, 20, 5000).remote, ==, 30);
+    for (int i = 10; i < 300; i++) {
+        receive_openings(p, i, i % 3 ? "dc1" : "dc0", i % 3 ? 5 : 20);
+    }
+    struct rg_peers_openings all = rg_peers_openings(p, 20, 5000);
+    g_assert_cmpfloat(all.local, >, 0.7 * 100 * 20);
+    g_assert_cmpfloat(all.local, <, 1.3 * 100 * 20);
+    g_assert_cmpfloat(all.remote, >, 0.6 * 200 * 5);
+    g_assert_cmpfloat(all.remote, <, 1.4 * 200 * 5);
+    rg_peers_destroy(p);
+}
+
 /* A single instance polls the store and lags behind no one. */
 static void
 test_single_instance(void)
@@ -619,6 +665,7 @@
     g_test_add_func("/peers/reader-dies", test_reader_dies);
     g_test_add_func("/peers/partition", test_partition);
     g_test_add_func("/peers/fleet-size", test_fleet_size);
+    g_test_add_func("/peers/openings", test_openings);
     g_test_add_func("/peers/single-instance", test_single_instance);
     g_test_add_func("/peers/tight-bound", test_tight_bound);
     g_test_add_func("/peers/newer-peer", test_newer_peer);
