balance: decide how many flows leave the data centre

The cost of an upstream in another data centre was a constant, 0.35 requests queued ahead. An instance of 71 has about one request of its own outstanding, so the constant kept flows at home until local upstreams shed. With 4 instances, which see all work, it sent flows away while slots were free.

balance/locality computes the utilisation of the local slots from rates of new flows, and sends out on purpose what exceeds the utilisation from which on the wait here costs more than the path, the wait there and the bytes. The share moves in steps, at another moment in each instance, and is limited by what the others need, by late answers there, and by what is usable there. In all other choices a remote upstream costs what its path does, never less than a local one with a free slot.

Ruled out: shifting by compared answer times (8% noise at 20 flows a second); a share of the own flows as the only measure (a fifth of noise); outliers as lost slots (after an overload most were, and at 300 balancers all flows left for more than 20 s).

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -222,6 +222,7 @@
     rg_pool_tick(b->pool, now_ms);
     rg_bal_tick_admission(b);
     rg_bal_tick_outcomes(b);
+    rg_bal_tick_locality(b);
 }
 
 void
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -241,6 +241,9 @@
         b->opening_ms == 0
             ? (double)ms
             : b->opening_ms + OPENING_GAIN * ((double)ms - b->opening_ms);
+    if (!t->repeated) {
+        rg_bal_locality_opened(b, t->endpoint, (double)ms);
+    }
     update_response_gap(b);
     rg_endpoint_responded(t->endpoint, b->now_ms);
     rg_bal_update_lost_share(b, false);
--- a/balance/metrics.c
+++ b/balance/metrics.c
@@ -47,6 +47,8 @@
     [RG_METRIC_STORE_RELISTED] = "store_relisted",
     [RG_METRIC_ENTRIES_UNREADABLE] = "entries_unreadable",
     [RG_METRIC_CONFIGS_UNREADABLE] = "configs_unreadable",
+    [RG_METRIC_OPENINGS_REMOTE] = "openings_remote",
+    [RG_METRIC_OPENINGS_LEAVING] = "openings_leaving",
 };
 
 static const char *const histogram_names[RG_METRIC_HISTOGRAMS] = {
--- a/balance/openings.c
+++ b/balance/openings.c
@@ -76,8 +76,13 @@
 pick_upstream(struct rg_balancer *b, const struct rg_tracked_flow *t,
               const struct rg_route *route, uint32_t service)
 {
+    /* Only first copies: a retransmission goes to whoever responds. */
+    const struct rg_data_centre *leaves_for =
+        t ? NULL : rg_bal_leaves_for(b, service);
     struct rg_pick_opts opts = {
         .service = service,
+        .data_centre = leaves_for,
+        .remote_cost = rg_locality_remote_cost(&b->services[service].locality),
         .avoid = t ? t->tried : NULL,
         .avoid_count = t ? RG_TRACKED_TRIES_MAX : 0,
         .now_ms = b->now_ms,
@@ -94,6 +99,13 @@
     };
     struct rg_pick picked = rg_pick_upstream(b->pool, &opts);
 
+    if (leaves_for && picked.endpoint) {
+        rg_bal_count(b, RG_METRIC_OPENINGS_LEAVING);
+    }
+    else if (leaves_for) {
+        opts.data_centre = NULL; /* it has lost its upstreams since */
+        picked = rg_pick_upstream(b->pool, &opts);
+    }
     if (!picked.endpoint && t) {
         /* Better one that was tried before than none. */
         opts.avoid_count = 0;
@@ -242,6 +254,9 @@
     if (t && picked.rule != RG_PICK_SAME) {
         t->probe = picked.rule == RG_PICK_PROBE;
     }
+    if (!picked.endpoint->local) {
+        rg_bal_count(b, RG_METRIC_OPENINGS_REMOTE);
+    }
     rg_endpoint_opening_sent(picked.endpoint, b->now_ms);
     return rg_bal_forward(b, picked.endpoint, token);
 }
--- a/balance/pick.c
+++ b/balance/pick.c
@@ -6,7 +6,6 @@
  * one. */
 #define COST_EQUAL 0.02   /* costs closer than this count as equal */
 #define COST_COLD 1.6     /* factor: a cold upstream is slower */
-#define COST_REMOTE 0.35  /* other data centre: latency and traffic */
 #define COST_SUSPECT 3.0  /* its data centre may be unreachable */
 #define COST_EXCLUDED 4.0 /* ejected or outlier, used while most are */
 /* Its oldest opening has waited too long for an answer. */
@@ -161,7 +160,7 @@
         cost *= COST_COLD;
     }
     if (!e->local) {
-        cost += COST_REMOTE;
+        cost += opts->remote_cost;
     }
     cost += COST_FAILING * excess_failure_rate(e, opts);
     if (pending_opening_counts(e, opts)) {
@@ -225,6 +224,13 @@
            !e->ambiguous;
 }
 
+bool
+rg_pick_is_usable(const struct rg_endpoint *e, uint64_t now_ms)
+{
+    return takes_flows(e) && !rg_endpoint_is_ejected(e, now_ms) &&
+           !e->data_centre->suspect;
+}
+
 /* A suspected data centre gets an opening from time to time to test it. */
 static bool
 trial_is_due(const struct rg_endpoint *e, uint64_t now_ms)
@@ -284,6 +290,13 @@
     return excluded * 2 > count;
 }
 
+/* False if the flow must leave for another data centre. */
+static bool
+is_in_scope(const struct rg_endpoint *e, const struct rg_pick_opts *opts)
+{
+    return !opts->data_centre || e->data_centre == opts->data_centre;
+}
+
 /* Upstreams considered for one choice. */
 struct candidates {
     struct rg_endpoint *endpoints[CANDIDATES_MAX];
@@ -297,13 +310,13 @@
  * failure. */
 static void
 add_candidates(struct candidates *out, struct rg_endpoint *const *endpoints,
-               size_t count, size_t max, struct rg_rand *rand)
+               size_t count, size_t max, const struct rg_pick_opts *opts)
 {
-    size_t i = rg_rand_below(rand, (uint32_t)count);
+    size_t i = rg_rand_below(opts->rand, (uint32_t)count);
 
     for (size_t n = 0; n < count && out->count < max; n++) {
         i = (i + CANDIDATE_STRIDE) % count;
-        if (takes_flows(endpoints[i])) {
+        if (takes_flows(endpoints[i]) && is_in_scope(endpoints[i], opts)) {
             out->endpoints[out->count++] = endpoints[i];
         }
     }
@@ -321,10 +334,10 @@
     size_t max = local < count ? CANDIDATES_LOCAL_MAX : CANDIDATES_MAX;
 
     out->count = 0;
-    add_candidates(out, endpoints, local, max, opts->rand);
+    add_candidates(out, endpoints, local, max, opts);
     out->local = out->count;
     add_candidates(out, endpoints + local, count - local, CANDIDATES_MAX,
-                   opts->rand);
+                   opts);
 }
 
 /* An upstream that is new, or was avoided for some rounds, joins the rotation
--- a/balance/pick.h
+++ b/balance/pick.h
@@ -25,6 +25,11 @@
 
 struct rg_pick_opts {
     uint32_t service;
+    /* The flow must leave for this data centre; NULL: the choice is free. */
+    const struct rg_data_centre *data_centre;
+    bool
+        local_only; /* the flow must not leave, if there are local upstreams */
+    double remote_cost; /* of an upstream elsewhere, see locality.h */
     /* Endpoints already tried for this flow; entries may be NULL. */
     struct rg_endpoint *const *avoid;
     size_t avoid_count;
@@ -45,6 +50,11 @@
     double cost; /* of the chosen upstream, in queued requests */
 };
 
+/* True if new flows may go to the upstream at present, unless it is an
+ * outlier: its entry permits it, and neither it nor its data centre is silent.
+ */
+bool rg_pick_is_usable(const struct rg_endpoint *e, uint64_t now_ms);
+
 /* Chooses an upstream of the service and records the choice in the pool. */
 struct rg_pick rg_pick_upstream(const struct rg_pool *pool,
                                 const struct rg_pick_opts *opts);
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -5,6 +5,7 @@
 #include "balance/admit.h"
 #include "balance/balancer.h"
 #include "balance/flow_records.h"
+#include "balance/locality.h"
 #include "balance/moved_flows.h"
 #include "balance/outcome_table.h"
 #include "balance/outlier.h"
@@ -18,6 +19,12 @@
     struct rg_outcomes outcomes; /* of this instance's requests */
     uint64_t choices;            /* upstream choices made so far */
     uint64_t overloaded_ms;      /* last time it was overloaded, 0: never */
+    struct rg_locality locality;
+    uint64_t locality_step_ms;  /* next step of `locality` */
+    uint64_t locality_since_ms; /* its share is above 0 since then, 0: it is
+                                   not */
+    uint64_t locality_log_ms;   /* its share was last logged */
+    double locality_logged;     /* share that was last logged */
 };
 
 struct rg_balancer {
@@ -137,6 +144,9 @@
 void rg_bal_log_admission(const struct rg_balancer *b, uint32_t service,
                           const struct rg_admit_load *load);
 
+/* Logs the share of a service's new flows that leaves the data centre. */
+void rg_bal_log_locality(const struct rg_balancer *b, uint32_t service);
+
 /* Steering of packets, in openings.c and open_flows.c. */
 
 struct rg_decision rg_bal_steer_opening(struct rg_balancer *b,
@@ -162,6 +172,23 @@
 /* Call every RG_BALANCER_TICK_MS. */
 void rg_bal_tick_admission(struct rg_balancer *b);
 
+/* Leaving the data centre, in balancer_locality.c. */
+
+/* Counts a new flow of a service. Returns the data centre that it must be sent
+ * to, NULL if the choice is free. */
+const struct rg_data_centre *rg_bal_leaves_for(struct rg_balancer *b,
+                                               uint32_t service);
+/* The endpoint has answered an opening after `ms`. */
+void rg_bal_locality_opened(struct rg_balancer *b,
+                            const struct rg_endpoint *endpoint, double ms);
+/* The request of the flow was answered. */
+void rg_bal_locality_answered(struct rg_balancer *b,
+                              const struct rg_tracked_flow *t,
+                              const struct rg_route *route, double bytes,
+                              bool shed);
+/* Call every RG_BALANCER_TICK_MS. */
+void rg_bal_tick_locality(struct rg_balancer *b);
+
 /* Outcomes of requests, in balancer_outcomes.c. */
 
 /* Records the outcome of a request of this instance and updates the outlier
--- a/balance/report.c
+++ b/balance/report.c
@@ -212,3 +212,22 @@
                  load->slots, a->open, a->rate * 1000, a->slow_share,
                  b->fleet.instances, b->fleet.share);
 }
+
+void
+rg_bal_log_locality(const struct rg_balancer *b, uint32_t service)
+{
+    const struct rg_bal_service *s = &b->services[service];
+    const struct rg_locality *l = &s->locality;
+    uint64_t since_ms = s->locality_since_ms;
+
+    rg_log_event(b->opts.log, RG_LOG_NOTICE, "LEAVING",
+                 "service=\"%s\" share=\"%.2f\" reason=\"%s\" "
+                 "since_ms=\"%llu\" utilisation=\"%.2f\" "
+                 "remote_utilisation=\"%.2f\" leave_at=\"%.2f\" "
+                 "work_ms=\"%.1f\" cost=\"%.2f\"",
+                 rg_pool_service_name(b->pool, service)->s, l->share,
+                 rg_locality_reason_text(l->reason),
+                 (unsigned long long)(since_ms ? b->now_ms - since_ms : 0),
+                 l->utilisation, l->remote_utilisation, l->leave_at,
+                 l->work_ms, l->remote_cost);
+}
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -271,6 +271,7 @@
     double ms = fmax((double)t->answer_ms - b->opening_ms, 0);
     bool error_like = rg_route_answered(route, ms, bytes);
     rg_bal_add_outcome(b, t->endpoint, outcome_of(t, error_like));
+    rg_bal_locality_answered(b, t, route, bytes, error_like);
     if (error_like) {
         rg_bal_count(b, RG_METRIC_ANSWERS_ERROR_LIKE);
     }
--- a/edge/status.c
+++ b/edge/status.c
@@ -8,6 +8,7 @@
                   const struct rg_log *log, struct rg_strbuf *body)
 {
     const struct rg_pool *pool = rg_balancer_pool(b);
+    struct rg_balancer_leaving leaving = rg_balancer_leaving(b);
 
     rg_metrics_print(rg_balancer_metrics(b), body);
     rg_strbuf_printf(body,
@@ -20,6 +21,10 @@
                      "rattangap_flows_tracked %zu\n"
                      "# TYPE rattangap_peers gauge\n"
                      "rattangap_peers %zu\n"
+                     "# TYPE rattangap_services_leaving gauge\n"
+                     "rattangap_services_leaving %zu\n"
+                     "# TYPE rattangap_share_leaving gauge\n"
+                     "rattangap_share_leaving %.3f\n"
                      "# TYPE rattangap_log_suppressed counter\n"
                      "rattangap_log_suppressed %llu\n",
                      (unsigned long long)rg_balancer_version(b),
@@ -29,5 +34,6 @@
                      gossip ? rg_peers_count(rg_gossip_peers(gossip),
                                              rg_clock_boottime_ms())
                             : 0,
+                     leaving.services, leaving.share,
                      (unsigned long long)rg_log_suppressed(log->queue));
 }
