ctl: check a configuration of the platform before it is sent

An operator learned of a mistake in a configuration once it was in force: the log of an instance names the first route that was left out, and nothing says that a later route of the same address never matches, that a value was ignored, or what a new version changes.

Exit status 0 without findings, 1 with some, 2 if it could not run; text or JSON.

A directory given as a file was read as an empty text; that is an error now, for the other commands, too.

Ruled out: a schema beside the decoder, which would differ from it; an option of 'check', whose files belong together and whose exit codes are others.

--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -19,6 +19,12 @@
     CTL_USAGE = 64,
 };
 
+/* Exit codes of check-config, which has no errors of an edit to tell. */
+enum {
+    CTL_FINDINGS = 1,
+    CTL_NOT_RUN = 2
+};
+
 struct ctl {
     char *store_url;
     const char *ca_file;
@@ -30,6 +36,8 @@
     const char *base; /* hash of the text that an edit started from */
     bool json;
     bool wait;
+    const char *in_force;   /* file with the configuration in force */
+    bool allow_differences; /* they do not count for the exit code */
     uint32_t timeout_ms;
     char **args; /* the arguments after the command's name */
     size_t arg_count;
@@ -58,6 +66,9 @@
  * the caller frees, or NULL if there is no response with status 200. */
 char *ctl_admin_get(struct ctl *c, const char *admin, const char *path);
 
+/* Checks a configuration of the platform (ctl/check_config.c). */
+enum ctl_exit ctl_check_config(struct ctl *c);
+
 /* Commands about instances (ctl/fleet.c). */
 enum ctl_exit ctl_status(struct ctl *c);
 enum ctl_exit ctl_explain(struct ctl *c);
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -16,6 +16,8 @@
 
 const struct ctl_command ctl_commands[] = {
     {"check", "FILE...", "check section files together", ctl_check, false},
+    {"check-config", "FILE", "check a configuration of the platform",
+     ctl_check_config, false},
     {"show", "[SECTION]", "print a section, or list all", ctl_show, true},
     {"diff", "SECTION FILE", "compare a file with the current section",
      ctl_diff, true},
@@ -41,7 +43,9 @@
     KEY_TOKEN,
     KEY_TIMEOUT,
     KEY_EDIT_ID,
-    KEY_BASE
+    KEY_BASE,
+    KEY_IN_FORCE,
+    KEY_ALLOW_DIFFERENCES
 };
 
 static const struct argp_option options[] = {
@@ -57,6 +61,11 @@
     {"wait", 'w', NULL, 0, "Wait until all instances use the edit", 0},
     {"timeout-ms", KEY_TIMEOUT, "MS", 0, "Timeout of --wait and of watch", 0},
     {"json", KEY_JSON, NULL, 0, "Print JSON", 0},
+    {"in-force", KEY_IN_FORCE, "FILE", 0,
+     "Configuration in force, to compare with; --store reads it from there",
+     0},
+    {"allow-differences", KEY_ALLOW_DIFFERENCES, NULL, 0,
+     "Differences from it are no findings for the exit code", 0},
     {0},
 };
 
@@ -64,6 +73,8 @@
     "Operates rattangap.\v"
     "Commands:\n"
     "  check FILE...           check section files together\n"
+    "  check-config FILE       check a configuration of the platform before "
+    "it is sent\n"
     "  show [SECTION]          print a section, or list all\n"
     "  diff SECTION FILE       compare a file with the current section\n"
     "  edit SECTION FILE       replace a section ('-': standard input)\n"
@@ -76,7 +87,8 @@
     "\n"
     "Exit codes: 0 success, 1 no answer, 2 invalid input, 3 conflict, 4 "
     "unknown whether the edit took effect, 5 not active on all instances "
-    "within the timeout, 64 usage error.";
+    "within the timeout, 64 usage error. Of check-config: 0 no findings, 1 "
+    "findings, 2 could not run.";
 
 struct arguments {
     struct ctl *ctl;
@@ -143,6 +155,12 @@
     case KEY_JSON:
         c->json = true;
         return 0;
+    case KEY_IN_FORCE:
+        c->in_force = arg;
+        return 0;
+    case KEY_ALLOW_DIFFERENCES:
+        c->allow_differences = true;
+        return 0;
     case ARGP_KEY_ARG:
         if (!a->command) {
             set_command(a, arg, state);
@@ -194,6 +212,11 @@
         }
     }
     text[*len] = '\0';
+    if (ferror(in)) {
+        rg_err_add(err, path, "a readable file", "a read error");
+        free(text);
+        text = NULL;
+    }
     if (in != stdin) {
         fclose(in);
     }
