balance: log when the other data centres are full

Where local slots are too few and nothing can leave, no line said so. LEAVING now tells when the others become full and when that ends, at most every 2 s. A share that falls to nothing ends at once, instead of a second line for the last part of a percent.

--- a/balance/balancer_locality.c
+++ b/balance/balancer_locality.c
@@ -99,24 +99,28 @@
     return load;
 }
 
-/* Logs the beginning and the end, and larger changes from time to time. */
+/* Logs the beginning and the end; from time to time larger changes, and that
+ * nothing can leave as the others are full, or that this has ended. */
 static void
 log_change(struct rg_balancer *b, uint32_t service)
 {
     struct rg_bal_service *s = &b->services[service];
     double share = s->locality.share;
     bool leaves = s->locality_since_ms != 0;
-    bool large = fabs(share - s->locality_logged) >= LOG_MIN_CHANGE &&
+    bool full = s->locality.reason == RG_LOCALITY_REMOTE_FULL;
+    bool large = (fabs(share - s->locality_logged) >= LOG_MIN_CHANGE ||
+                  full != s->locality_logged_full) &&
                  b->now_ms - s->locality_log_ms >= LOG_INTERVAL_MS;
 
     if (leaves == (share > 0) && !large) {
         return;
     }
-    if (!leaves) {
+    if (!leaves && share > 0) {
         s->locality_since_ms = b->now_ms;
     }
     rg_bal_log_locality(b, service);
     s->locality_logged = share;
+    s->locality_logged_full = full;
     s->locality_log_ms = b->now_ms;
     if (share <= 0) {
         s->locality_since_ms = 0;
--- a/balance/locality.c
+++ b/balance/locality.c
@@ -427,6 +427,9 @@
     else if (gap < -HYSTERESIS || (wanted == 0 && l->share > 0)) {
         l->share += fmin(gap / 4, -STEP_MIN);
     }
+    if (wanted == 0 && l->share < STEP_MIN) {
+        l->share = 0;
+    }
     l->share = clamp(l->share, 0, 1);
 }
 
--- a/balance/pick.h
+++ b/balance/pick.h
@@ -27,8 +27,6 @@
     uint32_t service;
     /* The flow must leave for this data centre; NULL: the choice is free. */
     const struct rg_data_centre *data_centre;
-    bool
-        local_only; /* the flow must not leave, if there are local upstreams */
     double remote_cost; /* of an upstream elsewhere, see locality.h */
     /* Endpoints already tried for this flow; entries may be NULL. */
     struct rg_endpoint *const *avoid;
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -25,6 +25,7 @@
                                    not */
     uint64_t locality_log_ms;   /* its share was last logged */
     double locality_logged;     /* share that was last logged */
+    bool locality_logged_full;  /* the others were logged as full */
 };
 
 struct rg_balancer {
