--- a/balance/flows.c
+++ b/balance/flows.c
@@ -255,6 +255,9 @@
         b->opening_ms == 0
             ? (double)ms
             : b->opening_ms + OPENING_GAIN * ((double)ms - b->opening_ms);
+    if (!t->repeated) {
+        rg_bal_locality_opened(b, t->endpoint, (double)ms);
+    }
     update_response_gap(b);
     note_response(b, t->endpoint);
     rg_bal_update_lost_share(b, false);
--- a/balance/metrics.c
+++ b/balance/metrics.c
@@ -53,6 +53,8 @@
     [RG_METRIC_RESET_DATA_CENTRE] = "resets_data_centre_silent",
     [RG_METRIC_RESET_UPSTREAM] = "resets_upstream_silent",
     [RG_METRIC_RESET_HUNG] = "resets_upstream_hung",
+    [RG_METRIC_OPENINGS_REMOTE] = "openings_remote",
+    [RG_METRIC_OPENINGS_LEAVING] = "openings_leaving",
 };
 
 static const char *const histogram_names[RG_METRIC_HISTOGRAMS] = {
--- a/balance/pick.h
+++ b/balance/pick.h
@@ -26,6 +26,9 @@
 
 struct rg_pick_opts {
     uint32_t service;
+    /* The flow must leave for this data centre; NULL: the choice is free. */
+    const struct rg_data_centre *data_centre;
+    double remote_cost; /* of an upstream elsewhere, see locality.h */
     /* Endpoints already tried for this flow; entries may be NULL. */
     struct rg_endpoint *const *avoid;
     size_t avoid_count;
@@ -53,6 +56,10 @@
 
 /* True if the upstream may get openings at all, whatever its health. */
 bool rg_pick_takes_flows(const struct rg_endpoint *e);
+/* True if new flows may go to the upstream at present, unless it is an
+ * outlier: its entry permits it, and neither it nor its data centre is silent.
+ */
+bool rg_pick_is_usable(const struct rg_endpoint *e, uint64_t now_ms);
 
 /* Chooses an upstream of the service and records the choice in the pool. */
 struct rg_pick rg_pick_upstream(const struct rg_pool *pool,
