balance, edge: limit what is sent to a service, by importance

Under load above the capacity of a service both routes fared alike, and most of what reached upstreams was shed: the old controller acts once answers are slow, and at 71 instances one sees about one request at a time. Each instance now has a limit for each service, its share of the usable slots, counted in work and not in requests, as a small token bucket. More important classes take first; openings that can still be served in time wait in order of importance (RG_DECISION_WAIT; the packet socket keeps their packets), others are refused at once. A factor that falls with shed requests and rises with answers settles at one shed request in 40, whatever one instance sees.

Short answers near the limit count neither for medians, latency nor failures: sheds made upstreams outliers, whose load the others got.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -257,6 +257,7 @@
     b->opts = *opts;
     b->pool = rg_pool_create(&pool);
     b->flows = rg_tracked_flows_create(opts->tracked_flows);
+    b->waiting = rg_admission_queue_create();
     b->outcome_table = rg_outcome_table_create((uint32_t)rg_mix64(opts->seed));
     b->rand.state = opts->seed;
     b->fleet = (struct rg_fleet){.instances = 1,
@@ -278,6 +279,7 @@
         rg_tracked_flows_destroy(b->flows);
         rg_pool_destroy(b->pool);
         free(b->services);
+        rg_admission_queue_destroy(b->waiting);
         rg_outcome_table_destroy(b->outcome_table);
         free(b);
     }
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -12,6 +12,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "balance/admission_queue.h"
 #include "balance/flow_records.h"
 #include "balance/metrics.h"
 #include "balance/outcome_table.h"
@@ -32,7 +33,7 @@
      * called from rg_balancer_tick(). */
     void (*refuse)(void *ctx, const struct rg_segment *last);
     void *ctx;
-    bool can_hold; /* RG_DECISION_HOLD is understood */
+    bool can_hold; /* RG_DECISION_HOLD and RG_DECISION_WAIT are understood */
 };
 
 enum rg_decision_kind {
@@ -42,12 +43,15 @@
     RG_DECISION_HOLD,    /* peers are asked where the flow is: offer the packet
                             again once rg_balancer_find_flow_record() finds it,
                             or by rg_balancer_held_packet() after a while */
+    RG_DECISION_WAIT,    /* keep the opening under `slot` until
+                            rg_balancer_next_waiting() returns it */
 };
 
 struct rg_decision {
     enum rg_decision_kind kind;
     const struct rg_endpoint *endpoint; /* valid until the next call */
     uint32_t token;
+    uint32_t slot; /* below RG_BALANCER_WAITING_MAX */
 };
 
 struct rg_balancer;
@@ -109,6 +113,30 @@
                                            const struct rg_segment *segment,
                                            uint64_t now_ms);
 
+/* An opening that has waited, and what to do with it now: not
+ * RG_DECISION_WAIT. */
+struct rg_waiting_opening {
+    struct rg_segment segment;
+    struct rg_decision decision;
+    uint32_t slot; /* no longer in use */
+};
+
+/* Openings that wait at a time. */
+#define RG_BALANCER_WAITING_MAX RG_ADMISSION_QUEUE_MAX
+
+/* Takes the next opening whose wait is over. Call it until it returns false,
+ * every few milliseconds while openings wait. */
+bool rg_balancer_next_waiting(struct rg_balancer *b, uint64_t now_ms,
+                              struct rg_waiting_opening *out);
+
+/* Number of openings that wait. */
+size_t rg_balancer_waiting_count(const struct rg_balancer *b);
+
+/* Limit in force on openings a second to a service, by its index; INFINITY if
+ * nothing is known of its capacity. */
+double rg_balancer_limit_per_s(const struct rg_balancer *b, uint32_t service);
+size_t rg_balancer_service_count(const struct rg_balancer *b);
+
 /* The process was suspended for a while: the time that its flows waited
  * meanwhile says nothing about their upstreams. */
 void rg_balancer_paused(struct rg_balancer *b, uint64_t now_ms);
--- a/balance/balancer_outcomes.c
+++ b/balance/balancer_outcomes.c
@@ -61,7 +61,9 @@
 rg_bal_is_overloaded(const struct rg_balancer *b, uint32_t service)
 {
     return service < b->service_count &&
-           rg_admit_is_overloaded(&b->services[service].admit);
+           (rg_admit_is_overloaded(&b->services[service].admit) ||
+            rg_capacity_is_limiting(&b->services[service].capacity,
+                                    b->now_ms));
 }
 
 static void
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -243,6 +243,8 @@
             : b->opening_ms + OPENING_GAIN * ((double)ms - b->opening_ms);
     update_response_gap(b);
     rg_endpoint_responded(t->endpoint, b->now_ms);
+    rg_bal_admission_opened(b, t->endpoint, t->trial, false);
+    t->trial = RG_TRIAL_NONE;
     rg_bal_update_lost_share(b, false);
     t->last_ack = s->ack;
     rg_flows_set_state(t, RG_TRACKED_IDLE, b->now_ms);
@@ -280,11 +282,15 @@
         return;
     }
     uint64_t ms = b->now_ms - t->since_ms;
+    t->answer_ms = (uint32_t)ms;
+    rg_flows_set_state(t, RG_TRACKED_IDLE, b->now_ms);
+    if (rg_bal_is_shed(b, t->endpoint, route, s->ack - t->request_ack)) {
+        rg_endpoint_responded(t->endpoint, b->now_ms);
+        return;
+    }
     rg_metrics_observe(&b->metrics, RG_METRIC_ANSWER_MS, ms);
     rg_endpoint_request_answered(t->endpoint, (double)ms, b->now_ms);
     report_to_admission(b, t, (double)ms, route);
-    t->answer_ms = (uint32_t)ms;
-    rg_flows_set_state(t, RG_TRACKED_IDLE, b->now_ms);
 }
 
 static void
@@ -307,6 +313,10 @@
         t->request_ack = t->last_ack;
         t->answer_ms = RG_TRACKED_UNANSWERED;
         t->overdue = false;
+        if (!t->has_first_copy || t->requested) {
+            rg_bal_admission_request(b, t->endpoint, route);
+        }
+        t->requested = true;
         rg_flows_set_state(t, RG_TRACKED_REQUEST, b->now_ms);
     }
 }
--- a/balance/metrics.c
+++ b/balance/metrics.c
@@ -47,6 +47,10 @@
     [RG_METRIC_STORE_RELISTED] = "store_relisted",
     [RG_METRIC_ENTRIES_UNREADABLE] = "entries_unreadable",
     [RG_METRIC_CONFIGS_UNREADABLE] = "configs_unreadable",
+    [RG_METRIC_OPENINGS_WAITED] = "openings_waited",
+    [RG_METRIC_REFUSED_AFTER_WAIT] = "refused_after_wait",
+    [RG_METRIC_DROPPED_WAITING] = "dropped_waiting",
+    [RG_METRIC_ANSWERS_SHED] = "answers_shed",
 };
 
 static const char *const histogram_names[RG_METRIC_HISTOGRAMS] = {
--- a/balance/openings.c
+++ b/balance/openings.c
@@ -47,6 +47,8 @@
     rg_bal_count(b, RG_METRIC_OPENINGS_REPEATED);
     rg_bal_update_lost_share(b, true);
     rg_endpoint_opening_retransmitted(t->endpoint, b->now_ms);
+    rg_bal_admission_opened(b, t->endpoint, t->trial, true);
+    t->trial = RG_TRIAL_NONE;
     if (t->probe) {
         /* The probe failed: the outlier stays excluded, and peers need not
          * probe it for a while. */
@@ -207,7 +209,9 @@
     bool may_be_open = copy || s->ack != 0;
     uint32_t service;
 
-    rg_bal_count(b, RG_METRIC_OPENINGS);
+    if (!b->granted) {
+        rg_bal_count(b, RG_METRIC_OPENINGS);
+    }
     if ((copy && t->state != RG_TRACKED_OPENING) ||
         (!copy && rg_bal_was_seen_open(b, s)))
     {
@@ -221,14 +225,28 @@
     if (!rg_route_pick_service(route, share_hash(&s->flow), &service)) {
         return opening_without_upstream(b, s, may_be_open, "no-service");
     }
-    if (!may_be_open && !rg_bal_admits(b, route, service)) {
-        return rg_bal_refuse(b, s, RG_METRIC_REFUSED_OVERLOAD, "overload");
+    if (s->ack != 0 && rg_admission_queue_has(b->waiting, s)) {
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_WAITING, "waiting");
+    }
+    if (!may_be_open) {
+        uint32_t slot;
+        switch (rg_bal_admit(b, s, route, service, &slot)) {
+        case RG_BAL_ADMITTED:
+            break;
+        case RG_BAL_WAITS:
+            return (struct rg_decision){.kind = RG_DECISION_WAIT,
+                                        .slot = slot};
+        case RG_BAL_REFUSED:
+            return rg_bal_refuse(b, s, RG_METRIC_REFUSED_OVERLOAD, "overload");
+        }
     }
     struct rg_pick picked = copy ? pick_for_copy(b, s, t, route, service)
                                  : pick_upstream(b, NULL, route, service);
     if (!picked.endpoint) {
         return opening_without_upstream(b, s, may_be_open, "no-upstream");
     }
+    enum rg_trial trial =
+        rg_bal_admission_sent(b, route, picked.endpoint, !may_be_open);
     uint32_t token = opening_token(b, picked.endpoint, s->seq);
     rg_bal_log_opening(b, s, t, &picked, token);
     if (copy) {
@@ -240,6 +258,7 @@
         t = rg_flows_start(b, t, s, picked.endpoint);
     }
     if (t && picked.rule != RG_PICK_SAME) {
+        t->trial = (uint8_t)trial;
         t->probe = picked.rule == RG_PICK_PROBE;
     }
     rg_endpoint_opening_sent(picked.endpoint, b->now_ms);
--- a/balance/pick.c
+++ b/balance/pick.c
@@ -143,7 +143,11 @@
 excess_failure_rate(const struct rg_endpoint *e,
                     const struct rg_pick_opts *opts)
 {
-    double pooled = rg_endpoint_pooled_failure_rate(e, opts->now_ms);
+    /* Queues make requests overdue; all instances would avoid an upstream, and
+     * return to it, at once. */
+    double pooled = opts->overloaded
+                        ? 0
+                        : rg_endpoint_pooled_failure_rate(e, opts->now_ms);
     double chance = FAILURE_RATE_CHANCE_FACTOR * opts->service_failure_rate;
 
     return fmax(rg_endpoint_failure_rate(e, opts->now_ms),
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -2,8 +2,10 @@
 #ifndef RG_BALANCE_PRIV_H
 #define RG_BALANCE_PRIV_H
 
+#include "balance/admission_queue.h"
 #include "balance/admit.h"
 #include "balance/balancer.h"
+#include "balance/capacity.h"
 #include "balance/flow_records.h"
 #include "balance/moved_flows.h"
 #include "balance/outcome_table.h"
@@ -15,6 +17,15 @@
 /* State kept for each service. */
 struct rg_bal_service {
     struct rg_admit admit;
+    struct rg_capacity capacity;
+    uint32_t capacity_ticks; /* since its slots were last counted */
+    bool limiting;           /* as last logged */
+    double lost; /* moving average: share of openings without an answer, at
+                    upstreams that are not known to respond */
+    uint64_t loss_ms;   /* since when many are lost, 0: they are not */
+    uint64_t silent_ms; /* when no upstream had responded lately, 0: never */
+    double revived;     /* moving average: share of openings to unresponsive
+                           upstreams that is answered */
     struct rg_outcomes outcomes; /* of this instance's requests */
     uint64_t choices;            /* upstream choices made so far */
     uint64_t overloaded_ms;      /* last time it was overloaded, 0: never */
@@ -53,6 +64,8 @@
     uint32_t untracked_lines; /* untracked flows logged since then */
     uint64_t now_ms;
     bool held_in_vain; /* the present packet was held, and no peer knows it */
+    bool granted;      /* the present opening has waited and found room */
+    struct rg_admission_queue *waiting;
 };
 
 /* Version of the routes in force, 0 if there are none. */
@@ -137,6 +150,11 @@
 void rg_bal_log_admission(const struct rg_balancer *b, uint32_t service,
                           const struct rg_admit_load *load);
 
+/* Logs that the limit on new flows to a service comes into force or ends. */
+void rg_bal_log_limit(const struct rg_balancer *b, uint32_t service);
+/* Counts an opening that waits for room; logs it within a limit per tick. */
+void rg_bal_log_wait(struct rg_balancer *b, const struct rg_segment *s);
+
 /* Steering of packets, in openings.c and open_flows.c. */
 
 struct rg_decision rg_bal_steer_opening(struct rg_balancer *b,
@@ -156,9 +174,44 @@
 
 /* Allocates the state of services up to this index. */
 void rg_bal_reserve_service(struct rg_balancer *b, uint32_t service);
-/* False if a new flow to this service must be refused because of overload. */
-bool rg_bal_admits(struct rg_balancer *b, const struct rg_route *route,
-                   uint32_t service);
+enum rg_bal_admission {
+    RG_BAL_ADMITTED,
+    RG_BAL_WAITS,   /* queued; `slot` is set */
+    RG_BAL_REFUSED, /* for lack of room */
+};
+/* Whether a new flow may be sent to this service now. */
+enum rg_bal_admission rg_bal_admit(struct rg_balancer *b,
+                                   const struct rg_segment *s,
+                                   const struct rg_route *route,
+                                   uint32_t service, uint32_t *slot);
+/* An opening goes to `endpoint`; `admitted` is false if rg_bal_admit() was not
+ * asked, so that no room has been taken for it. If the opening is a trial,
+ * rg_bal_admission_opened() has to be called once it is known whether it was
+ * lost. */
+enum rg_trial rg_bal_admission_sent(struct rg_balancer *b,
+                                    const struct rg_route *route,
+                                    const struct rg_endpoint *endpoint,
+                                    bool admitted);
+void rg_bal_admission_opened(struct rg_balancer *b,
+                             const struct rg_endpoint *endpoint,
+                             enum rg_trial trial, bool lost);
+/* A request follows on an open flow, whose opening did not take room for it.
+ */
+void rg_bal_admission_request(struct rg_balancer *b,
+                              const struct rg_endpoint *endpoint,
+                              const struct rg_route *route);
+/* True if an answer of this size, or whose first part has it, says that the
+ * request was shed for lack of room: it is short, and the service is near its
+ * limit. It then says nothing about the upstream's work or health. */
+bool rg_bal_is_shed(const struct rg_balancer *b,
+                    const struct rg_endpoint *endpoint,
+                    const struct rg_route *route, uint32_t bytes);
+/* A request was shed, or answered after `ms` at its upstream. */
+void rg_bal_admission_shed(struct rg_balancer *b,
+                           const struct rg_endpoint *endpoint);
+void rg_bal_admission_answered(struct rg_balancer *b,
+                               const struct rg_endpoint *endpoint,
+                               const struct rg_route *route, double ms);
 /* Call every RG_BALANCER_TICK_MS. */
 void rg_bal_tick_admission(struct rg_balancer *b);
 
@@ -169,7 +222,7 @@
 void rg_bal_add_outcome(struct rg_balancer *b, struct rg_endpoint *endpoint,
                         enum rg_outcome outcome);
 /* True while so many answers of a service are slow that chance does not
- * explain it. */
+ * explain it, or its limit is in force. */
 bool rg_bal_is_overloaded(const struct rg_balancer *b, uint32_t service);
 /* Share of this instance's recent requests to a service that failed. */
 double rg_bal_service_failure_rate(const struct rg_balancer *b,
--- a/balance/report.c
+++ b/balance/report.c
@@ -136,6 +136,32 @@
     return (struct rg_decision){.kind = RG_DECISION_HOLD};
 }
 
+void
+rg_bal_log_wait(struct rg_balancer *b, const struct rg_segment *s)
+{
+    rg_bal_count(b, RG_METRIC_OPENINGS_WAITED);
+    if (b->dropped_lines < DROPPED_LINES_PER_TICK) {
+        b->dropped_lines++;
+        log_packet(b, s, "WAITS", "no-room");
+    }
+}
+
+void
+rg_bal_log_limit(const struct rg_balancer *b, uint32_t service)
+{
+    const struct rg_capacity *c = &b->services[service].capacity;
+
+    rg_log_event(b->opts.log, RG_LOG_NOTICE,
+                 b->services[service].limiting ? "LIMITED" : "UNLIMITED",
+                 "service=\"%s\" per_s=\"%.1f\" slots=\"%.2f\" "
+                 "factor=\"%.2f\" work_ms=\"%.1f\" demand=\"%.2f\" "
+                 "waiting=\"%zu\" instances=\"%zu\" share=\"%.4f\"",
+                 rg_pool_service_name(b->pool, service)->s,
+                 rg_capacity_per_s(c), c->slots, c->factor, c->work_ms,
+                 c->demand, rg_admission_queue_count(b->waiting),
+                 b->fleet.instances, b->fleet.share);
+}
+
 void
 rg_bal_log_token(const struct rg_balancer *b, const struct rg_segment *s,
                  const struct rg_tracked_flow *t,
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -269,6 +269,12 @@
         return;
     }
     double ms = fmax((double)t->answer_ms - b->opening_ms, 0);
+    if (rg_bal_is_shed(b, t->endpoint, route, bytes)) {
+        rg_bal_admission_shed(b, t->endpoint);
+        t->answer_ms = RG_TRACKED_UNANSWERED;
+        return;
+    }
+    rg_bal_admission_answered(b, t->endpoint, route, ms);
     bool error_like = rg_route_answered(route, ms, bytes);
     rg_bal_add_outcome(b, t->endpoint, outcome_of(t, error_like));
     if (error_like) {
--- a/balance/tracked_flows.h
+++ b/balance/tracked_flows.h
@@ -32,6 +32,13 @@
     RG_TRACKED_CLOSED,  /* closed or reset by the caller, or reset here */
 };
 
+/* What an opening shows of its upstream by its answer or loss. */
+enum rg_trial {
+    RG_TRIAL_NONE,
+    RG_TRIAL_IN_DOUBT,     /* whether those that may be gone respond */
+    RG_TRIAL_UNRESPONSIVE, /* whether those that were silent respond again */
+};
+
 struct rg_tracked_flow {
     struct rg_flow_id flow;
     struct rg_endpoint *endpoint; /* the current one, NULL: entry is free */
@@ -53,6 +60,8 @@
     bool repeated;           /* its opening was: two upstreams may have it */
     bool probe;              /* tests whether an outlier has recovered */
     bool has_first_copy;     /* the first copy of its opening passed here */
+    bool requested;          /* so did a request */
+    uint8_t trial;           /* enum rg_trial: of its opening */
     bool proven;  /* the caller is known to have taken this endpoint */
     uint8_t told; /* round in which peers were told of it, or
                      RG_FLOW_NOT_TOLD */
--- a/edge/packet_socket.c
+++ b/edge/packet_socket.c
@@ -22,6 +22,14 @@
 #define DISCARD_BATCHES_MAX 1024
 /* How often held packets are looked at while there are any. */
 #define HELD_CHECK_MS 5
+/* How often it is checked whether there is room for openings that wait. */
+#define WAITING_CHECK_MS 5
+
+/* An opening that waits for room at its service. */
+struct waiting_packet {
+    size_t len;
+    uint8_t data[];
+};
 
 struct rg_packet_socket {
     struct rg_packet_socket_opts opts;
@@ -29,6 +37,8 @@
     uv_poll_t poll;
     uv_timer_t held_timer; /* runs while packets are held */
     struct rg_held_packets *held;
+    uv_timer_t waiting_timer; /* runs while openings wait */
+    struct waiting_packet *waiting[RG_BALANCER_WAITING_MAX]; /* by slot */
     unsigned open_handles; /* closed by rg_packet_socket_destroy() */
     uint64_t last_ms;      /* when the last packet was received, 0: none */
     struct mmsghdr in[BATCH];
@@ -118,7 +128,7 @@
     flush(p);
 }
 
-/* Queues what the balancer has decided, but for RG_DECISION_HOLD. */
+/* Queues what the balancer has decided, but for packets that are kept. */
 static void
 carry_out(struct rg_packet_socket *p, const struct rg_decision *decision,
           const struct rg_segment *segment, uint8_t *data, size_t len)
@@ -132,6 +142,7 @@
         break;
     case RG_DECISION_DROP:
     case RG_DECISION_HOLD:
+    case RG_DECISION_WAIT:
         break;
     }
 }
@@ -191,6 +202,42 @@
     }
 }
 
+/* Forwards or refuses openings whose wait is over. */
+static void
+on_waiting_timer(uv_timer_t *timer)
+{
+    struct rg_packet_socket *p = timer->data;
+    struct rg_balancer *balancer = p->opts.balancer;
+    struct rg_waiting_opening opening;
+
+    while (
+        rg_balancer_next_waiting(balancer, rg_clock_boottime_ms(), &opening)) {
+        struct waiting_packet *w = p->waiting[opening.slot];
+        p->waiting[opening.slot] = NULL;
+        carry_out(p, &opening.decision, &opening.segment, w->data, w->len);
+        flush(p); /* the queue refers to the packet's memory */
+        free(w);
+    }
+    if (rg_balancer_waiting_count(balancer) == 0) {
+        uv_timer_stop(timer);
+    }
+}
+
+static void
+keep_opening(struct rg_packet_socket *p, uint32_t slot, const uint8_t *data,
+             size_t len)
+{
+    struct waiting_packet *w = rg_calloc(1, sizeof(*w) + len);
+
+    w->len = len;
+    memcpy(w->data, data, len);
+    p->waiting[slot] = w;
+    if (!uv_is_active((const uv_handle_t *)&p->waiting_timer)) {
+        uv_timer_start(&p->waiting_timer, on_waiting_timer, WAITING_CHECK_MS,
+                       WAITING_CHECK_MS);
+    }
+}
+
 static void
 handle_packet(struct rg_packet_socket *p, uint8_t *data, size_t len,
               uint64_t now_ms)
@@ -207,6 +254,10 @@
         hold_packet(p, &segment, data, len, now_ms);
         return;
     }
+    if (decision.kind == RG_DECISION_WAIT) {
+        keep_opening(p, decision.slot, data, len);
+        return;
+    }
     carry_out(p, &decision, &segment, data, len);
 }
 
@@ -282,8 +333,10 @@
     p->poll.data = p;
     uv_timer_init(opts->loop, &p->held_timer);
     p->held_timer.data = p;
+    uv_timer_init(opts->loop, &p->waiting_timer);
+    p->waiting_timer.data = p;
     p->held = rg_held_packets_create();
-    p->open_handles = 2;
+    p->open_handles = 3;
     uv_poll_start(&p->poll, UV_READABLE, on_readable);
     return p;
 }
@@ -298,6 +351,9 @@
     }
     close(p->fd);
     rg_held_packets_destroy(p->held);
+    for (int i = 0; i < RG_BALANCER_WAITING_MAX; i++) {
+        free(p->waiting[i]);
+    }
     free(p);
 }
 
@@ -306,6 +362,7 @@
 {
     if (p) {
         uv_close((uv_handle_t *)&p->held_timer, on_closed);
+        uv_close((uv_handle_t *)&p->waiting_timer, on_closed);
         uv_close((uv_handle_t *)&p->poll, on_closed);
     }
 }
--- a/edge/status.c
+++ b/edge/status.c
@@ -1,8 +1,29 @@
 #include "edge/status.h"
 
+#include <math.h>
+
 #include "balance/peers.h"
 #include "common/clock.h"
 
+/* The limits in force, by service; one without a limit is left out. */
+static void
+print_limits(struct rg_balancer *b, struct rg_strbuf *body)
+{
+    rg_strbuf_printf(body, "# TYPE rattangap_limit_per_s gauge\n");
+    for (uint32_t i = 0; i < rg_balancer_service_count(b); i++) {
+        double per_s = rg_balancer_limit_per_s(b, i);
+        if (isfinite(per_s)) {
+            rg_strbuf_printf(
+                body, "rattangap_limit_per_s{service=\"%s\"} %.1f\n",
+                rg_pool_service_name(rg_balancer_pool(b), i)->s, per_s);
+        }
+    }
+    rg_strbuf_printf(body,
+                     "# TYPE rattangap_openings_waiting gauge\n"
+                     "rattangap_openings_waiting %zu\n",
+                     rg_balancer_waiting_count(b));
+}
+
 void
 rg_status_metrics(struct rg_balancer *b, const struct rg_gossip *gossip,
                   const struct rg_log *log, struct rg_strbuf *body)
@@ -30,4 +51,5 @@
                                              rg_clock_boottime_ms())
                             : 0,
                      (unsigned long long)rg_log_suppressed(log->queue));
+    print_limits(b, body);
 }
--- a/test/fake_service.h
+++ b/test/fake_service.h
@@ -17,7 +17,9 @@
 #define FAKE_UPSTREAMS_MAX 320
 /* Digests sent to instances of the same data centre, percent. */
 #define FAKE_DIGESTS_LOCAL 60
-#define FAKE_FLOWS_MAX 4096
+#define FAKE_FLOWS_MAX 8192
+#define FAKE_ROUTES_MAX 3
+#define FAKE_QUEUE_MAX 16
 /* Maximum number of outcomes in a digest, as in schema/messages.json. */
 #define FAKE_ROWS_MAX 12
 #define FAKE_SERVICE_IP 0xc6120001
@@ -25,6 +27,11 @@
 #define FAKE_RTT_MS 7
 #define FAKE_ANSWER_BYTES 1000
 #define FAKE_ERROR_BYTES 150
+#define FAKE_SHED_BYTES 60
+/* A request is shed once it has waited this long in its upstream's queue. */
+#define FAKE_QUEUE_TIMEOUT_MS 450
+/* How often edge/packet_socket.c looks at waiting openings. */
+#define FAKE_WAITING_CHECK_MS 5
 #define FAKE_DEADLINE_MS 800
 #define FAKE_TARGET_MS 120
 
@@ -42,12 +49,29 @@
     uint64_t cold_until_ms; /* until then it takes twice as long */
     uint32_t running;
     uint32_t served;
-    uint32_t opened; /* flows opened there */
+    uint32_t opened;           /* flows opened there */
+    int queue[FAKE_QUEUE_MAX]; /* flows whose requests wait, oldest first */
+    uint32_t queued;
+};
+
+/* Requests to one address, and what became of them. */
+struct fake_route {
+    double weight; /* share of all requests */
+    double work_ms;
+    uint32_t target_ms;
+    uint32_t deadline_ms;
+    uint32_t priority;
+    uint32_t per_flow; /* requests on one flow, 0: one */
+    uint32_t pause_ms; /* between these */
+    uint32_t requests;
+    uint32_t in_time;
+    uint32_t late;
 };
 
 enum fake_phase {
     FAKE_FREE,
     FAKE_OPENING, /* has sent an opening */
+    FAKE_PAUSED,  /* a request was answered, the next one follows */
     FAKE_QUEUED,  /* the request waits at the upstream */
     FAKE_RUNNING,
     FAKE_ANSWERED, /* the answer is on its way */
@@ -63,6 +87,13 @@
     int upstream; /* -1: none has answered */
     uint32_t token;
     bool error;
+    bool shed;
+    bool in_queue;
+    uint8_t route;
+    uint8_t attempts;    /* made for the present request */
+    uint32_t done;       /* requests answered on this flow */
+    uint64_t arrived_ms; /* when the request came to the upstream */
+    uint32_t seq;
 };
 
 struct fake_service {
@@ -80,8 +111,11 @@
     struct fake_upstream upstreams[FAKE_UPSTREAMS_MAX];
     int upstream_count;
     uint32_t slots;
-    uint32_t deadline_ms;
-    double work_ms; /* mean */
+    uint32_t queue;    /* requests that wait at an upstream, 0: unlimited */
+    uint32_t attempts; /* of a caller for one request */
+    struct fake_route routes[FAKE_ROUTES_MAX];
+    uint32_t route_count;
+    double first_data_centre; /* share of flows that go there, 0: even */
     struct fake_flow flows[FAKE_FLOWS_MAX];
     int flow_end; /* flows from this index on are free */
     struct rg_rand rand;
@@ -97,6 +131,10 @@
     uint32_t lost_twice;       /* openings whose retransmission failed, too */
     uint32_t resets;           /* of flows with an outstanding request */
     uint32_t premature_resets; /* of these, at upstreams that answer */
+    uint32_t arrived;          /* requests at upstreams */
+    uint32_t shed;             /* of these */
+    uint32_t refusals;         /* of openings, all attempts */
+    double worked_ms;          /* work for answers in time */
 };
 
 static inline double
@@ -143,9 +181,14 @@
 struct fake_opts {
     int balancers;
     int upstreams;
-    int data_centres;     /* 0: one */
-    bool unsafe;          /* requests must not be retried */
-    uint32_t deadline_ms; /* 0: FAKE_DEADLINE_MS */
+    int data_centres;                /* 0: one */
+    bool unsafe;                     /* requests must not be retried */
+    uint32_t deadline_ms;            /* 0: FAKE_DEADLINE_MS */
+    bool can_hold;                   /* as the option of the balancer */
+    uint32_t queue;                  /* see struct fake_service */
+    uint32_t attempts;               /* 0: one */
+    const struct fake_route *routes; /* NULL: one */
+    uint32_t route_count;
     uint64_t seed;
 };
 
@@ -160,19 +203,25 @@
         .seed = o->seed + (uint64_t)b,
         .refuse = fake_reset_flow,
         .ctx = s,
+        .can_hold = o->can_hold,
     };
-    struct rg_route *route = calloc(1, sizeof(*route));
-
-    route->ip = FAKE_SERVICE_IP;
-    route->port = FAKE_SERVICE_PORT;
-    route->target_ms = FAKE_TARGET_MS;
-    route->timeout_ms = s->deadline_ms;
-    route->repeat = o->unsafe ? RG_REPEAT_UNSAFE : RG_REPEAT_SAFE;
-    route->share_count = 1;
-    route->shares[0] =
-        (struct rg_route_share){.service = fake_name("shop", 0), .weight = 1};
+    struct rg_route *routes = calloc(s->route_count, sizeof(*routes));
+
+    for (uint32_t i = 0; i < s->route_count; i++) {
+        routes[i] = (struct rg_route){
+            .ip = FAKE_SERVICE_IP,
+            .port = (uint16_t)(FAKE_SERVICE_PORT + i),
+            .target_ms = s->routes[i].target_ms,
+            .timeout_ms = s->routes[i].deadline_ms,
+            .priority = s->routes[i].priority,
+            .repeat = o->unsafe ? RG_REPEAT_UNSAFE : RG_REPEAT_SAFE,
+            .share_count = 1,
+            .shares = {{.service = fake_name("shop", 0), .weight = 1}},
+        };
+    }
     struct rg_balancer *balancer = rg_balancer_create(&opts, s->now_ms);
-    rg_balancer_set_routes(balancer, rg_routes_create(1, route, 1));
+    rg_balancer_set_routes(balancer,
+                           rg_routes_create(1, routes, s->route_count));
     rg_balancer_set_confirmed(balancer, s->now_ms);
     struct rg_fleet fleet = {
         .instances = (size_t)o->balancers,
@@ -194,8 +243,19 @@
     s->upstream_count = opts->upstreams;
     s->data_centres = MAX(opts->data_centres, 1);
     s->slots = 2;
-    s->deadline_ms = opts->deadline_ms ? opts->deadline_ms : FAKE_DEADLINE_MS;
-    s->work_ms = 22;
+    s->queue = opts->queue;
+    s->attempts = MAX(opts->attempts, 1);
+    s->route_count = MAX(opts->route_count, 1);
+    s->routes[0] = (struct fake_route){
+        .weight = 1,
+        .work_ms = 22,
+        .target_ms = FAKE_TARGET_MS,
+        .deadline_ms =
+            opts->deadline_ms ? opts->deadline_ms : FAKE_DEADLINE_MS,
+    };
+    for (uint32_t i = 0; i < opts->route_count; i++) {
+        s->routes[i] = opts->routes[i];
+    }
     for (int b = 0; b < opts->balancers; b++) {
         s->balancers[b] = fake_balancer_create(s, opts, b);
     }
@@ -223,6 +283,27 @@
     }
 }
 
+/* The first data centre's callers send this share of all flows; its balancers
+ * know their share. */
+static inline void
+fake_set_first_data_centre(struct fake_service *s, double share)
+{
+    int local = s->balancer_count / s->data_centres;
+
+    s->first_data_centre = share;
+    for (int b = 0; b < s->balancer_count; b++) {
+        double of_all = b % s->data_centres == 0
+                            ? share
+                            : (1 - share) / (s->data_centres - 1);
+        struct rg_fleet fleet = {
+            .instances = (size_t)s->balancer_count,
+            .local_instances = (size_t)local,
+            .share = of_all / local,
+        };
+        rg_balancer_set_fleet(s->balancers[b], &fleet);
+    }
+}
+
 static inline struct fake_service *
 fake_service_create(int balancers, int upstreams, uint64_t seed)
 {
@@ -247,6 +328,12 @@
 {
     int port = f->id.caller_port;
 
+    if (s->first_data_centre > 0) {
+        /* The caller's address tells its data centre. */
+        int dc = (int)(f->id.caller_ip & 0xff);
+        return dc + s->data_centres *
+                        (port % (s->balancer_count / s->data_centres));
+    }
     if (s->uneven && port % 2 == 0) {
         return 0;
     }
@@ -272,29 +359,69 @@
     return rg_balancer_packet(s->balancers[b], &segment, s->now_ms);
 }
 
+static inline void
+fake_leave_queue(struct fake_service *s, struct fake_flow *f)
+{
+    if (!f->in_queue) {
+        return;
+    }
+    struct fake_upstream *u = &s->upstreams[f->upstream];
+    uint32_t i = 0;
+    while (u->queue[i] != (int)(f - s->flows)) {
+        i++;
+    }
+    u->queued--;
+    memmove(&u->queue[i], &u->queue[i + 1],
+            (u->queued - i) * sizeof(u->queue[0]));
+    f->in_queue = false;
+}
+
+/* A new attempt of the same caller, from another port. */
+static inline void
+fake_open_again(struct fake_service *s, struct fake_flow *f)
+{
+    f->id.caller_port = ++s->next_port;
+    f->phase = FAKE_OPENING;
+    f->next_ms = s->now_ms + 1;
+    f->retransmissions = 0;
+    f->ack = 0;
+    f->seq = 0;
+    f->done = 0;
+    f->shed = false;
+    f->error = false;
+    f->arrived_ms = 0;
+}
+
 static inline void
 fake_end_flow(struct fake_service *s, struct fake_flow *f, uint32_t *outcome)
 {
-    (void)s;
+    fake_leave_queue(s, f);
     (*outcome)++;
     f->phase = FAKE_FREE;
 }
 
+/* The request was not run: the caller tries again if it may. */
 static inline void
-fake_send_opening(struct fake_service *s, struct fake_flow *f)
+fake_not_run(struct fake_service *s, struct fake_flow *f, uint32_t *outcome)
 {
-    static const uint32_t waits_ms[] = {200, 400, 800};
-    struct rg_segment syn = {.opening = true, .ack = f->retransmissions};
-
-    if (f->retransmissions == G_N_ELEMENTS(waits_ms)) {
-        fake_end_flow(s, f, &s->lost); /* no upstream has answered */
+    if (++f->attempts >= s->attempts) {
+        fake_end_flow(s, f, outcome);
         return;
     }
-    s->lost_twice += f->retransmissions == 2;
-    struct rg_decision decision = fake_send(s, f, syn);
+    fake_open_again(s, f);
+}
+
+/* What the balancer does with an opening; a waiting one may be retransmitted
+ * meanwhile. */
+static inline void
+fake_handle_opening(struct fake_service *s, struct fake_flow *f,
+                    struct rg_decision decision)
+{
+    static const uint32_t waits_ms[] = {200, 400, 800};
 
     if (decision.kind == RG_DECISION_REFUSE) {
-        fake_end_flow(s, f, &s->refused);
+        s->refusals++;
+        fake_not_run(s, f, &s->refused);
         return;
     }
     f->upstream = -1;
@@ -314,11 +441,73 @@
     f->retransmissions++;
 }
 
+static inline void
+fake_send_opening(struct fake_service *s, struct fake_flow *f)
+{
+    struct rg_segment syn = {.opening = true, .ack = f->retransmissions};
+
+    if (f->retransmissions == 3) {
+        fake_not_run(s, f, &s->lost); /* no upstream has answered */
+        return;
+    }
+    s->lost_twice += f->retransmissions == 2;
+    fake_handle_opening(s, f, fake_send(s, f, syn));
+}
+
+/* Decides on openings that wait at a balancer. */
+static inline void
+fake_release_waiting(struct fake_service *s, int b)
+{
+    struct rg_waiting_opening w;
+
+    while (rg_balancer_next_waiting(s->balancers[b], s->now_ms, &w)) {
+        for (int n = 0; n < s->flow_end; n++) {
+            struct fake_flow *f = &s->flows[n];
+            if (f->phase == FAKE_OPENING &&
+                memcmp(&f->id, &w.segment.flow, sizeof(f->id)) == 0)
+            {
+                f->retransmissions -= f->retransmissions > 0;
+                fake_handle_opening(s, f, w.decision);
+                break;
+            }
+        }
+    }
+}
+
+/* A request arrives at its upstream. False if it is shed. */
+static inline bool
+fake_arrive(struct fake_service *s, struct fake_flow *f)
+{
+    struct fake_upstream *u = &s->upstreams[f->upstream];
+
+    s->arrived++;
+    f->arrived_ms = s->now_ms;
+    if (s->queue == 0) {
+        return true;
+    }
+    if (u->running + u->queued >= s->slots + s->queue) {
+        return false;
+    }
+    u->queue[u->queued++] = (int)(f - s->flows);
+    f->in_queue = true;
+    return true;
+}
+
+static inline void
+fake_shed(struct fake_service *s, struct fake_flow *f)
+{
+    fake_leave_queue(s, f);
+    s->shed++;
+    f->shed = true;
+    f->phase = FAKE_ANSWERED;
+    f->next_ms = s->now_ms + FAKE_RTT_MS;
+}
+
 static inline void
 fake_start_work(struct fake_service *s, struct fake_flow *f)
 {
     struct fake_upstream *u = &s->upstreams[f->upstream];
-    double ms = s->work_ms * (0.4 + 1.2 * fake_uniform(s));
+    double ms = s->routes[f->route].work_ms * (0.4 + 1.2 * fake_uniform(s));
 
     if (u->condition == FAKE_ERROR) {
         f->error = true;
@@ -327,11 +516,16 @@
         return;
     }
     if (u->condition == FAKE_HANGING || fake_is_partitioned(s, f) ||
-        u->running >= s->slots)
+        u->running >= s->slots ||
+        (f->in_queue && u->queue[0] != (int)(f - s->flows)))
     {
         f->next_ms = s->now_ms + 1;
+        if (f->in_queue && s->now_ms - f->arrived_ms > FAKE_QUEUE_TIMEOUT_MS) {
+            fake_shed(s, f);
+        }
         return;
     }
+    fake_leave_queue(s, f);
     u->running++;
     if (u->condition == FAKE_SLOW) {
         ms *= 5;
@@ -343,35 +537,71 @@
     f->next_ms = s->now_ms + (uint64_t)ms;
 }
 
+/* The caller has received an answer, and closes the flow unless it sends more
+ * requests there. */
 static inline void
 fake_receive_answer(struct fake_service *s, struct fake_flow *f)
 {
-    struct rg_segment fin = {
-        .token = f->token,
-        .seq = 2,
-        .ack = 1 + (f->error ? FAKE_ERROR_BYTES : FAKE_ANSWER_BYTES),
-        .fin = true,
-    };
+    struct fake_route *r = &s->routes[f->route];
+    struct rg_segment ack = {
+        .token = f->token, .seq = f->seq + 100, .ack = f->ack};
     uint64_t ms = s->now_ms - f->start_ms;
-
-    fake_send(s, f, fin);
+    bool in_time = ms <= r->target_ms;
+
+    ack.ack += f->error  ? FAKE_ERROR_BYTES
+               : f->shed ? FAKE_SHED_BYTES
+                         : FAKE_ANSWER_BYTES;
+    f->ack = ack.ack;
+    f->done++;
+    ack.fin = f->shed || f->error || f->done >= MAX(r->per_flow, 1);
+    fake_send(s, f, ack);
     if (f->error) {
         fake_end_flow(s, f, &s->errors);
+        return;
+    }
+    if (f->shed) {
+        fake_not_run(s, f, &s->errors);
+        return;
     }
-    else {
-        fake_end_flow(s, f, ms <= FAKE_TARGET_MS ? &s->in_time : &s->late);
+    s->worked_ms += in_time ? r->work_ms : 0;
+    r->in_time += in_time;
+    r->late += !in_time;
+    if (ack.fin) {
+        fake_end_flow(s, f, in_time ? &s->in_time : &s->late);
+        return;
     }
+    s->in_time += in_time;
+    s->late += !in_time;
+    f->phase = FAKE_PAUSED;
+    f->next_ms = s->now_ms + rg_rand_below(&s->rand, 2 * r->pause_ms) + 1;
+}
+
+/* The next request on an open flow. */
+static inline void
+fake_request_again(struct fake_service *s, struct fake_flow *f)
+{
+    s->requests++;
+    s->routes[f->route].requests++;
+    f->start_ms = s->now_ms;
+    f->attempts = 0;
+    f->seq += 100;
+    f->phase = FAKE_QUEUED;
+    f->next_ms = s->now_ms;
+    f->arrived_ms = 0;
 }
 
 static inline void
 fake_step_flow(struct fake_service *s, struct fake_flow *f)
 {
-    struct rg_segment data = {.token = f->token, .seq = 1, .ack = 1};
+    struct rg_segment data = {.token = f->token, .seq = f->seq};
 
     if (f->phase == FAKE_FREE || s->now_ms < f->next_ms) {
         return;
     }
-    if (s->now_ms - f->start_ms > s->deadline_ms) {
+    if (f->phase == FAKE_PAUSED) {
+        fake_request_again(s, f);
+    }
+    if (s->now_ms - f->start_ms > s->routes[f->route].deadline_ms) {
         if (f->phase == FAKE_RUNNING) {
             s->upstreams[f->upstream].running--;
         }
@@ -383,10 +613,17 @@
         fake_send_opening(s, f);
         break;
     case FAKE_QUEUED:
-        if (!f->ack) {
-            f->ack = 1;
+        if (f->arrived_ms == 0) {
+            f->ack = MAX(f->ack, 1);
+            f->seq = MAX(f->seq, 1);
+            data.seq = f->seq;
+            data.ack = f->ack;
             data.len = 100;
             fake_send(s, f, data);
+            if (!fake_arrive(s, f)) {
+                fake_shed(s, f);
+                break;
+            }
         }
         fake_start_work(s, f);
         break;
@@ -402,6 +639,18 @@
     }
 }
 
+static inline uint8_t
+fake_pick_route(struct fake_service *s)
+{
+    double left = s->route_count > 1 ? fake_uniform(s) : 0;
+    uint8_t i = 0;
+
+    while (i + 1U < s->route_count && left >= s->routes[i].weight) {
+        left -= s->routes[i++].weight;
+    }
+    return i;
+}
+
 static inline void
 fake_start_request(struct fake_service *s)
 {
@@ -417,7 +666,18 @@
                 .caller_port = ++s->next_port,
                 .service_port = FAKE_SERVICE_PORT,
             };
+            f->route = fake_pick_route(s);
+            f->id.service_port += f->route;
+            if (s->first_data_centre > 0) {
+                bool first = fake_uniform(s) < s->first_data_centre;
+                f->id.caller_ip =
+                    0x64400000 + (s->requests % 64 << 8) +
+                    (first ? 0
+                           : 1 + rg_rand_below(&s->rand,
+                                               (uint32_t)s->data_centres - 1));
+            }
             s->requests++;
+            s->routes[f->route].requests++;
             s->flow_end = MAX(s->flow_end, i + 1);
             return;
         }
@@ -443,11 +703,8 @@
         if (f->phase == FAKE_RUNNING) {
             s->upstreams[f->upstream].running--;
         }
-        f->id.caller_port = ++s->next_port;
-        f->phase = FAKE_OPENING;
-        f->next_ms = s->now_ms + 1;
-        f->retransmissions = 0;
-        f->ack = 0;
+        fake_leave_queue(s, f);
+        fake_open_again(s, f);
         return;
     }
 }
@@ -514,6 +771,11 @@
         {
             s->flow_end--;
         }
+        for (int b = (int)(s->now_ms % FAKE_WAITING_CHECK_MS);
+             b < s->balancer_count; b += FAKE_WAITING_CHECK_MS)
+        {
+            fake_release_waiting(s, b);
+        }
         /* The ticks of the balancers are spread over the period. */
         for (int b = (int)(s->now_ms % RG_BALANCER_TICK_MS);
              b < s->balancer_count; b += RG_BALANCER_TICK_MS)
@@ -534,6 +796,11 @@
 {
     s->requests = s->in_time = s->late = s->errors = s->refused = s->lost = 0;
     s->lost_twice = s->resets = s->premature_resets = s->rows_sent = 0;
+    s->arrived = s->shed = s->refusals = 0;
+    s->worked_ms = 0;
+    for (uint32_t i = 0; i < s->route_count; i++) {
+        s->routes[i].requests = s->routes[i].in_time = s->routes[i].late = 0;
+    }
     for (int i = 0; i < s->upstream_count; i++) {
         s->upstreams[i].served = 0;
         s->upstreams[i].opened = 0;
