--- a/balance/balancer_admission.c
+++ b/balance/balancer_admission.c
@@ -10,8 +10,11 @@
 /* An opening waits for room for at most this share of its latency target, so
  * that its answer, which varies, is in time. */
 #define WAIT_TARGET_SHARE 0.5
-/* Callers give up an opening after 1.4 s. */
-#define WAIT_MAX_MS 700
+/* Callers send a copy of an opening after 200 ms, which may reach another
+ * instance. Until then the flow cannot be open, and may be refused. */
+#define WAIT_MAX_MS 180
+/* The process was suspended if a wait ends later than this after its time. */
+#define WAIT_LATE_MS 15
 /* Work takes up to this many times its mean. */
 #define WORK_SPREAD 1.6
 /* Most of a service's upstreams may be gone once this share of the openings
@@ -20,7 +23,7 @@
 #define LOST_LOW 0.1
 /* Gain of that share, for each opening: an instance that sends ten a second
  * notices within a second. */
-#define LOST_GAIN 0.1
+#define LOST_GAIN 0.2
 /* Least share of the slots of upstreams in doubt that counts: they get
  * openings only if there is room for them. */
 #define IN_DOUBT_MIN 0.25
@@ -265,8 +268,13 @@
 
 /* All but the room may have changed meanwhile: routes, upstreams, the view. */
 static struct rg_decision
-decide_after_wait(struct rg_balancer *b, const struct rg_segment *s)
+decide_after_wait(struct rg_balancer *b, const struct rg_queued_opening *o)
 {
+    const struct rg_segment *s = &o->segment;
+
+    if (b->now_ms > o->until_ms + WAIT_LATE_MS) {
+        return rg_bal_drop(b, s, RG_METRIC_DROPPED_WAITING, "waited-late");
+    }
     if (!b->granted) {
         return rg_bal_refuse(b, s, RG_METRIC_REFUSED_AFTER_WAIT, "no-room");
     }
@@ -290,7 +298,7 @@
     b->services[o.service].capacity.classes[o.class].waiting--;
     out->segment = o.segment;
     out->slot = o.slot;
-    out->decision = decide_after_wait(b, &o.segment);
+    out->decision = decide_after_wait(b, &o);
     b->granted = false;
     return true;
 }
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -187,6 +187,7 @@
         .last_ms = b->now_ms,
         .state = RG_TRACKED_IDLE,
         .answer_ms = RG_TRACKED_UNANSWERED,
+        .requested = true, /* no opening has taken room here */
     };
     acquire(t, endpoint);
     return t;
@@ -313,7 +314,7 @@
         t->request_ack = t->last_ack;
         t->answer_ms = RG_TRACKED_UNANSWERED;
         t->overdue = false;
-        if (!t->has_first_copy || t->requested) {
+        if (t->requested) {
             rg_bal_admission_request(b, t->endpoint, route);
         }
         t->requested = true;
--- a/balance/openings.c
+++ b/balance/openings.c
@@ -245,8 +245,6 @@
     if (!picked.endpoint) {
         return opening_without_upstream(b, s, may_be_open, "no-upstream");
     }
-    enum rg_trial trial =
-        rg_bal_admission_sent(b, route, picked.endpoint, !may_be_open);
     uint32_t token = opening_token(b, picked.endpoint, s->seq);
     rg_bal_log_opening(b, s, t, &picked, token);
     if (copy) {
@@ -257,6 +255,10 @@
     else {
         t = rg_flows_start(b, t, s, picked.endpoint);
     }
+    enum rg_trial trial = RG_TRIAL_NONE;
+    if (picked.rule != RG_PICK_SAME) {
+        trial = rg_bal_admission_sent(b, route, picked.endpoint, !may_be_open);
+    }
     if (t && picked.rule != RG_PICK_SAME) {
         t->trial = (uint8_t)trial;
         t->probe = picked.rule == RG_PICK_PROBE;
--- a/balance/tracked_flows.h
+++ b/balance/tracked_flows.h
@@ -60,11 +60,12 @@
     bool repeated;           /* its opening was: two upstreams may have it */
     bool probe;              /* tests whether an outlier has recovered */
     bool has_first_copy;     /* the first copy of its opening passed here */
-    bool requested;          /* so did a request */
-    uint8_t trial;           /* enum rg_trial: of its opening */
-    bool proven;  /* the caller is known to have taken this endpoint */
-    uint8_t told; /* round in which peers were told of it, or
-                     RG_FLOW_NOT_TOLD */
+    bool requested; /* the next request takes room of its own: the opening has
+                       taken it for the first one */
+    uint8_t trial;  /* enum rg_trial: of its opening */
+    bool proven;    /* the caller is known to have taken this endpoint */
+    uint8_t told;   /* round in which peers were told of it, or
+                       RG_FLOW_NOT_TOLD */
 };
 
 struct rg_tracked_flows;
