balance: errors near the limit are not shed requests

An upstream that is full answers other requests meanwhile. So only the first short answer in a row from one upstream lowers the limit, and from the third on they are errors again, which count against the upstream also while the limit is in force (queues make requests late, they do not make errors).

--- a/balance/balancer_admission.c
+++ b/balance/balancer_admission.c
@@ -34,6 +34,9 @@
  * answer fills a packet if there is more to come. */
 #define SHED_BYTES_SHARE 0.5
 #define PACKET_BYTES 1200.0
+/* An upstream that is full answers other requests meanwhile. After this many
+ * short answers in a row they are errors; the first one lowers the limit. */
+#define SHEDS_IN_A_ROW 2
 /* The upstreams of a service are silent if none has responded for this long,
  * and for this many times the mean time between responses. */
 #define SILENCE_MIN_MS 500.0
@@ -230,16 +233,19 @@
     double usual = fmin(route->median_bytes, PACKET_BYTES);
 
     return endpoint->service < b->service_count &&
+           endpoint->sheds < SHEDS_IN_A_ROW &&
            bytes < SHED_BYTES_SHARE * usual &&
            rg_capacity_is_near_limit(&b->services[endpoint->service].capacity);
 }
 
 void
-rg_bal_admission_shed(struct rg_balancer *b,
-                      const struct rg_endpoint *endpoint)
+rg_bal_admission_shed(struct rg_balancer *b, struct rg_endpoint *endpoint)
 {
     rg_bal_count(b, RG_METRIC_ANSWERS_SHED);
-    rg_capacity_shed(&b->services[endpoint->service].capacity);
+    /* One that only sends errors must not lower the limit further. */
+    if (endpoint->sheds++ == 0) {
+        rg_capacity_shed(&b->services[endpoint->service].capacity);
+    }
 }
 
 void
--- a/balance/pool.h
+++ b/balance/pool.h
@@ -103,6 +103,7 @@
     uint64_t waiting_since_ms; /* oldest unanswered opening, 0: none */
     double failure_rate;       /* moving average, decays with time */
     uint64_t failure_rate_ms;
+    uint32_t sheds;    /* short answers near the service's limit, in a row */
     double latency_ms; /* moving average from request to answer, 0: none */
     uint64_t latency_at_ms;
     struct rg_outlier_state outlier;
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -208,7 +208,7 @@
                     const struct rg_route *route, uint32_t bytes);
 /* A request was shed, or answered after `ms` at its upstream. */
 void rg_bal_admission_shed(struct rg_balancer *b,
-                           const struct rg_endpoint *endpoint);
+                           struct rg_endpoint *endpoint);
 void rg_bal_admission_answered(struct rg_balancer *b,
                                const struct rg_endpoint *endpoint,
                                const struct rg_route *route, double ms);
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -274,9 +274,18 @@
         t->answer_ms = RG_TRACKED_UNANSWERED;
         return;
     }
-    rg_bal_admission_answered(b, t->endpoint, route, ms);
     bool error_like = rg_route_answered(route, ms, bytes);
+    if (!error_like) {
+        rg_bal_admission_answered(b, t->endpoint, route, ms);
+    }
     rg_bal_add_outcome(b, t->endpoint, outcome_of(t, error_like));
+    if (!error_like) {
+        t->endpoint->sheds = 0;
+    }
+    else if (rg_bal_is_overloaded(b, t->endpoint->service)) {
+        /* Queues make requests late; they do not make errors. */
+        rg_endpoint_update_failure_rate(t->endpoint, true, b->now_ms);
+    }
     if (error_like) {
         rg_bal_count(b, RG_METRIC_ANSWERS_ERROR_LIKE);
     }
