--- a/balance/flows.c
+++ b/balance/flows.c
@@ -188,6 +188,7 @@
         .state = RG_TRACKED_IDLE,
         .answer_ms = RG_TRACKED_UNANSWERED,
         .adopted = true,
+        .requested = true, /* no opening has taken room here */
     };
     acquire(t, endpoint);
     return t;
@@ -260,6 +261,8 @@
     }
     update_response_gap(b);
     note_response(b, t->endpoint);
+    rg_bal_admission_opened(b, t->endpoint, t->trial, false);
+    t->trial = RG_TRIAL_NONE;
     rg_bal_update_lost_share(b, false);
     t->last_ack = s->ack;
     rg_flows_set_state(t, RG_TRACKED_IDLE, b->now_ms);
@@ -300,6 +303,12 @@
     }
     uint64_t ms = b->now_ms - t->since_ms;
     rg_unacknowledged_answered(t->endpoint, t->retransmissions > 0);
+    t->answer_ms = (uint32_t)ms;
+    rg_flows_set_state(t, RG_TRACKED_IDLE, b->now_ms);
+    if (rg_bal_is_shed(b, t->endpoint, route, s->ack - t->request_ack)) {
+        note_response(b, t->endpoint);
+        return;
+    }
     rg_metrics_observe(&b->metrics, RG_METRIC_ANSWER_MS, ms);
     rg_endpoint_request_answered(t->endpoint, (double)ms, b->now_ms);
     report_to_admission(b, t, (double)ms, route);
@@ -307,8 +316,6 @@
         rg_usual_time_note_begun(&b->services[t->endpoint->service].usual,
                                  (double)ms, b->now_ms);
     }
-    t->answer_ms = (uint32_t)ms;
-    rg_flows_set_state(t, RG_TRACKED_IDLE, b->now_ms);
 }
 
 static void
@@ -329,6 +336,10 @@
         t->request_ack = t->last_ack;
         t->answer_ms = RG_TRACKED_UNANSWERED;
         t->overdue = false;
+        if (t->requested) {
+            rg_bal_admission_request(b, t->endpoint, route);
+        }
+        t->requested = true;
         rg_flows_set_state(t, RG_TRACKED_REQUEST, b->now_ms);
     }
 }
--- a/balance/metrics.c
+++ b/balance/metrics.c
@@ -55,6 +55,10 @@
     [RG_METRIC_RESET_HUNG] = "resets_upstream_hung",
     [RG_METRIC_OPENINGS_REMOTE] = "openings_remote",
     [RG_METRIC_OPENINGS_LEAVING] = "openings_leaving",
+    [RG_METRIC_OPENINGS_WAITED] = "openings_waited",
+    [RG_METRIC_REFUSED_AFTER_WAIT] = "refused_after_wait",
+    [RG_METRIC_DROPPED_WAITING] = "dropped_waiting",
+    [RG_METRIC_ANSWERS_SHED] = "answers_shed",
 };
 
 static const char *const histogram_names[RG_METRIC_HISTOGRAMS] = {
--- a/balance/tracked_flows.h
+++ b/balance/tracked_flows.h
@@ -35,6 +35,13 @@
     RG_TRACKED_CLOSED,  /* closed or reset by the caller, or reset here */
 };
 
+/* What an opening shows of its upstream by its answer or loss. */
+enum rg_trial {
+    RG_TRIAL_NONE,
+    RG_TRIAL_IN_DOUBT,     /* whether those that may be gone respond */
+    RG_TRIAL_UNRESPONSIVE, /* whether those that were silent respond again */
+};
+
 struct rg_tracked_flow {
     struct rg_flow_id flow;
     struct rg_endpoint *endpoint; /* the current one, NULL: entry is free */
@@ -60,12 +67,15 @@
     bool repeated;           /* its opening was: two upstreams may have it */
     bool probe;              /* tests whether an outlier has recovered */
     bool has_first_copy;     /* the first copy of its opening passed here */
-    bool adopted; /* opened elsewhere or long ago, and no response to it has
-                     passed here: when its request was sent is not known */
-    bool resumed; /* began with later data: opening_seq is not known */
-    bool proven;  /* the caller is known to have taken this endpoint */
-    uint8_t told; /* round in which peers were told of it, or
-                     RG_FLOW_NOT_TOLD */
+    bool adopted;   /* opened elsewhere or long ago, and no response to it has
+                       passed here: when its request was sent is not known */
+    bool resumed;   /* began with later data: opening_seq is not known */
+    bool requested; /* the next request takes room of its own: the opening has
+                       taken it for the first one */
+    uint8_t trial;  /* enum rg_trial: of its opening */
+    bool proven;    /* the caller is known to have taken this endpoint */
+    uint8_t told;   /* round in which peers were told of it, or
+                       RG_FLOW_NOT_TOLD */
 };
 
 struct rg_tracked_flows;
--- a/test/fake_data_centres.h
+++ b/test/fake_data_centres.h
@@ -137,6 +137,7 @@
         .stale_ms = 3000,
         .tracked_flows = 512 + 65536 / (size_t)s->balancer_count,
         .seed = seed + (uint64_t)b,
+        .can_hold = true,
     };
     struct rg_route *route = calloc(1, sizeof(*route));
 
@@ -189,24 +190,28 @@
 static inline void
 fdc_set_fleet(struct fdc *s, int b)
 {
-    double local = 0;
-    double all = 0;
+    /* An instance knows its own rate at any time, and peers' as of their last
+     * report. */
+    double own = rg_balancer_openings_per_s(s->balancers[b]);
+    double local = own;
+    double all = own;
 
     if (rg_rand_below(&s->rand, FDC_REPORT_MS(s->balancer_count) /
                                     RG_BALANCER_TICK_MS) == 0)
     {
-        s->rates[b] = rg_balancer_openings_per_s(s->balancers[b]);
+        s->rates[b] = own;
     }
     for (int i = 0; i < s->balancer_count; i++) {
-        all += s->rates[i];
-        local += i % s->data_centres == b % s->data_centres ? s->rates[i] : 0;
+        double rate = i == b ? 0 : s->rates[i];
+        all += rate;
+        local += i % s->data_centres == b % s->data_centres ? rate : 0;
     }
     struct rg_fleet fleet = {
         .instances = (size_t)s->balancer_count,
         .local_instances = (size_t)((s->balancer_count - b % s->data_centres +
                                      s->data_centres - 1) /
                                     s->data_centres),
-        .share = all > 0 ? s->rates[b] / all : 1.0 / s->balancer_count,
+        .share = all > 0 ? own / all : 1.0 / s->balancer_count,
 #ifndef FDC_WITHOUT_RATES
         .local_openings_per_s = local,
         .remote_openings_per_s = all - local,
@@ -258,17 +263,12 @@
 }
 
 static inline void
-fdc_open(struct fdc *s, struct fdc_flow *f)
+fdc_handle_opening(struct fdc *s, struct fdc_flow *f, struct rg_decision d)
 {
-    struct rg_segment syn = {.opening = true, .ack = f->copies, .seq = 7};
-    struct rg_decision d = fdc_send(s, f, syn);
-
-    s->openings += f->copies == 0;
     if (d.kind == RG_DECISION_REFUSE) {
         fdc_attempt(s, f);
         return;
     }
-    f->copies++;
     f->next_ms = s->now_ms + FDC_RETRANSMIT_MS * f->copies;
     if (d.kind != RG_DECISION_FORWARD) {
         return;
@@ -282,6 +282,36 @@
     }
 }
 
+static inline void
+fdc_open(struct fdc *s, struct fdc_flow *f)
+{
+    struct rg_segment syn = {.opening = true, .ack = f->copies, .seq = 7};
+    struct rg_decision d = fdc_send(s, f, syn);
+
+    s->openings += f->copies == 0;
+    f->copies++;
+    fdc_handle_opening(s, f, d);
+}
+
+/* Decides on openings that wait at a balancer. */
+static inline void
+fdc_release_waiting(struct fdc *s, int b)
+{
+    struct rg_waiting_opening w;
+
+    while (rg_balancer_next_waiting(s->balancers[b], s->now_ms, &w)) {
+        for (int n = 0; n < s->flow_end; n++) {
+            struct fdc_flow *f = &s->flows[n];
+            if (f->phase == FDC_OPENING &&
+                memcmp(&f->id, &w.segment.flow, sizeof(f->id)) == 0)
+            {
+                fdc_handle_opening(s, f, w.decision);
+                break;
+            }
+        }
+    }
+}
+
 static inline void
 fdc_arrive(struct fdc *s, struct fdc_flow *f)
 {
@@ -413,6 +443,9 @@
         for (int i = 0; i < s->flow_end; i++) {
             fdc_step(s, &s->flows[i]);
         }
+        for (int b = 0; b < s->balancer_count; b++) {
+            fdc_release_waiting(s, b);
+        }
         for (int b = (int)(s->now_ms % RG_BALANCER_TICK_MS);
              b < s->balancer_count; b += RG_BALANCER_TICK_MS)
         {
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -34,6 +34,8 @@
 # least, and not the others of their program: program, case, name of the check.
 single_cases="
 test_fleet /fleet/two-at-once fleet-two-at-once
+test_locality /locality/moving-demand/300 locality-moving-demand-300
+test_locality /locality/all-busy/300 locality-all-busy-300
 "
 
 run_tests() {
