balance: no reset for a wait at an upstream of another data centre

Outcomes are told within a data centre only, so instances elsewhere went on sending flows there, and their own failures were all the evidence. Local instances exclude such an upstream.

Ruled out: failures that began in the last 3.5 s, or a last answer within 4.5 s, as a condition for all upstreams (test_fleet_outliers /hanging-upstreams loses 2.2% of the requests where 0.5% are allowed).

--- a/balance/requests.c
+++ b/balance/requests.c
@@ -140,7 +140,8 @@
  * enough, neither a queue at the upstreams nor the usual work there explains
  * it, and another request has failed there lately. When the request of an
  * adopted flow was sent, and whether it has been answered elsewhere, is not
- * known. */
+ * known; nor whether an upstream of another data centre answers others, since
+ * outcomes are not told across data centres. */
 static bool
 wait_proves_failure(const struct rg_balancer *b,
                     const struct rg_tracked_flow *t,
@@ -150,7 +151,7 @@
         rg_endpoint_other_failure_ms(t->endpoint, t->overdue_ms);
 
     return t->endpoint->service < b->service_count && !t->adopted &&
-           route->answers >= LOST_MIN_ANSWERS &&
+           t->endpoint->local && route->answers >= LOST_MIN_ANSWERS &&
            possible_ms(b, t->endpoint) <=
                LOST_DEADLINE_SHARE_MAX * route->timeout_ms &&
            failed_ms != 0 && b->now_ms - failed_ms <= LOST_EVIDENCE_MAX_MS &&
