balance: a suspected local data centre keeps its slots for leaving

Two silent upstreams make an instance suspect its data centre until any other responds; for that moment all local upstreams counted as lost, so every flow of every service left at once and came back in steps of 2 s.

Ruled out: leaving out suspicion elsewhere, too; flows sent out on purpose must not go where nobody responds.

--- a/balance/balancer_locality.c
+++ b/balance/balancer_locality.c
@@ -1,6 +1,7 @@
 /* The balancer's use of locality: one controller for each service. */
 #include <math.h>
 
+#include "balance/passive_health.h"
 #include "balance/pick.h"
 #include "balance/priv.h"
 
@@ -59,6 +60,17 @@
     return e->slots * (b->now_ms < e->cold_until_ms ? COLD_SLOTS_SHARE : 1);
 }
 
+/* The local data centre is suspected as soon as two of its upstreams are
+ * silent. The choice avoids it until any other responds, which is not a reason
+ * to count all its upstreams as lost. */
+static bool
+is_usable(const struct rg_balancer *b, const struct rg_endpoint *e)
+{
+    return e->local ? rg_pick_takes_flows(e) &&
+                          !rg_endpoint_is_ejected(e, b->now_ms)
+                    : rg_pick_is_usable(e, b->now_ms);
+}
+
 static struct rg_locality_load
 load_of(const struct rg_balancer *b, uint32_t service, struct rg_locality *l)
 {
@@ -79,7 +91,7 @@
     for (size_t i = 0; i < count; i++) {
         const struct rg_endpoint *e = endpoints[i];
         load.mean_slots += (double)e->slots / (double)count;
-        if (!rg_pick_is_usable(e, b->now_ms)) {
+        if (!is_usable(b, e)) {
             continue;
         }
         if (rg_endpoint_is_outlier(e)) {
--- a/test/test_locality.c
+++ b/test/test_locality.c
@@ -285,6 +285,34 @@
     return s;
 }
 
+static void
+set_suspected(struct fdc *s, bool suspected)
+{
+    size_t count;
+
+    for (int b = 0; b < s->balancer_count; b += s->data_centres) {
+        struct rg_endpoint *const *endpoints =
+            rg_pool_endpoints(rg_balancer_pool(s->balancers[b]), 0, &count);
+        endpoints[0]->data_centre->suspect = suspected;
+    }
+}
+
+/* Guards against flows that leave for seconds because two local upstreams were
+ * silent: their data centre was suspected until the next response, and all
+ * local upstreams counted as lost. */
+static void
+test_suspected(gconstpointer balancers)
+{
+    struct fdc *s = start(balancers);
+
+    set_suspected(s, true);
+    fdc_run(s, 400);
+    set_suspected(s, false);
+    struct figures f = measure(s, 2, "suspected for a moment");
+    g_assert_cmpfloat(f.cross, <, 0.01);
+    fdc_destroy(s);
+}
+
 /* One data centre has 2.5 times its share, as much as its upstreams can do or
  * a quarter more; later it has no more than the others. */
 static void
@@ -427,5 +455,6 @@
     add_fleet_test("lost-upstreams", test_lost_upstreams);
     add_fleet_test("cut-off", test_cut_off);
     add_fleet_test("all-busy", test_all_busy);
+    add_fleet_test("suspected", test_suspected);
     return g_test_run();
 }
