--- a/test/test_admission.c
+++ b/test/test_admission.c
@@ -145,6 +145,30 @@
     }
 }
 
+/* Guards against refusals by an instance that has just got the flows of
+ * another one: by its share, which lags behind, it may send hardly anything,
+ * while the fleet leaves most slots free. */
+static void
+test_lagging_share(void)
+{
+    struct fake_service *s = create_warm(4, two_routes, 2);
+    struct rg_fleet fleet = {
+        .instances = 4,
+        .local_instances = 4,
+        .share = 0.02,
+        .local_openings_per_s = NORMAL_PER_S,
+        .opening_tokens = true,
+    };
+
+    for (int i = 0; i < 40; i++) {
+        rg_balancer_set_fleet(s->balancers[0], &fleet);
+        fake_run(s, 50, NORMAL_PER_S);
+    }
+    g_assert_cmpuint(waited(s), ==, 0);
+    g_assert_cmpuint(s->refusals, ==, 0);
+    fake_service_destroy(s);
+}
+
 /* Twice the capacity at once: the slots are full within 300 ms, before answers
  * are late. */
 static void
@@ -353,6 +377,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/admission/no-overload", test_no_overload);
+    g_test_add_func("/admission/lagging-share", test_lagging_share);
     g_test_add_func("/admission/step", test_step);
     g_test_add_func("/admission/small-step", test_small_step);
     g_test_add_func("/admission/slow-rise", test_slow_rise);
