--- a/balance/balancer_admission.c
+++ b/balance/balancer_admission.c
@@ -43,11 +43,10 @@
 #define SILENCE_GAPS 8
 /* Time for openings to find the upstreams that have recovered. */
 #define RECOVERY_MS 5000
-/* In fleets up to this size each instance knows the others' rates of new flows
- * as of less than a second ago. */
-#define KNOWN_RATES_INSTANCES 8
-/* Below this share of a service's slots, nothing needs to be limited. */
-#define SPARE_DEMAND 0.6
+/* In fleets up to this size an instance sees enough answers for admission
+ * control by queues, see balance/admit.h, to act in time. Its share of the
+ * flows changes too much with each start and stop to be a limit. */
+#define FEW_INSTANCES 8
 /* Upstreams whose slots are counted in one tick: 15,000 are in a second, and
  * in four while the demand is below this share of the limit. */
 #define COUNTED_PER_TICK 1500
@@ -347,23 +346,18 @@
     return is_in_doubt(b, e) ? fmax(1 - s->lost, IN_DOUBT_MIN) : 1;
 }
 
-/* True if the whole fleet's demand is known to leave slots free. The share of
- * an instance that has just got the flows of another one lags behind, which
- * must not limit it then. All flows count as this service's. */
+/* True if the fleet is known to be small. */
 static bool
-has_spare_slots(const struct rg_balancer *b, double work_ms, double slots)
+is_small_fleet(const struct rg_fleet *f)
 {
-    double per_s =
-        b->fleet.local_openings_per_s + b->fleet.remote_openings_per_s;
-
-    return b->fleet.instances <= KNOWN_RATES_INSTANCES && per_s > 0 &&
-           per_s * work_ms / 1000 < SPARE_DEMAND * slots;
+    return f->instances <= FEW_INSTANCES &&
+           f->local_openings_per_s + f->remote_openings_per_s > 0;
 }
 
-/* This instance's share of the slots that openings may go to, without limit
- * while the fleet leaves many free. While no
- * upstream responds, and shortly after, all count: nothing that is sent there
- * overloads any, and those that recover must be noticed. */
+/* This instance's share of the slots that openings may go to; no limit in a
+ * small fleet. While no upstream responds, and shortly after, all count:
+ * nothing that is sent there overloads any, and those that recover must be
+ * noticed. */
 static double
 usable_slots(const struct rg_balancer *b, uint32_t service)
 {
@@ -390,7 +384,7 @@
         s->silent_ms = b->now_ms;
     }
     bool silent = s->silent_ms != 0 && b->now_ms - s->silent_ms < RECOVERY_MS;
-    if (has_spare_slots(b, s->capacity.work_ms, usable)) {
+    if (is_small_fleet(&b->fleet)) {
         return INFINITY;
     }
     return (silent ? all : usable) * b->fleet.share;
