--- /dev/null
+++ b/review/standin-2/cases.c
@@ -0,0 +1,256 @@
+/* The cases: what is done to the deployment, and which rule it breaks. */
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sim.h"
+
+#define WARM_UP_MS 6000
+
+/* --- shared -------------------------------------------------------------- */
+
+static void
+add_route(struct sim *s, uint16_t port, bool safe, uint32_t budget_ms,
+          const char *service)
+{
+    s->routes[s->route_count++] = (struct route){.ip = 0xc6120001,
+                                                 .port = port,
+                                                 .safe = safe,
+                                                 .budget_ms = budget_ms,
+                                                 .service = service,
+                                                 .present = true};
+}
+
+static void
+add_hosts(struct sim *s, int count, const char *service)
+{
+    while (count-- > 0) {
+        hosts_register(s, hosts_add(s, service));
+    }
+}
+
+/* Two services; stock checks, orders and photos. */
+static void
+set_up_shop(struct sim *s, int machines)
+{
+    s->machine_count = machines;
+    s->per_s = 120;
+    s->requests_a_flow = 1;
+    add_route(s, 443, true, 800, "tienda");
+    add_route(s, 444, false, 1000, "tienda");
+    add_route(s, 445, true, 3000, "galeria");
+    add_hosts(s, 8, "tienda");
+    add_hosts(s, 3, "galeria");
+}
+
+/* Stops one machine after the other, each when all are back. */
+static void
+roll(struct sim *s, uint32_t gap_ms)
+{
+    static uint64_t next_ms = WARM_UP_MS;
+    static int next;
+
+    if (s->now_ms < next_ms || !machines_ready(s)) {
+        return;
+    }
+    machines_signal(s, &s->machines[next], SIGTERM);
+    next = (next + 1) % s->machine_count;
+    next_ms = s->now_ms + gap_ms;
+}
+
+/* --- a route that is taken out and put back ------------------------------ */
+
+#define STORM_PERIOD_MS 9000
+#define STORM_MS 4000
+#define STORM_GAP_MS 330
+#define ROLL_GAP_MS 3000
+
+static void
+step_route_returns(struct sim *s)
+{
+    static uint64_t next_ms = WARM_UP_MS;
+    struct route *r = &s->routes[1];
+    uint64_t phase = (s->now_ms - WARM_UP_MS) % STORM_PERIOD_MS;
+
+    if (s->now_ms < WARM_UP_MS) {
+        return;
+    }
+    roll(s, ROLL_GAP_MS);
+    if (!s->trouble || s->now_ms < next_ms || (phase > STORM_MS && r->present))
+    {
+        return;
+    }
+    r->present = !r->present;
+    operator_put_config(s);
+    r->changed_ms = s->now_ms;
+    next_ms = s->now_ms + STORM_GAP_MS;
+}
+
+static void
+set_up_route_returns(struct sim *s)
+{
+    set_up_shop(s, 4);
+    /* Consumers keep their flows open for several requests. */
+    s->per_s = 60;
+    s->requests_a_flow = 8;
+    s->pause_ms = 40;
+}
+
+static bool
+flow_broken(const struct sim *s)
+{
+    return s->flow_broken > 0;
+}
+
+/* --- entries of services that are not named ------------------------------ */
+
+#define OTHER_ENTRIES 500
+#define COPY_PERIOD_MS 300
+
+static void
+put_other_entry(struct sim *s, int i)
+{
+    char key[64];
+    char service[32];
+    char value[400];
+    struct host other = {.ip = sim_address(s, HOST_NET, 250), .born = 1};
+
+    snprintf(key, sizeof(key), "servers/i-0e%06x", (unsigned)i);
+    snprintf(service, sizeof(service), "other-%d", i);
+    size_t len =
+        hosts_entry(s, &other, value, sizeof(value), service, "ready", NULL);
+    store_put(s, key, value, len);
+}
+
+/* The entry of a host as another writer writes it. */
+static void
+put_copy(struct sim *s, const struct host *h, const char *service)
+{
+    char key[64];
+    char value[400];
+
+    snprintf(key, sizeof(key), "servers/%s", h->id);
+    size_t len =
+        hosts_entry(s, h, value, sizeof(value), service, "ready", NULL);
+    store_put(s, key, value, len);
+    sim_note(s, "other writer: entry of %s for service %s", h->id, service);
+}
+
+static void
+step_unnamed_service(struct sim *s)
+{
+    static uint64_t next_ms = WARM_UP_MS;
+    static int copies;
+
+    if (!s->trouble || s->now_ms < next_ms) {
+        return;
+    }
+    if (copies == 0) {
+        for (int i = 0; i < OTHER_ENTRIES; i++) {
+            put_other_entry(s, i);
+        }
+        sim_note(s, "other writer: %d entries of its own", OTHER_ENTRIES);
+    }
+    char service[32];
+    snprintf(service, sizeof(service), "other-%d",
+             OTHER_ENTRIES - 1 - copies % 50);
+    put_copy(s, &s->hosts[copies++ % 8], service);
+    next_ms = s->now_ms + COPY_PERIOD_MS;
+}
+
+static void
+set_up_unnamed_service(struct sim *s)
+{
+    set_up_shop(s, 4);
+    s->per_s = 200;
+}
+
+static bool
+process_ended(const struct sim *s)
+{
+    return s->ended_alone > 0;
+}
+
+/* --- entries that cannot be read, of the greatest size ------------------- */
+
+#define LARGE_ENTRIES 14
+#define LARGE_BYTES (1 << 20)
+#define DRAINED_HOSTS 3
+/* How long a host that drains serves beyond DrainMs. */
+#define SERVES_ON_MS 1000
+
+static void
+step_large_entries(struct sim *s)
+{
+    static bool done;
+    static bool drained;
+    static char value[LARGE_BYTES];
+
+    if (s->now_ms >= WARM_UP_MS && !done && s->trouble) {
+        memset(value, 'x', sizeof(value));
+        for (int i = 0; i < LARGE_ENTRIES; i++) {
+            char key[64];
+            snprintf(key, sizeof(key), "servers/i-0e%06x", (unsigned)i);
+            store_put(s, key, value, sizeof(value));
+        }
+        sim_note(s, "other writer: %d entries of %d bytes", LARGE_ENTRIES,
+                 LARGE_BYTES);
+    }
+    done = done || s->now_ms >= WARM_UP_MS;
+    if (s->now_ms >= WARM_UP_MS + 1000 && !drained) {
+        drained = true;
+        for (int i = 0; i < DRAINED_HOSTS; i++) {
+            hosts_drain(s, &s->hosts[i], s->now_ms + DRAIN_MS + SERVES_ON_MS);
+        }
+    }
+}
+
+static void
+set_up_large_entries(struct sim *s)
+{
+    set_up_shop(s, 4);
+    s->per_s = 200;
+}
+
+static bool
+drain_broken(const struct sim *s)
+{
+    return s->drain_broken > 0;
+}
+
+/* --- two hosts with one token -------------------------------------------- */
+
+static void
+set_up_same_token(struct sim *s)
+{
+    set_up_shop(s, 4);
+}
+
+static void
+step_same_token(struct sim *s)
+{
+    (void)s;
+}
+
+/* --- list ---------------------------------------------------------------- */
+
+static const struct scenario cases[] = {
+    {"route-returns", 80, set_up_route_returns, step_route_returns,
+     flow_broken},
+    {"unnamed-service", 60, set_up_unnamed_service, step_unnamed_service,
+     process_ended},
+    {"large-entries", 25, set_up_large_entries, step_large_entries,
+     drain_broken},
+    {"same-token", 60, set_up_same_token, step_same_token, flow_broken},
+};
+
+const struct scenario *
+case_find(const char *name)
+{
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        if (strcmp(cases[i].name, name) == 0) {
+            return &cases[i];
+        }
+    }
+    return NULL;
+}
