--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/standin-2"
 mkdir -p out
-${CC:-cc} -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra ./*.c -o out/sim
+${CC:-cc} -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra ./*.c -o out/sim -lxxhash
--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -2,6 +2,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "sim.h"
 
@@ -220,16 +221,100 @@
 
 /* --- two hosts with one token -------------------------------------------- */
 
+#define SECOND_START_MS 25000
+#define DRAWS 120000
+#define TOKEN_NONE 0
+
+struct draw {
+    uint32_t token;
+    uint32_t number;
+};
+
+static struct host *second;
+
+/* The routing token of a host, as balance/token.c makes it. */
+static uint32_t
+token_of(uint32_t number, uint64_t born)
+{
+    char id[32];
+    int len = snprintf(id, sizeof(id), "i-%08x", number);
+    uint64_t hash = XXH64(id, (size_t)len, born);
+    uint32_t token = (uint32_t)(hash ^ (hash >> 32));
+
+    return token == TOKEN_NONE ? 1 : token;
+}
+
+static int
+compare_draws(const void *a, const void *b)
+{
+    uint32_t x = ((const struct draw *)a)->token;
+    uint32_t y = ((const struct draw *)b)->token;
+
+    return x < y ? -1 : x > y;
+}
+
+static void
+set_id(struct host *h, uint32_t number)
+{
+    h->wire_id = number;
+    snprintf(h->id, sizeof(h->id), "i-%08x", number);
+}
+
+/* Draws ids for both until their tokens are the same and the second host's id
+ * comes first in the store. */
+static void
+draw_ids(struct sim *s, struct host *first_host, struct host *second_host)
+{
+    static struct draw draws[DRAWS];
+
+    for (;;) {
+        for (int i = 0; i < DRAWS; i++) {
+            draws[i].number = (uint32_t)sim_random(s);
+            draws[i].token = token_of(draws[i].number, first_host->born);
+        }
+        qsort(draws, DRAWS, sizeof(draws[0]), compare_draws);
+        for (int i = 0; i < DRAWS; i++) {
+            uint32_t number = (uint32_t)sim_random(s);
+            struct draw key = {.token = token_of(number, second_host->born)};
+            const struct draw *found =
+                bsearch(&key, draws, DRAWS, sizeof(draws[0]), compare_draws);
+            if (found && number < found->number) {
+                set_id(first_host, found->number);
+                set_id(second_host, number);
+                return;
+            }
+        }
+    }
+}
+
 static void
 set_up_same_token(struct sim *s)
 {
-    set_up_shop(s, 4);
+    s->machine_count = 4;
+    s->per_s = 10;
+    s->requests_a_flow = 20;
+    s->pause_ms = 400;
+    add_route(s, 443, true, 800, "tienda");
+    add_route(s, 444, false, 1000, "tienda");
+    struct host *first_host = hosts_add(s, "tienda");
+    second = hosts_add(s, "tienda");
+    second->born += SECOND_START_MS;
+    draw_ids(s, first_host, second);
+    hosts_register(s, first_host);
+    add_hosts(s, 4, "tienda");
 }
 
 static void
 step_same_token(struct sim *s)
 {
-    (void)s;
+    /* `born` is the time of the start: the case begins when the machines are
+     * ready, and the host's start counts from before. */
+    if (!second->registered && s->now_ms >= SECOND_START_MS) {
+        hosts_register(s, second);
+    }
+    if (s->trouble && s->now_ms >= SECOND_START_MS + WARM_UP_MS) {
+        roll(s, ROLL_GAP_MS);
+    }
 }
 
 /* --- list ---------------------------------------------------------------- */
