--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -201,7 +201,8 @@
     if (s->now_ms >= WARM_UP_MS + 1000 && !drained) {
         drained = true;
         for (int i = 0; i < DRAINED_HOSTS; i++) {
-            hosts_drain(s, &s->hosts[i], s->now_ms + DRAIN_MS + SERVES_ON_MS);
+            hosts_drain(s, &s->hosts[i],
+                        s->now_ms + s->drain_ms + SERVES_ON_MS);
         }
     }
 }
@@ -317,6 +318,42 @@
     }
 }
 
+/* --- a host whose requests hang for a moment ------------------------------
+ */
+
+#define HANG_PERIOD_MS 14000
+#define HANG_MS 500
+#define HANGING_HOST 4 /* the first of ten */
+
+static void
+set_up_held_slots(struct sim *s)
+{
+    s->machine_count = 4;
+    s->per_s = 240;
+    s->requests_a_flow = 1;
+    s->drain_ms = 5000;
+    s->config_apply_ms = 5000;
+    s->stable_window_ms = 5000;
+    add_route(s, 443, true, 2500, "tienda");
+    add_route(s, 445, true, 8000, "galeria");
+    add_hosts(s, 4, "tienda");
+    add_hosts(s, 10, "galeria");
+}
+
+static void
+step_held_slots(struct sim *s)
+{
+    struct host *h = &s->hosts[HANGING_HOST];
+    uint64_t phase = (s->now_ms - WARM_UP_MS) % HANG_PERIOD_MS;
+    bool hanging = s->trouble && s->now_ms >= WARM_UP_MS && phase < HANG_MS;
+
+    if (hanging != h->hanging) {
+        h->hanging = hanging;
+        sim_note(s, "host %s: %s", h->id,
+                 hanging ? "its requests hang" : "answers again");
+    }
+}
+
 /* --- list ---------------------------------------------------------------- */
 
 static const struct scenario cases[] = {
@@ -326,6 +363,7 @@
      process_ended},
     {"large-entries", 25, set_up_large_entries, step_large_entries,
      drain_broken},
+    {"held-slots", 95, set_up_held_slots, step_held_slots, flow_broken},
     {"same-token", 60, set_up_same_token, step_same_token, flow_broken},
 };
 
--- a/review/standin-2/hosts.c
+++ b/review/standin-2/hosts.c
@@ -21,6 +21,8 @@
 #define RETRANSMISSIONS_MAX 8
 /* A flow that has ended is known for this long. */
 #define ENDED_MS 5000
+/* Longest time budget of a request. */
+#define HUNG_MS 8000
 
 enum flow_state {
     FLOW_FREE,
@@ -44,7 +46,9 @@
     uint32_t expected;   /* next byte of the consumer */
     unsigned id;         /* of the request, 0: none */
     bool queued;
-    uint64_t due_ms; /* end of the work, 0: none in progress */
+    bool hung;        /* the work never ends */
+    uint64_t hung_ms; /* when it began */
+    uint64_t due_ms;  /* end of the work, 0: none in progress */
     char answer[DATA_MAX + 1];
     uint16_t answer_len; /* 0: nothing unacknowledged */
     uint64_t repeat_ms;
@@ -116,7 +120,11 @@
 {
     f->queued = false;
     f->host->busy++;
-    f->due_ms = s->now_ms + WORK_MIN_MS + sim_random(s) % WORK_SPREAD_MS;
+    f->hung = f->host->hanging;
+    f->hung_ms = s->now_ms;
+    if (!f->hung) {
+        f->due_ms = s->now_ms + WORK_MIN_MS + sim_random(s) % WORK_SPREAD_MS;
+    }
     sim_note(s, "host %s: runs request %u", f->host->id, f->id);
     consumers_note_run(s, f->host, f->id);
 }
@@ -337,9 +345,25 @@
     }
 }
 
+/* A request that hangs keeps its slot until its consumer ends the flow, or
+ * would have given up. */
+static void
+end_hung(struct sim *s, struct flow *f)
+{
+    if (f->state == FLOW_ENDED || s->now_ms - f->hung_ms >= HUNG_MS) {
+        f->hung = false;
+        f->host->busy--;
+        f->state = FLOW_ENDED;
+        f->ended_ms = s->now_ms;
+    }
+}
+
 static void
 step_flow(struct sim *s, struct flow *f)
 {
+    if (f->hung) {
+        end_hung(s, f);
+    }
     if (f->state == FLOW_ENDED && s->now_ms - f->ended_ms > ENDED_MS &&
         f->due_ms == 0)
     {
@@ -353,6 +377,7 @@
             send_answer(s, f, "200 OK", "Response-Signature: 1\r\n");
         }
     }
+    f->queued = f->queued && f->state == FLOW_OPEN;
     if (f->queued && f->host->busy < SLOTS) {
         begin_work(s, f);
     }
@@ -446,6 +471,7 @@
         if (flows[i].host == h) {
             flows[i].state = FLOW_FREE;
             flows[i].queued = false;
+            flows[i].hung = false;
             flows[i].due_ms = 0;
         }
     }
@@ -494,6 +520,9 @@
     for (int i = 0; i < s->host_count; i++) {
         struct host *h = &s->hosts[i];
         receive(s, h);
+        if (h->hanging) {
+            h->disturbed_ms = s->now_ms;
+        }
         if (h->registered && !h->ended && s->now_ms >= h->beat_ms) {
             write_entry(s, h);
         }
--- a/review/standin-2/main.c
+++ b/review/standin-2/main.c
@@ -11,7 +11,7 @@
 #define FDS_MAX 256
 #define READY_MS 15000
 /* Second bytes of loopback addresses to try. */
-#define NET_FIRST 110
+#define NET_FIRST 130
 #define NET_LAST 240
 
 static volatile sig_atomic_t stopped;
@@ -155,6 +155,9 @@
     s.dir = argv[2];
     s.record = fopen(argv[3], "w");
     s.rand = strtoull(argv[4], NULL, 10);
+    s.drain_ms = DRAIN_MS;
+    s.config_apply_ms = CONFIG_APPLY_MS;
+    s.stable_window_ms = STABLE_WINDOW_MS;
     s.trouble = !trouble || strcmp(trouble, "0") != 0;
     if (!s.record) {
         return 2;
--- a/review/standin-2/operator.c
+++ b/review/standin-2/operator.c
@@ -4,6 +4,17 @@
 #include "sim.h"
 
 #define CONFIG_MAX 65536
+#define DOWNLOAD_MS 3000
+
+/* Downloads are idempotent, too, and have the longest time budgets. */
+static const char *
+type_of(const struct route *r)
+{
+    if (!r->safe) {
+        return "unsafe";
+    }
+    return r->budget_ms >= DOWNLOAD_MS ? "download" : "safe";
+}
 
 void
 operator_put_config(struct sim *s)
@@ -28,8 +39,8 @@
             "\"TimeoutMs\":%u,\"TargetLatencyMs\":150,\"Priority\":1,"
             "\"MaxAttempts\":1}",
             rows++ ? "," : "", i, r->ip >> 24, r->ip >> 16 & 255,
-            r->ip >> 8 & 255, r->ip & 255, r->port,
-            r->safe ? "safe" : "unsafe", r->service, r->budget_ms);
+            r->ip >> 8 & 255, r->ip & 255, r->port, type_of(r), r->service,
+            r->budget_ms);
     }
     len += (size_t)snprintf(
         text + len, sizeof(text) - len,
--- a/review/standin-2/sim.h
+++ b/review/standin-2/sim.h
@@ -18,7 +18,7 @@
 #define HOSTS_MAX 20
 #define CONSUMERS 16
 #define ROUTES_MAX 4
-/* Bounds of the installation. */
+/* Bounds of an installation; the first three unless a case sets others. */
 #define DRAIN_MS 3000
 #define CONFIG_APPLY_MS 3000
 #define STABLE_WINDOW_MS 4000
@@ -103,8 +103,10 @@
     uint64_t draining_ms; /* when the store took that, 0: never */
     uint64_t end_ms;      /* when it exits, 0: never */
     unsigned beats;
-    uint64_t beat_ms; /* next one */
-    int busy;         /* slots in use */
+    uint64_t beat_ms;      /* next one */
+    int busy;              /* slots in use */
+    bool hanging;          /* its requests get no answer */
+    uint64_t disturbed_ms; /* last moment of that, 0: never */
 };
 
 struct sim {
@@ -122,7 +124,11 @@
     struct route routes[ROUTES_MAX];
     int route_count;
     uint64_t version; /* of the configuration */
-    unsigned per_s;   /* requests started a second */
+    /* Bounds of the installation. */
+    uint32_t drain_ms;
+    uint32_t config_apply_ms;
+    uint32_t stable_window_ms;
+    unsigned per_s; /* requests started a second */
     /* Requests of a flow, and the pause between them. */
     int requests_a_flow;
     uint32_t pause_ms;
