--- a/review/standin-2/consumers.c
+++ b/review/standin-2/consumers.c
@@ -208,8 +208,8 @@
     if (!opening && p->seq - a->ack + RESET_DISTANCE > 2 * RESET_DISTANCE) {
         return;
     }
-    sim_note(s, "answered %u: reset from %s %s", a->id,
-             m ? m->settings : "host", h ? h->id : "");
+    sim_note(s, "answered %u: reset from %s %d", a->id, m ? "machine" : "host",
+             m ? m->index + 1 : (h ? h->index + 1 : 0));
     if (h != a->host && is_protected(s, a)) {
         s->flow_broken++;
         a->broken = true;
@@ -219,7 +219,7 @@
             "reset by %s %d; route %d is there since %llu ms before its "
             "SYN",
             a->port, a->host->id, (unsigned long long)(s->now_ms - a->syn_ms),
-            m ? "machine" : "host", m ? m->index + 1 : (h ? h->index : 0),
+            m ? "machine" : "host", m ? m->index + 1 : (h ? h->index + 1 : 0),
             a->route,
             (unsigned long long)(a->syn_ms - s->routes[a->route].changed_ms));
     }
