--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -44,18 +44,19 @@
     add_hosts(s, 3, "galeria");
 }
 
-/* Stops one machine after the other, each when all are back. */
+/* Stops the first `count` machines, one after the other, each when all are
+ * back. */
 static void
-roll(struct sim *s, uint32_t gap_ms)
+roll(struct sim *s, uint32_t gap_ms, int count)
 {
     static uint64_t next_ms = WARM_UP_MS;
     static int next;
 
-    if (s->now_ms < next_ms || !machines_ready(s)) {
+    if (next == count || s->now_ms < next_ms || !machines_ready(s)) {
         return;
     }
     machines_signal(s, &s->machines[next], SIGTERM);
-    next = (next + 1) % s->machine_count;
+    next++;
     next_ms = s->now_ms + gap_ms;
 }
 
@@ -64,6 +65,8 @@
 #define STORM_PERIOD_MS 9000
 #define STORM_MS 4000
 #define STORM_GAP_MS 330
+/* The last version of a storm is written within its length. */
+#define STORM_SLACK_MS 20
 
 static void
 step_route_returns(struct sim *s)
@@ -75,7 +78,8 @@
     if (s->now_ms < WARM_UP_MS) {
         return;
     }
-    if (!s->trouble || s->now_ms < next_ms || (phase > STORM_MS && r->present))
+    if (!s->trouble || s->now_ms < next_ms ||
+        (r->present && phase + STORM_GAP_MS + STORM_SLACK_MS > STORM_MS))
     {
         return;
     }
@@ -104,7 +108,7 @@
 /* --- entries of services that are not named ------------------------------ */
 
 #define OTHER_ENTRIES 500
-#define COPY_PERIOD_MS 300
+#define COPY_PERIOD_MS 200
 
 static void
 put_other_entry(struct sim *s, int i)
@@ -161,48 +165,72 @@
 set_up_unnamed_service(struct sim *s)
 {
     set_up_shop(s, 4);
-    s->per_s = 200;
+    s->per_s = 300;
 }
 
+/* On two machines at least, three times each: a tenth of four is less. */
 static bool
-process_ended(const struct sim *s)
+processes_ended(const struct sim *s)
 {
-    return s->ended_alone > 0;
+    int machines = 0;
+
+    for (int i = 0; i < s->machine_count; i++) {
+        machines += s->machines[i].ended_alone >= 3;
+    }
+    return machines >= 2;
 }
 
 /* --- entries that cannot be read, of the greatest size ------------------- */
 
 #define LARGE_ENTRIES 14
 #define LARGE_BYTES (1 << 20)
-#define DRAINED_HOSTS 3
+#define RELEASED_HOSTS 3
+#define RELEASE_GAP_MS 1000
 /* How long a host that drains serves beyond DrainMs. */
 #define SERVES_ON_MS 1000
 
+static void
+put_large_entries(struct sim *s)
+{
+    static char value[LARGE_BYTES];
+
+    memset(value, 'x', sizeof(value));
+    for (int i = 0; i < LARGE_ENTRIES; i++) {
+        char key[64];
+        snprintf(key, sizeof(key), "servers/i-0e%06x", (unsigned)i);
+        store_put(s, key, value, sizeof(value));
+    }
+    sim_note(s, "other writer: %d entries of %d bytes", LARGE_ENTRIES,
+             LARGE_BYTES);
+}
+
+/* A release: a new host starts, then an old one drains; one at a time. */
+static void
+release_next(struct sim *s)
+{
+    static int released;
+    static uint64_t next_ms = WARM_UP_MS + 1000;
+
+    if (released == RELEASED_HOSTS || s->now_ms < next_ms) {
+        return;
+    }
+    hosts_register(s, &s->hosts[s->host_count - 1 - released]);
+    hosts_drain(s, &s->hosts[released],
+                s->now_ms + s->drain_ms + SERVES_ON_MS);
+    released++;
+    next_ms = s->now_ms + RELEASE_GAP_MS;
+}
+
 static void
 step_large_entries(struct sim *s)
 {
     static bool done;
-    static bool drained;
-    static char value[LARGE_BYTES];
 
     if (s->now_ms >= WARM_UP_MS && !done && s->trouble) {
-        memset(value, 'x', sizeof(value));
-        for (int i = 0; i < LARGE_ENTRIES; i++) {
-            char key[64];
-            snprintf(key, sizeof(key), "servers/i-0e%06x", (unsigned)i);
-            store_put(s, key, value, sizeof(value));
-        }
-        sim_note(s, "other writer: %d entries of %d bytes", LARGE_ENTRIES,
-                 LARGE_BYTES);
+        put_large_entries(s);
     }
     done = done || s->now_ms >= WARM_UP_MS;
-    if (s->now_ms >= WARM_UP_MS + 1000 && !drained) {
-        drained = true;
-        for (int i = 0; i < DRAINED_HOSTS; i++) {
-            hosts_drain(s, &s->hosts[i],
-                        s->now_ms + s->drain_ms + SERVES_ON_MS);
-        }
-    }
+    release_next(s);
 }
 
 static void
@@ -210,6 +238,9 @@
 {
     set_up_shop(s, 4);
     s->per_s = 200;
+    for (int i = 0; i < RELEASED_HOSTS; i++) {
+        hosts_add(s, "tienda");
+    }
 }
 
 static bool
@@ -222,6 +253,7 @@
 
 #define SECOND_START_MS 25000
 #define ROLL_GAP_MS 3000
+#define ROLLED_MACHINES 2
 #define DRAWS 120000
 #define TOKEN_NONE 0
 
@@ -313,7 +345,7 @@
         hosts_register(s, second);
     }
     if (s->trouble && s->now_ms >= SECOND_START_MS + WARM_UP_MS) {
-        roll(s, ROLL_GAP_MS);
+        roll(s, ROLL_GAP_MS, ROLLED_MACHINES);
     }
 }
 
@@ -321,22 +353,30 @@
  */
 
 #define HANG_PERIOD_MS 14000
-#define HANG_MS 500
+#define HANG_MS 800
 #define HANGING_HOST 4 /* the first of ten */
+/* A statement takes 5 ms. */
+#define STATEMENT_MIN_MS 3
+#define STATEMENT_SPREAD_MS 5
 
 static void
 set_up_held_slots(struct sim *s)
 {
     s->machine_count = 4;
-    s->per_s = 240;
+    s->per_s = 66;
     s->requests_a_flow = 1;
     s->drain_ms = 5000;
     s->config_apply_ms = 5000;
     s->stable_window_ms = 5000;
+    s->has_later_bounds = true;
     add_route(s, 443, true, 2500, "tienda");
     add_route(s, 445, true, 8000, "galeria");
     add_hosts(s, 4, "tienda");
     add_hosts(s, 10, "galeria");
+    for (int i = HANGING_HOST; i < s->host_count; i++) {
+        s->hosts[i].work_ms = STATEMENT_MIN_MS;
+        s->hosts[i].work_spread_ms = STATEMENT_SPREAD_MS;
+    }
 }
 
 static void
@@ -358,8 +398,8 @@
 static const struct scenario cases[] = {
     {"route-returns", 60, set_up_route_returns, step_route_returns,
      flow_broken},
-    {"unnamed-service", 60, set_up_unnamed_service, step_unnamed_service,
-     process_ended},
+    {"unnamed-service", 95, set_up_unnamed_service, step_unnamed_service,
+     processes_ended},
     {"large-entries", 25, set_up_large_entries, step_large_entries,
      drain_broken},
     {"held-slots", 95, set_up_held_slots, step_held_slots, flow_broken},
--- a/review/standin-2/consumers.c
+++ b/review/standin-2/consumers.c
@@ -14,6 +14,10 @@
 #define RETRANSMIT_MS 200
 #define RETRANSMIT_MAX_MS 1600
 #define RESET_DISTANCE 76800
+/* An answer has one packet, and every second one is acknowledged at once. The
+ * next request of the flow carries the acknowledgement if it is sent before.
+ */
+#define DELAYED_ACK_MS 40
 
 enum state {
     ATTEMPT_FREE,
@@ -45,7 +49,8 @@
     uint64_t next_ms;
     uint32_t interval_ms;
     uint16_t request_len;
-    bool acked; /* the host has the whole request */
+    bool acked;      /* the host has the whole request */
+    uint64_t ack_ms; /* when to acknowledge an answer, 0: nothing is due */
 };
 
 static struct attempt attempts[ATTEMPTS_MAX];
@@ -78,7 +83,7 @@
     memcpy(p.data, data, len);
     size_t bytes = sim_pack(&p, out);
     const struct machine *m = machines_route(s, p.src, a->port);
-    sim_send_later(s, fds[a->consumer], m->ip, DATAGRAM_PORT, out, bytes,
+    sim_send_later(s, fds[a->consumer], m->ip, s->ports.datagram, out, bytes,
                    TO_MACHINE_MS);
 }
 
@@ -121,6 +126,7 @@
 begin_request(struct sim *s, struct attempt *a)
 {
     a->state = ATTEMPT_REQUEST;
+    a->ack_ms = 0;
     a->acked = false;
     a->interval_ms = RETRANSMIT_MS;
     a->next_ms = s->now_ms + a->interval_ms;
@@ -183,14 +189,15 @@
 }
 
 /* True if the rule on open flows protects the flow: its host lives and has not
- * been disturbed lately, and its route has been there since before it was
- * opened. */
+ * been disturbed lately, its route has been there since before it was opened,
+ * and neither end has closed it. */
 static bool
 is_protected(const struct sim *s, const struct attempt *a)
 {
     const struct route *r = &s->routes[a->route];
+    bool is_open = a->state == ATTEMPT_REQUEST || a->state == ATTEMPT_PAUSE;
 
-    return a->open && a->host && !a->host->ended &&
+    return is_open && a->open && a->host && !a->host->ended &&
            (a->host->disturbed_ms == 0 ||
             s->now_ms - a->host->disturbed_ms > s->stable_window_ms) &&
            r->present && r->changed_ms < a->syn_ms &&
@@ -285,7 +292,7 @@
     a->left--;
     a->state = ATTEMPT_PAUSE;
     a->next_ms = s->now_ms + s->pause_ms;
-    send_packet(s, a, FLAG_ACK, a->seq, a->ack, "", 0);
+    a->ack_ms = s->now_ms + DELAYED_ACK_MS;
 }
 
 static struct attempt *
@@ -380,6 +387,10 @@
         step_opening(s, a);
         return;
     }
+    if (a->ack_ms != 0 && s->now_ms >= a->ack_ms) {
+        a->ack_ms = 0;
+        send_packet(s, a, FLAG_ACK, a->seq, a->ack, "", 0);
+    }
     if (s->now_ms < a->next_ms) {
         return;
     }
@@ -444,7 +455,8 @@
 consumers_open(struct sim *s)
 {
     for (int i = 0; i < CONSUMERS; i++) {
-        fds[i] = sim_udp(sim_address(s, CONSUMER_NET, i + 1), DATAGRAM_PORT);
+        fds[i] =
+            sim_udp(sim_address(s, CONSUMER_NET, i + 1), s->ports.datagram);
         if (fds[i] < 0) {
             return false;
         }
--- a/review/standin-2/hosts.c
+++ b/review/standin-2/hosts.c
@@ -13,6 +13,7 @@
 #define SLOTS 2
 #define QUEUE_MAX 8
 #define FLOWS_MAX 8192
+/* Time of a request unless a case sets another. */
 #define WORK_MIN_MS 15
 #define WORK_SPREAD_MS 30
 #define TO_CONSUMER_MS 3
@@ -39,12 +40,13 @@
     uint32_t dst;
     uint16_t dport;
     uint32_t echo;
-    uint32_t caller_seq; /* of the SYN */
-    uint32_t seq;        /* of the SYN+ACK */
-    uint32_t next;       /* next byte to send */
-    uint32_t acked;      /* first byte that the consumer has not */
-    uint32_t expected;   /* next byte of the consumer */
-    unsigned id;         /* of the request, 0: none */
+    uint32_t caller_seq;   /* of the SYN */
+    uint32_t seq;          /* of the SYN+ACK */
+    uint32_t next;         /* next byte to send */
+    uint32_t acked;        /* first byte that the consumer has not */
+    uint32_t expected;     /* next byte of the consumer */
+    unsigned id;           /* of the request, 0: none */
+    unsigned data_packets; /* received */
     bool queued;
     bool hung;        /* the work never ends */
     uint64_t hung_ms; /* when it began */
@@ -77,7 +79,7 @@
     size_t len = sim_pack(p, out);
     struct in_addr to = {.s_addr = htonl(p->dst)};
 
-    sim_send_later(s, h->fd, to, DATAGRAM_PORT, out, len, TO_CONSUMER_MS);
+    sim_send_later(s, h->fd, to, s->ports.datagram, out, len, TO_CONSUMER_MS);
 }
 
 static void
@@ -123,7 +125,8 @@
     f->hung = f->host->hanging;
     f->hung_ms = s->now_ms;
     if (!f->hung) {
-        f->due_ms = s->now_ms + WORK_MIN_MS + sim_random(s) % WORK_SPREAD_MS;
+        f->due_ms = s->now_ms + f->host->work_ms +
+                    sim_random(s) % f->host->work_spread_ms;
     }
     sim_note(s, "host %s: runs request %u", f->host->id, f->id);
     consumers_note_run(s, f->host, f->id);
@@ -153,13 +156,17 @@
     const char *at = strstr(p->data, "Attempt-Id: ");
     int queued = 0;
 
+    f->data_packets++;
     if (p->seq != f->expected || !at) {
         reply(s, f, FLAG_ACK, f->next, "", 0);
         return; /* a copy */
     }
     f->expected = p->seq + p->len;
     f->id = (unsigned)strtoul(at + 12, NULL, 10);
-    reply(s, f, FLAG_ACK, f->next, "", 0);
+    /* Every second packet is acknowledged, others by the answer. */
+    if (f->data_packets % 2 == 0) {
+        reply(s, f, FLAG_ACK, f->next, "", 0);
+    }
     if (f->host->busy < SLOTS) {
         begin_work(s, f);
         return;
@@ -411,7 +418,7 @@
     snprintf(out, size, "{");
     snprintf(value, sizeof(value), "\"%s\"", service);
     len = add_field(out, size, len, skip, "Service", value);
-    snprintf(value, sizeof(value), "\"%s:%d\"", ip, HOST_PORT);
+    snprintf(value, sizeof(value), "\"%s:%d\"", ip, s->ports.host);
     len = add_field(out, size, len, skip, "Address", value);
     len = add_field(out, size, len, skip, "Zone", "\"gt-central-a\"");
     len = add_field(out, size, len, skip, "Version", "\"v1\"");
@@ -488,6 +495,8 @@
     snprintf(h->id, sizeof(h->id), "i-%08llx", (unsigned long long)h->wire_id);
     h->born = unix_ms();
     h->ip = sim_address(s, HOST_NET, h->index + 1);
+    h->work_ms = WORK_MIN_MS;
+    h->work_spread_ms = WORK_SPREAD_MS;
     return h;
 }
 
@@ -495,7 +504,7 @@
 hosts_open(struct sim *s)
 {
     for (int i = 0; i < s->host_count; i++) {
-        s->hosts[i].fd = sim_udp(s->hosts[i].ip, HOST_PORT);
+        s->hosts[i].fd = sim_udp(s->hosts[i].ip, s->ports.host);
         if (s->hosts[i].fd < 0) {
             return false;
         }
--- a/review/standin-2/machines.c
+++ b/review/standin-2/machines.c
@@ -18,6 +18,11 @@
 #define PROBE_TIMEOUT_MS 400
 #define MISSES_MAX 2
 
+/* EvacuateMs, ColdOverrun and ColdSlack of demands/kayal-edge-grown.toml. */
+static const char later_bounds[] = "  \"evacuate_ms\": 5000,\n"
+                                   "  \"cold_overrun\": 1.5,\n"
+                                   "  \"cold_slack\": 5,\n";
+
 /* The settings that the platform makes of deploy/settings.json. */
 static void
 write_settings(const struct sim *s, const struct machine *m)
@@ -41,14 +46,16 @@
             "  \"metrics_address\": \"%s:%d\",\n"
             "  \"drain_ms\": %u,\n"
             "  \"apply_ms\": %u,\n"
+            "%s"
             "  \"grace_s\": %d,\n"
             "  \"flow_age_s\": %d,\n"
             "  \"peer_address\": \"%s:%d\",\n"
             "  \"store\": { \"address\": \"%s:%d\" }\n"
             "}\n",
-            m->index + 1, ip, DATAGRAM_PORT, ip, READY_PORT, ip, METRICS_PORT,
-            s->drain_ms, s->config_apply_ms, GRACE_S, MAX_FLOW_S, ip,
-            PEER_PORT, store, STORE_PORT);
+            m->index + 1, ip, s->ports.datagram, ip, s->ports.ready, ip,
+            s->ports.metrics, s->drain_ms, s->config_apply_ms,
+            s->has_later_bounds ? later_bounds : "", GRACE_S, MAX_FLOW_S, ip,
+            s->ports.peer, store, s->ports.store);
     fclose(out);
 }
 
@@ -113,6 +120,7 @@
         return;
     }
     s->ended_alone++;
+    m->ended_alone++;
     sim_note(s, "BROKEN: machine %d: the process ended by itself, %s %d",
              m->index + 1, WIFSIGNALED(status) ? "signal" : "status",
              WIFSIGNALED(status) ? WTERMSIG(status) : WEXITSTATUS(status));
@@ -144,7 +152,7 @@
 begin_probe(const struct sim *s, struct machine *m)
 {
     struct sockaddr_in sa = {.sin_family = AF_INET,
-                             .sin_port = htons(READY_PORT),
+                             .sin_port = htons(s->ports.ready),
                              .sin_addr = m->ip};
 
     m->probe_ms = s->now_ms;
--- a/review/standin-2/main.c
+++ b/review/standin-2/main.c
@@ -1,8 +1,10 @@
 /* sim CASE DIR RECORD SEED: plays a case against rattangap-edge processes.
  * Exits with 1 if its rule was broken, 0 if it held, 2 if it could not run. */
+#include <arpa/inet.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -13,6 +15,9 @@
 /* Second bytes of loopback addresses to try. */
 #define NET_FIRST 130
 #define NET_LAST 240
+/* And ports, below those that the system hands out. */
+#define PORT_FIRST 8000
+#define PORT_STEP 10
 
 static volatile sig_atomic_t stopped;
 
@@ -60,18 +65,70 @@
     machines_step(s);
 }
 
-/* Finds loopback addresses that are free. */
 static bool
-find_net(struct sim *s)
+is_free(struct in_addr ip, uint16_t port, int type)
 {
-    int first = NET_FIRST + (int)(getpid() % (NET_LAST - NET_FIRST));
-
-    for (int i = 0; i <= NET_LAST - NET_FIRST; i++) {
-        s->net =
-            NET_FIRST + (first - NET_FIRST + i) % (NET_LAST - NET_FIRST + 1);
-        int fd = sim_udp(sim_address(s, CONSUMER_NET, 1), DATAGRAM_PORT);
-        if (fd >= 0) {
-            close(fd);
+    struct sockaddr_in sa = {
+        .sin_family = AF_INET, .sin_port = htons(port), .sin_addr = ip};
+    int on = 1;
+    int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+
+    if (type == SOCK_STREAM) {
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    }
+    bool free = bind(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0;
+    close(fd);
+    return free;
+}
+
+static bool
+machine_is_free(const struct sim *s, int index)
+{
+    struct in_addr ip = sim_address(s, MACHINE_NET, index + 1);
+    const struct ports *p = &s->ports;
+
+    return is_free(ip, p->datagram, SOCK_DGRAM) &&
+           is_free(ip, p->peer, SOCK_DGRAM) &&
+           is_free(ip, p->peer, SOCK_STREAM) &&
+           is_free(ip, p->ready, SOCK_STREAM) &&
+           is_free(ip, p->metrics, SOCK_STREAM);
+}
+
+/* True if nothing else uses the addresses and ports of the run. */
+static bool
+all_are_free(const struct sim *s)
+{
+    bool free =
+        is_free(sim_address(s, STORE_NET, 1), s->ports.store, SOCK_STREAM);
+
+    for (int i = 0; i < MACHINES_MAX; i++) {
+        free = free && machine_is_free(s, i);
+    }
+    for (int i = 0; i < HOSTS_MAX; i++) {
+        free = free && is_free(sim_address(s, HOST_NET, i + 1), s->ports.host,
+                               SOCK_DGRAM);
+    }
+    for (int i = 0; i < CONSUMERS; i++) {
+        free = free && is_free(sim_address(s, CONSUMER_NET, i + 1),
+                               s->ports.datagram, SOCK_DGRAM);
+    }
+    return free;
+}
+
+/* Finds loopback addresses and ports that are free. */
+static bool
+find_addresses(struct sim *s)
+{
+    int nets = NET_LAST - NET_FIRST + 1;
+    int first = (int)(getpid() % nets);
+
+    for (int i = 0; i < nets; i++) {
+        int n = (first + i) % nets;
+        uint16_t base = (uint16_t)(PORT_FIRST + n * PORT_STEP);
+        s->net = NET_FIRST + n;
+        s->ports = (struct ports){base,     base + 1, base + 2,
+                                  base + 3, base + 4, base + 5};
+        if (all_are_free(s)) {
             return true;
         }
     }
@@ -81,7 +138,7 @@
 static bool
 start(struct sim *s, const struct scenario *c)
 {
-    if (!find_net(s) || !store_start(s)) {
+    if (!find_addresses(s) || !store_start(s)) {
         return false;
     }
     c->setup(s);
@@ -123,7 +180,7 @@
     s->start_ms = wait_from;
     while (!machines_ready(s) && !stopped) {
         step(s);
-        if (s->now_ms > READY_MS) {
+        if (s->now_ms > READY_MS || s->ended_alone > 0) {
             return false;
         }
     }
--- a/review/standin-2/sim.h
+++ b/review/standin-2/sim.h
@@ -26,13 +26,6 @@
 #define MAX_FLOW_S 60
 #define HEARTBEAT_MS 1200
 #define HISTORY_MS 20000
-/* Ports, the same on all machines. */
-#define DATAGRAM_PORT 8172
-#define READY_PORT 8167
-#define PEER_PORT 7720
-#define METRICS_PORT 9102
-#define HOST_PORT 8080
-#define STORE_PORT 8169
 /* Third bytes of addresses. */
 #define STORE_NET 2
 #define MACHINE_NET 1
@@ -64,6 +57,16 @@
     char data[DATA_MAX + 1];
 };
 
+/* Ports, the same on all machines of a run. */
+struct ports {
+    uint16_t datagram;
+    uint16_t ready;
+    uint16_t peer;
+    uint16_t metrics;
+    uint16_t host;
+    uint16_t store;
+};
+
 struct route {
     uint32_t ip;
     uint16_t port;
@@ -83,6 +86,7 @@
     int misses;
     uint64_t disturbed_ms; /* last start, signal or end */
     uint64_t restart_ms;   /* 0: none is due */
+    unsigned ended_alone;  /* times that its process ended by itself */
     int probe_fd;          /* -1: no status check is under way */
     bool probe_sent;
     uint64_t probe_ms; /* when it began */
@@ -107,6 +111,8 @@
     int busy;              /* slots in use */
     bool hanging;          /* its requests get no answer */
     uint64_t disturbed_ms; /* last moment of that, 0: never */
+    uint32_t work_ms;      /* least time of a request */
+    uint32_t work_spread_ms;
 };
 
 struct sim {
@@ -114,6 +120,7 @@
     uint64_t start_ms; /* CLOCK_MONOTONIC */
     uint64_t rand;
     int net; /* second byte of all addresses */
+    struct ports ports;
     bool trouble;
     const char *dir; /* settings and logs of the machines */
     FILE *record;
@@ -128,7 +135,8 @@
     uint32_t drain_ms;
     uint32_t config_apply_ms;
     uint32_t stable_window_ms;
-    unsigned per_s; /* requests started a second */
+    bool has_later_bounds; /* those of demands/, too */
+    unsigned per_s;        /* requests started a second */
     /* Requests of a flow, and the pause between them. */
     int requests_a_flow;
     uint32_t pause_ms;
--- a/review/standin-2/store.c
+++ b/review/standin-2/store.c
@@ -574,7 +574,7 @@
 store_start(struct sim *s)
 {
     struct sockaddr_in sa = {.sin_family = AF_INET,
-                             .sin_port = htons(STORE_PORT),
+                             .sin_port = htons(s->ports.store),
                              .sin_addr = sim_address(s, STORE_NET, 1)};
     int on = 1;
 
