--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -7,6 +7,7 @@
 #include "sim.h"
 
 #define WARM_UP_MS 6000
+#define TIENDA_HOSTS 8
 
 /* --- shared -------------------------------------------------------------- */
 
@@ -40,7 +41,7 @@
     add_route(s, 443, true, 800, "tienda");
     add_route(s, 444, false, 1000, "tienda");
     add_route(s, 445, true, 3000, "galeria");
-    add_hosts(s, 8, "tienda");
+    add_hosts(s, TIENDA_HOSTS, "tienda");
     add_hosts(s, 3, "galeria");
 }
 
@@ -108,7 +109,10 @@
 /* --- entries of services that are not named ------------------------------ */
 
 #define OTHER_ENTRIES 500
-#define COPY_PERIOD_MS 200
+#define KNOWN_MS 3000 /* by then all machines know them */
+#define COPIED_SERVICES 100
+#define COPIES 4 /* at a time */
+#define COPY_PERIOD_MS 1500
 
 static void
 put_other_entry(struct sim *s, int i)
@@ -118,7 +122,7 @@
     char value[400];
     struct host other = {.ip = sim_address(s, HOST_NET, 250), .born = 1};
 
-    snprintf(key, sizeof(key), "servers/i-0e%06x", (unsigned)i);
+    snprintf(key, sizeof(key), "servers/i-ff%06x", (unsigned)i);
     snprintf(service, sizeof(service), "other-%d", i);
     size_t len =
         hosts_entry(s, &other, value, sizeof(value), service, "ready", NULL);
@@ -139,26 +143,37 @@
     sim_note(s, "other writer: entry of %s for service %s", h->id, service);
 }
 
+/* Copies the entries of some hosts, with services of the other entries. */
 static void
-step_unnamed_service(struct sim *s)
+put_copies(struct sim *s)
 {
-    static uint64_t next_ms = WARM_UP_MS;
     static int copies;
 
-    if (!s->trouble || s->now_ms < next_ms) {
-        return;
+    for (int i = 0; i < COPIES; i++, copies++) {
+        char service[32];
+        snprintf(service, sizeof(service), "other-%d",
+                 OTHER_ENTRIES - 1 - copies % COPIED_SERVICES);
+        put_copy(s, &s->hosts[copies % TIENDA_HOSTS], service);
     }
-    if (copies == 0) {
+}
+
+static void
+step_unnamed_service(struct sim *s)
+{
+    static uint64_t copy_ms = WARM_UP_MS + KNOWN_MS;
+    static bool done;
+
+    if (s->trouble && s->now_ms >= WARM_UP_MS && !done) {
         for (int i = 0; i < OTHER_ENTRIES; i++) {
             put_other_entry(s, i);
         }
         sim_note(s, "other writer: %d entries of its own", OTHER_ENTRIES);
+        done = true;
+    }
+    if (s->trouble && s->now_ms >= copy_ms) {
+        put_copies(s);
+        copy_ms += COPY_PERIOD_MS;
     }
-    char service[32];
-    snprintf(service, sizeof(service), "other-%d",
-             OTHER_ENTRIES - 1 - copies % 50);
-    put_copy(s, &s->hosts[copies++ % 8], service);
-    next_ms = s->now_ms + COPY_PERIOD_MS;
 }
 
 static void
