store_sync: a view is as old as the first page of its listing

The view counted as confirmed at each page of a listing and at the last one, although the configuration is on an earlier page, which may have changed meanwhile, and pages that are stale reads lack changes until the watch after them. With 15,000 upstreams a listing has some thirty pages.

A page of a listing in progress now confirms nothing, and the listing confirms the view as of its first page; the watch that follows brings it up to date. Listings of one page, all that the deployments in service have, are as before.

test_store_sync /age-of-listing fails before (is_current is true at the first page of two) and passes now.

--- a/balance/store_sync.c
+++ b/balance/store_sync.c
@@ -58,6 +58,7 @@
     uint64_t settle_at_ms; /* when that is due, 0: not determined yet */
     char after[RG_STORE_SYNC_KEY_MAX + 1];
     uint64_t listing_revision; /* oldest of its pages */
+    uint64_t listing_ms;       /* when the first of its pages arrived */
     uint64_t revision;
     uint64_t not_before_ms; /* make no call before */
     uint64_t confirmed_ms;
@@ -290,6 +291,10 @@
                      uint64_t revision, uint64_t now_ms)
 {
     call_succeeded(s, now_ms);
+    if (rg_store_sync_is_first_page(s)) {
+        s->listing_ms = now_ms;
+    }
+    s->confirmed_ms = s->listing_ms;
     if (rg_store_sync_is_first_page(s) || revision < s->listing_revision) {
         s->listing_revision = revision;
     }
@@ -428,7 +433,7 @@
 bool
 rg_store_sync_is_current(const struct rg_store_sync *s)
 {
-    return s->complete && !s->relisting && !s->settling;
+    return s->complete && !s->listing && !s->catching_up;
 }
 
 uint32_t
--- a/balance/store_sync.h
+++ b/balance/store_sync.h
@@ -173,10 +173,11 @@
 bool rg_store_sync_complete(const struct rg_store_sync *s);
 
 /* True if the last response says that the view has all of the store's state:
- * it is complete and no listing of a new era is in progress. */
+ * it is complete, and no listing is in progress. */
 bool rg_store_sync_is_current(const struct rg_store_sync *s);
 
-/* Time of the last response, 0: none. The view is no older than this. */
+/* Time of the last response, 0: none; for a listing, that of its first page,
+ * which may have changed since. The view is no older than this. */
 uint64_t rg_store_sync_confirmed_ms(const struct rg_store_sync *s);
 
 /* How long an upstream whose entry has just disappeared may still be used.
--- a/edge/store_client.c
+++ b/edge/store_client.c
@@ -296,9 +296,9 @@
     if (rg_store_sync_is_current(s->sync)) {
         /* The response holds the store's state when the call arrived there, or
          * a later one. */
-        rg_store_client_confirm(s, now);
-        s->answered_ms = now;
+        s->answered_ms = rg_store_sync_confirmed_ms(s->sync);
         s->answers++;
+        rg_store_client_confirm(s, s->answered_ms);
     }
 }
 
--- a/test/test_store_sync.c
+++ b/test/test_store_sync.c
@@ -89,6 +89,36 @@
     rg_store_sync_destroy(s);
 }
 
+/* Guards against a view that counts as more recent than its rows: those of the
+ * first page, the configuration among them, may have changed while the others
+ * were read, and stale pages lack changes until the watch after them. */
+static void
+test_age_of_listing(void)
+{
+    struct rg_store_sync *s = create_listed_sync(1000);
+
+    rg_store_sync_history_gone(s, 2000);
+    rg_store_sync_listed(s, "k50", true, 20, 2010);
+    g_assert_false(rg_store_sync_is_current(s));
+    rg_store_sync_listed(s, "k70", false, 20, 2900);
+    g_assert_false(rg_store_sync_is_current(s)); /* k70 was a stale read */
+    rg_store_sync_watched(s, 21, true, 2910);
+    g_assert_true(rg_store_sync_is_current(s));
+    g_assert_cmpuint(rg_store_sync_confirmed_ms(s), ==, 2910);
+    rg_store_sync_destroy(s);
+    /* The same with a listing that has no stale pages. */
+    s = create_listed_sync(1000);
+    struct rg_store_sync_step call = rg_store_sync_next(s, 1000);
+    rg_store_sync_check_era(s, &call, 0, 1000);
+    rg_store_sync_check_era(s, &call, 1, 2000);
+    rg_store_sync_listed(s, "k50", true, rg_revision_make(1, 5), 2010);
+    g_assert_false(rg_store_sync_is_current(s));
+    rg_store_sync_listed(s, "k70", false, rg_revision_make(1, 5), 2900);
+    g_assert_true(rg_store_sync_is_current(s));
+    g_assert_cmpuint(rg_store_sync_confirmed_ms(s), ==, 2010);
+    rg_store_sync_destroy(s);
+}
+
 /* Pages after the first may be stale reads. The view is complete only once a
  * watch that does not wait has returned what they lack, starting at the oldest
  * page. If the history for that watch is gone, the next listing uses no stale
@@ -541,6 +571,7 @@
     g_test_add_func("/store-sync/duplicate-response", test_duplicate_response);
     g_test_add_func("/store-sync/sample", test_sample);
     g_test_add_func("/store-sync/listing-pages", test_listing_pages);
+    g_test_add_func("/store-sync/age-of-listing", test_age_of_listing);
     g_test_add_func("/store-sync/stale-pages", test_stale_pages);
     g_test_add_func("/store-sync/one-page", test_one_page);
     g_test_add_func("/store-sync/listing-resumes", test_listing_resumes);
