balance: no state of services is read beyond its end

Cause: the pool numbers all services that entries name, the balancer keeps state for those of configurations, and three functions of admission used an endpoint's number without a check.

All uses that begin with an endpoint now get the state by rg_bal_service(), NULL for a service without one, so that there is no index left to check.

--- a/balance/balancer_admission.c
+++ b/balance/balancer_admission.c
@@ -171,9 +171,9 @@
 static bool
 is_in_doubt(const struct rg_balancer *b, const struct rg_endpoint *e)
 {
-    uint64_t loss_ms = b->services[e->service].loss_ms;
+    const struct rg_bal_service *s = rg_bal_service(b, e->service);
 
-    return loss_ms != 0 && e->last_response_ms <= loss_ms;
+    return s && s->loss_ms != 0 && e->last_response_ms <= s->loss_ms;
 }
 
 void
@@ -181,8 +181,11 @@
                         const struct rg_endpoint *endpoint,
                         enum rg_trial trial, bool lost)
 {
-    struct rg_bal_service *s = &b->services[endpoint->service];
+    struct rg_bal_service *s = rg_bal_service(b, endpoint->service);
 
+    if (!s) {
+        return;
+    }
     if (trial == RG_TRIAL_UNRESPONSIVE) {
         s->revived += REVIVED_GAIN * ((lost ? 0 : 1) - s->revived);
     }
@@ -202,10 +205,13 @@
 rg_bal_admission_sent(struct rg_balancer *b, const struct rg_route *route,
                       const struct rg_endpoint *endpoint, bool admitted)
 {
-    const struct rg_bal_service *s = &b->services[endpoint->service];
-    struct rg_capacity *c = &b->services[endpoint->service].capacity;
+    struct rg_bal_service *s = rg_bal_service(b, endpoint->service);
     uint32_t class = rg_capacity_class_of(route->priority);
 
+    if (!s) {
+        return RG_TRIAL_NONE;
+    }
+    struct rg_capacity *c = &s->capacity;
     if (is_unresponsive(b, endpoint)) {
         if (admitted) {
             rg_capacity_refund(c, class);
@@ -224,8 +230,10 @@
                          const struct rg_endpoint *endpoint,
                          const struct rg_route *route)
 {
-    if (endpoint->service < b->service_count) {
-        rg_capacity_request(&b->services[endpoint->service].capacity,
+    struct rg_bal_service *s = rg_bal_service(b, endpoint->service);
+
+    if (s) {
+        rg_capacity_request(&s->capacity,
                             rg_capacity_class_of(route->priority));
     }
 }
@@ -234,12 +242,12 @@
 rg_bal_is_shed(const struct rg_balancer *b, const struct rg_endpoint *endpoint,
                const struct rg_route *route, uint32_t bytes)
 {
+    const struct rg_bal_service *s = rg_bal_service(b, endpoint->service);
     double usual = fmin(route->median_bytes, PACKET_BYTES);
 
-    return endpoint->service < b->service_count &&
-           endpoint->sheds < SHEDS_IN_A_ROW &&
+    return s && endpoint->sheds < SHEDS_IN_A_ROW &&
            bytes < SHED_BYTES_SHARE * usual &&
-           rg_capacity_is_near_limit(&b->services[endpoint->service].capacity);
+           rg_capacity_is_near_limit(&s->capacity);
 }
 
 void
@@ -247,8 +255,9 @@
 {
     rg_bal_count(b, RG_METRIC_ANSWERS_SHED);
     /* One that only sends errors must not lower the limit further. */
-    if (endpoint->sheds++ == 0) {
-        rg_capacity_shed(&b->services[endpoint->service].capacity);
+    struct rg_bal_service *s = rg_bal_service(b, endpoint->service);
+    if (endpoint->sheds++ == 0 && s) {
+        rg_capacity_shed(&s->capacity);
     }
 }
 
@@ -257,8 +266,10 @@
                           const struct rg_endpoint *endpoint,
                           const struct rg_route *route, double ms)
 {
-    if (endpoint->service < b->service_count) {
-        rg_capacity_answered(&b->services[endpoint->service].capacity,
+    struct rg_bal_service *s = rg_bal_service(b, endpoint->service);
+
+    if (s) {
+        rg_capacity_answered(&s->capacity,
                              rg_capacity_class_of(route->priority), ms);
     }
 }
--- a/balance/balancer_cold_start.c
+++ b/balance/balancer_cold_start.c
@@ -54,9 +54,9 @@
 const struct rg_cold_start *
 rg_bal_cold_start(const struct rg_balancer *b, uint32_t service)
 {
-    return service < b->service_count && b->services[service].cold.per_s > 0
-               ? &b->services[service].cold
-               : NULL;
+    const struct rg_bal_service *s = rg_bal_service(b, service);
+
+    return s && s->cold.per_s > 0 ? &s->cold : NULL;
 }
 
 bool
--- a/balance/balancer_locality.c
+++ b/balance/balancer_locality.c
@@ -28,9 +28,10 @@
 rg_bal_locality_opened(struct rg_balancer *b, const struct rg_endpoint *e,
                        double ms)
 {
-    if (e->service < b->service_count) {
-        rg_locality_opened(&b->services[e->service].locality, elsewhere(e),
-                           ms);
+    struct rg_bal_service *s = rg_bal_service(b, e->service);
+
+    if (s) {
+        rg_locality_opened(&s->locality, elsewhere(e), ms);
     }
 }
 
@@ -40,6 +41,7 @@
                          const struct rg_route *route, double bytes, bool shed)
 {
     const struct rg_endpoint *e = t->endpoint;
+    struct rg_bal_service *s = rg_bal_service(b, e->service);
     struct rg_locality_answer answer = {
         .data_centre = elsewhere(e),
         .ms = t->answer_ms,
@@ -49,8 +51,8 @@
         .shed = shed,
     };
 
-    if (e->service < b->service_count) {
-        rg_locality_answered(&b->services[e->service].locality, &answer);
+    if (s) {
+        rg_locality_answered(&s->locality, &answer);
     }
 }
 
--- a/balance/balancer_outcomes.c
+++ b/balance/balancer_outcomes.c
@@ -10,10 +10,9 @@
 double
 rg_bal_service_failure_rate(const struct rg_balancer *b, uint32_t service)
 {
-    if (service >= b->service_count) {
-        return 0;
-    }
-    return rg_outcomes_failure_rate(&b->services[service].outcomes, b->now_ms);
+    const struct rg_bal_service *s = rg_bal_service(b, service);
+
+    return s ? rg_outcomes_failure_rate(&s->outcomes, b->now_ms) : 0;
 }
 
 static void
@@ -66,10 +65,10 @@
 bool
 rg_bal_is_overloaded(const struct rg_balancer *b, uint32_t service)
 {
-    return service < b->service_count &&
-           (rg_admit_is_overloaded(&b->services[service].admit) ||
-            rg_capacity_is_limiting(&b->services[service].capacity,
-                                    b->now_ms));
+    const struct rg_bal_service *s = rg_bal_service(b, service);
+
+    return s && (rg_admit_is_overloaded(&s->admit) ||
+                 rg_capacity_is_limiting(&s->capacity, b->now_ms));
 }
 
 static void
@@ -177,9 +176,10 @@
 rg_bal_add_outcome(struct rg_balancer *b, struct rg_endpoint *endpoint,
                    enum rg_outcome outcome, uint64_t at_ms)
 {
-    if (endpoint->service < b->service_count) {
-        rg_outcomes_add(&b->services[endpoint->service].outcomes, outcome,
-                        b->now_ms);
+    struct rg_bal_service *s = rg_bal_service(b, endpoint->service);
+
+    if (s) {
+        rg_outcomes_add(&s->outcomes, outcome, b->now_ms);
     }
     /* While a service is overloaded, a request may wait long at any
      * upstream. */
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -273,14 +273,15 @@
 report_to_admission(struct rg_balancer *b, const struct rg_tracked_flow *t,
                     double ms, const struct rg_route *route)
 {
+    struct rg_bal_service *s = rg_bal_service(b, t->endpoint->service);
     struct rg_admit_answer answer = {
         .waited_ms = fmax(ms - b->opening_ms, 0),
         .total_ms = ms + b->opening_ms,
         .target_ms = route->target_ms,
     };
 
-    if (t->endpoint->service < b->service_count) {
-        rg_admit_answered(&b->services[t->endpoint->service].admit, &answer);
+    if (s) {
+        rg_admit_answered(&s->admit, &answer);
     }
 }
 
@@ -310,9 +311,9 @@
     rg_metrics_observe(&b->metrics, RG_METRIC_ANSWER_MS, ms);
     rg_endpoint_request_answered(t->endpoint, (double)ms, b->now_ms);
     report_to_admission(b, t, (double)ms, route);
-    if (t->endpoint->service < b->service_count) {
-        rg_usual_time_note_begun(&b->services[t->endpoint->service].usual,
-                                 (double)ms, b->now_ms);
+    struct rg_bal_service *service = rg_bal_service(b, t->endpoint->service);
+    if (service) {
+        rg_usual_time_note_begun(&service->usual, (double)ms, b->now_ms);
     }
 }
 
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -89,6 +89,14 @@
     return b->routes ? rg_routes_version(b->routes) : 0;
 }
 
+/* State of a service by its index, NULL if no configuration has named it:
+ * entries of upstreams may name any. */
+static inline struct rg_bal_service *
+rg_bal_service(const struct rg_balancer *b, uint32_t service)
+{
+    return service < b->service_count ? &b->services[service] : NULL;
+}
+
 /* Time since the view, complete or partial, was known to be current. */
 static inline uint64_t
 rg_bal_view_age_ms(const struct rg_balancer *b)
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -79,21 +79,18 @@
 static double
 usual_ms(const struct rg_balancer *b, const struct rg_endpoint *e)
 {
+    const struct rg_bal_service *s = rg_bal_service(b, e->service);
     double own = rg_usual_time_ms(&e->usual);
 
-    return e->service < b->service_count
-               ? fmax(own, rg_usual_time_ms(&b->services[e->service].usual))
-               : own;
+    return s ? fmax(own, rg_usual_time_ms(&s->usual)) : own;
 }
 
 /* What a request may take there although its upstream is sound. */
 static double
 possible_ms(const struct rg_balancer *b, const struct rg_endpoint *e)
 {
-    double longest = e->service < b->service_count
-                         ? rg_usual_time_longest_ms(
-                               &b->services[e->service].usual, b->now_ms)
-                         : 0;
+    const struct rg_bal_service *s = rg_bal_service(b, e->service);
+    double longest = s ? rg_usual_time_longest_ms(&s->usual, b->now_ms) : 0;
 
     return fmax(LOST_USUAL_FACTOR * usual_ms(b, e),
                 LOST_LONGEST_FACTOR * longest);
@@ -129,9 +126,8 @@
 static bool
 was_overloaded(const struct rg_balancer *b, const struct rg_endpoint *e)
 {
-    uint64_t at_ms = e->service < b->service_count
-                         ? b->services[e->service].overloaded_ms
-                         : 0;
+    const struct rg_bal_service *s = rg_bal_service(b, e->service);
+    uint64_t at_ms = s ? s->overloaded_ms : 0;
 
     return at_ms != 0 && b->now_ms - at_ms <= OVERLOAD_EXPIRY_MS;
 }
@@ -150,7 +146,7 @@
     uint64_t failed_ms =
         rg_endpoint_other_failure_ms(t->endpoint, t->overdue_ms);
 
-    return t->endpoint->service < b->service_count && !t->adopted &&
+    return rg_bal_service(b, t->endpoint->service) && !t->adopted &&
            t->endpoint->local && route->answers >= LOST_MIN_ANSWERS &&
            possible_ms(b, t->endpoint) <=
                LOST_DEADLINE_SHARE_MAX * route->timeout_ms &&
@@ -462,9 +458,11 @@
 static void
 note_usual_time(struct rg_balancer *b, struct rg_endpoint *e, double ms)
 {
+    struct rg_bal_service *s = rg_bal_service(b, e->service);
+
     rg_usual_time_add(&e->usual, ms);
-    if (e->service < b->service_count) {
-        rg_usual_time_add(&b->services[e->service].usual, ms);
+    if (s) {
+        rg_usual_time_add(&s->usual, ms);
     }
 }
 
