pool: an entry of an unnamed service does not move an upstream

Callers had an upstream less until it wrote its own entry again, up to 1.2 s, when another writer had put an entry in its place that names a service no configuration names; a new listing in that time ended its endpoint.

Cause: an entry with the id and start of a known endpoint changed the endpoint's service, whatever it named, and the end of a listing removed what an invalid row had just kept. Ruled out: treating all entries of unnamed services as invalid, as a configuration may name the service later than its upstreams register.

An incarnation now stays at its service if a configuration has named that and none has named the other; the entry counts as invalid, which keeps the endpoint for 1.5 s, in a listing as well.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -69,7 +69,7 @@
         struct rg_route *r = rg_routes_at(routes, i);
         for (uint8_t j = 0; j < r->share_count; j++) {
             r->shares[j].service_index =
-                rg_pool_service(b->pool, &r->shares[j].service);
+                rg_pool_configured_service(b->pool, &r->shares[j].service);
             rg_bal_reserve_service(b, r->shares[j].service_index);
         }
     }
--- a/balance/pool.c
+++ b/balance/pool.c
@@ -15,6 +15,7 @@
     size_t count;
     size_t local; /* in the local data centre */
     size_t capacity;
+    bool configured; /* a configuration has named it */
 };
 
 /* Hash table with open addressing, by token or id. A removal reinserts the
@@ -155,13 +156,25 @@
 
 /* --- services ------------------------------------------------------------ */
 
+/* Index of a service, the number of services if it is not known. */
+static size_t
+find_service(const struct rg_pool *p, const struct rg_name *name)
+{
+    size_t i = 0;
+
+    while (i < p->service_count && !rg_name_eq(&p->services[i].name, name)) {
+        i++;
+    }
+    return i;
+}
+
 uint32_t
 rg_pool_service(struct rg_pool *p, const struct rg_name *name)
 {
-    for (size_t i = 0; i < p->service_count; i++) {
-        if (rg_name_eq(&p->services[i].name, name)) {
-            return (uint32_t)i;
-        }
+    size_t index = find_service(p, name);
+
+    if (index < p->service_count) {
+        return (uint32_t)index;
     }
     p->services = rg_realloc(p->services,
                              (p->service_count + 1) * sizeof(struct service));
@@ -169,6 +182,23 @@
     return (uint32_t)p->service_count++;
 }
 
+uint32_t
+rg_pool_configured_service(struct rg_pool *p, const struct rg_name *name)
+{
+    uint32_t index = rg_pool_service(p, name);
+
+    p->services[index].configured = true;
+    return index;
+}
+
+static bool
+is_configured(const struct rg_pool *p, const struct rg_name *name)
+{
+    size_t index = find_service(p, name);
+
+    return index < p->service_count && p->services[index].configured;
+}
+
 static void
 service_add(struct rg_pool *p, struct rg_endpoint *e)
 {
@@ -281,6 +311,36 @@
     return e;
 }
 
+/* The endpoint of the incarnation that an entry describes, whether or not it
+ * still has an entry; NULL if none is known. `current` is the endpoint that
+ * has the upstream's entry, or NULL. */
+static struct rg_endpoint *
+find_incarnation(const struct rg_pool *p, struct rg_endpoint *current,
+                 const struct rg_endpoint_info *info)
+{
+    struct rg_endpoint *e = current;
+
+    if (!e) {
+        e = rg_pool_by_token(
+            p, rg_token_of(rg_name_str(&info->id), info->boot_ms));
+    }
+    return e && rg_name_eq(&e->id, &info->id) && e->boot_ms == info->boot_ms
+               ? e
+               : NULL;
+}
+
+/* True if the entry was not written by the upstream: an incarnation stays at
+ * its service, and no configuration has named this one. */
+static bool
+is_invalid(const struct rg_pool *p, const struct rg_endpoint *known,
+           const struct rg_endpoint_info *info)
+{
+    const struct service *s = known ? &p->services[known->service] : NULL;
+
+    return s && s->configured && !rg_name_eq(&s->name, &info->service) &&
+           !is_configured(p, &info->service);
+}
+
 /* Returns the endpoint that an entry describes, added to its tables. */
 static struct rg_endpoint *
 get_endpoint(struct rg_pool *p, const struct rg_endpoint_info *info,
@@ -352,21 +412,10 @@
 ignores_row(struct rg_pool *p, struct rg_endpoint *current,
             const struct rg_endpoint_info *info)
 {
-    const struct rg_endpoint *known = current;
+    const struct rg_endpoint *known =
+        current ? current : find_incarnation(p, NULL, info);
 
-    if (!p->provisional_rows) {
-        return false;
-    }
-    if (!known) {
-        uint32_t token = rg_token_of(rg_name_str(&info->id), info->boot_ms);
-        known = rg_pool_by_token(p, token);
-        if (!known || !rg_name_eq(&known->id, &info->id) ||
-            known->boot_ms != info->boot_ms)
-        {
-            return false;
-        }
-    }
-    if (!is_outdated(known, info)) {
+    if (!p->provisional_rows || !known || !is_outdated(known, info)) {
         return false;
     }
     p->ignored_rows++;
@@ -376,7 +425,7 @@
     return true;
 }
 
-void
+bool
 rg_pool_update(struct rg_pool *p, const struct rg_endpoint_info *info,
                uint64_t revision, uint64_t now_ms)
 {
@@ -385,10 +434,15 @@
     if (current && current->revision > revision) {
         /* Still listed, if with an older revision. */
         current->listing = p->listing;
-        return;
+        return true;
+    }
+    if (is_invalid(p, find_incarnation(p, current, info), info)) {
+        rg_pool_remove(p, &info->id, revision, RG_POOL_INVALID_KEEP_MS,
+                       now_ms);
+        return false;
     }
     if (ignores_row(p, current, info)) {
-        return;
+        return true;
     }
     struct rg_endpoint *e = get_endpoint(p, info, now_ms);
     e->wire_id = info->wire_id;
@@ -400,6 +454,7 @@
     e->listing = p->listing;
     e->cold_until_ms = now_ms + info->cold_left_ms;
     set_state(p, e, info->draining ? RG_ENDPOINT_DRAINING : RG_ENDPOINT_READY);
+    return true;
 }
 
 static void
@@ -422,6 +477,11 @@
 {
     struct rg_endpoint *e = find_id(p, id);
 
+    if (e) {
+        /* A listing that reports the end of this endpoint ends it here, not
+         * in rg_pool_end_listing(). */
+        e->listing = p->listing;
+    }
     if (e && e->revision <= revision) {
         e->revision = revision;
         remove_endpoint(p, e, keep_ms, now_ms);
@@ -614,9 +674,6 @@
     struct rg_endpoint *e = find_id(p, id);
 
     if (e && e->boot_ms == boot_ms) {
-        /* A listing that reports the end of this endpoint ends it here, not
-         * in rg_pool_end_listing(). */
-        e->listing = p->listing;
         rg_pool_remove(p, id, revision, keep_ms, now_ms);
     }
 }
--- a/balance/pool.h
+++ b/balance/pool.h
@@ -140,14 +140,24 @@
 /* Index of a service; an unknown one is added. */
 uint32_t rg_pool_service(struct rg_pool *p, const struct rg_name *name);
 
+/* The same for a service that a configuration names; entries may name any. */
+uint32_t rg_pool_configured_service(struct rg_pool *p,
+                                    const struct rg_name *name);
+
 /* Name of a service by index. */
 const struct rg_name *rg_pool_service_name(const struct rg_pool *p,
                                            uint32_t index);
 
+/* An upstream whose entry is invalid is removed after this time, unless it has
+ * written a valid entry by then: the interval of its heartbeats and a bit. */
+#define RG_POOL_INVALID_KEEP_MS 1500
+
 /* Takes over an upstream's entry as of `revision`; an older one than known is
  * ignored. If another known endpoint has the same token, the new one is
- * ambiguous and gets no flows. */
-void rg_pool_update(struct rg_pool *p, const struct rg_endpoint_info *info,
+ * ambiguous and gets no flows. Returns false if the entry is invalid: it moves
+ * a known endpoint from a service that a configuration has named to one that
+ * none has. */
+bool rg_pool_update(struct rg_pool *p, const struct rg_endpoint_info *info,
                     uint64_t revision, uint64_t now_ms);
 
 /* The entry of an upstream was removed at `revision`. With `keep_ms`, an
--- a/edge/store_client.c
+++ b/edge/store_client.c
@@ -13,10 +13,6 @@
 /* Largest response accepted: a page of a listing, or a watch that returns many
  * versions of the configuration. */
 #define MAX_BODY_BYTES (16 * 1024 * 1024)
-/* An upstream whose entry is invalid is removed after this time, unless it has
- * written a valid entry by then. */
-#define INVALID_KEEP_MS 1500
-
 struct rg_store_client {
     struct rg_store_client_opts opts;
     struct rg_store_sync *sync;
@@ -45,7 +41,8 @@
 }
 
 static void
-log_invalid(struct rg_store_client *s, const struct rg_kv_change *c)
+log_invalid(struct rg_store_client *s, const struct rg_kv_change *c,
+            const char *why)
 {
     bool routes = c->kind == RG_KV_INVALID_ROUTES || c->kind == RG_KV_ROUTES;
 
@@ -58,7 +55,7 @@
                  : evacuation ? "evacuation"
                               : "upstream",
                  c->id.s, (unsigned long long)rg_revision_number(c->revision),
-                 c->why);
+                 why);
 }
 
 static void
@@ -84,20 +81,25 @@
     switch (c->kind) {
     case RG_KV_ROUTES:
         if (c->why[0] != '\0') {
-            log_invalid(s, c);
+            log_invalid(s, c, c->why);
         }
         rg_balancer_set_routes(s->opts.balancer, c->routes);
         break;
     case RG_KV_UPSTREAM:
-        rg_pool_update(pool, &c->info, c->revision, now);
+        if (!rg_pool_update(pool, &c->info, c->revision, now)) {
+            log_invalid(s, c,
+                        "not the service of its upstream, "
+                        "and in no configuration");
+        }
         break;
     case RG_KV_UPSTREAM_REMOVED:
         rg_pool_remove(pool, &c->id, c->revision,
                        rg_store_sync_keep_ms(s->sync, now), now);
         break;
     case RG_KV_INVALID_UPSTREAM:
-        rg_pool_remove(pool, &c->id, c->revision, INVALID_KEEP_MS, now);
-        log_invalid(s, c);
+        rg_pool_remove(pool, &c->id, c->revision, RG_POOL_INVALID_KEEP_MS,
+                       now);
+        log_invalid(s, c, c->why);
         break;
     case RG_KV_EVACUATED:
     case RG_KV_EVACUATION_LIFTED:
@@ -105,7 +107,7 @@
         break;
     case RG_KV_INVALID_EVACUATION:
     case RG_KV_INVALID_ROUTES:
-        log_invalid(s, c);
+        log_invalid(s, c, c->why);
         break;
     case RG_KV_INSTANCE:
         s->registered++;
--- a/test/test_other_writers.c
+++ b/test/test_other_writers.c
@@ -1,7 +1,8 @@
 /* Entries of upstreams that another writer has put into the store: they name
  * services that no configuration names, and must neither end the process
  * (review/7) nor take an upstream from its callers. */
-#include "balance/passive_health.h"
+#include <string.h>
+
 #include "balance/pool.h"
 #include "balance/token.h"
 #include "test/fake_instances.h"
@@ -83,6 +84,102 @@
     tick_until(f, f->now_ms + 2000);
 }
 
+/* Number of openings, of some, that u-0 gets. */
+static int
+openings_at_first(struct fixture *f)
+{
+    int count = 0;
+
+    for (uint16_t port = 1; port <= 40; port++) {
+        struct rg_segment s = segment_from(port);
+        s.opening = true;
+        s.seq = OPENING_SEQ;
+        struct rg_decision d =
+            rg_balancer_packet(f->instances[0], &s, f->now_ms);
+        g_assert_cmpint(d.kind, ==, RG_DECISION_FORWARD);
+        count += strcmp(d.endpoint->id.s, "u-0") == 0;
+    }
+    tick_until(f, f->now_ms + 2000); /* the openings are forgotten */
+    return count;
+}
+
+/* Guards against an upstream that gets no flows since another writer has put
+ * an entry in place of its own: it writes its own again soon. */
+static void
+test_entry_replaced(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    put(f, "u-0", "other", 2);
+    g_assert_cmpint(openings_at_first(f), >, 0);
+    put(f, "u-0", "shop", 3);
+    tick_until(f, f->now_ms + RG_POOL_INVALID_KEEP_MS);
+    g_assert_cmpint(openings_at_first(f), >, 0);
+}
+
+/* One that does not write its own is not used any more. */
+static void
+test_entry_not_back(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    put(f, "u-0", "other", 2);
+    tick_until(f, f->now_ms + RG_POOL_INVALID_KEEP_MS);
+    g_assert_cmpint(openings_at_first(f), ==, 0);
+    put(f, "u-0", "other", 3);
+    g_assert_cmpint(openings_at_first(f), ==, 0);
+    put(f, "u-0", "shop", 4);
+    g_assert_cmpint(openings_at_first(f), >, 0);
+}
+
+/* The same if the entry of the other writer is found in a listing. */
+static void
+test_entry_in_listing(struct fixture *f, gconstpointer unused)
+{
+    struct rg_pool *pool = rg_balancer_pool(f->instances[0]);
+
+    (void)unused;
+    rg_pool_begin_listing(pool);
+    put(f, "u-0", "other", 2);
+    for (int i = 1; i < UPSTREAMS; i++) {
+        update_upstream(f->instances[0], i, false, 1);
+    }
+    rg_pool_end_listing(pool, 3, 0, f->now_ms);
+    g_assert_cmpint(openings_at_first(f), >, 0);
+    tick_until(f, f->now_ms + RG_POOL_INVALID_KEEP_MS);
+    g_assert_cmpint(openings_at_first(f), ==, 0);
+}
+
+/* A draining upstream stays so, and one that has started again for another
+ * service is not what the flows of the earlier start were opened for: neither
+ * gets flows meanwhile. */
+static void
+test_entry_of_ending_upstream(struct fixture *f, gconstpointer unused)
+{
+    struct rg_endpoint_info restarted = entry_of("u-0", "other");
+
+    (void)unused;
+    update_upstream(f->instances[0], 0, true, 2);
+    put(f, "u-0", "other", 3);
+    g_assert_cmpint(openings_at_first(f), ==, 0);
+    update_upstream(f->instances[0], 0, false, 4);
+    g_assert_cmpint(openings_at_first(f), >, 0);
+    restarted.boot_ms = BOOT_MS + 1;
+    rg_pool_update(rg_balancer_pool(f->instances[0]), &restarted, 5,
+                   f->now_ms);
+    g_assert_cmpint(openings_at_first(f), ==, 0);
+}
+
+/* The upstream's own entry is used although that of the other writer came
+ * first. */
+static void
+test_other_entry_first(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    put(f, "u-9", "other", 2);
+    put(f, "u-9", "shop", 3);
+    g_assert_cmpuint(rg_pool_local_count(rg_balancer_pool(f->instances[0]), 0),
+                     ==, UPSTREAMS + 1);
+}
+
 static void
 add(const char *path, void (*test)(struct fixture *, gconstpointer))
 {
@@ -95,5 +192,11 @@
     g_test_init(&argc, &argv, NULL);
     add("/other-writers/opening-outstanding", test_opening_outstanding);
     add("/other-writers/moves-to-other-service", test_moves_to_other_service);
+    add("/other-writers/entry-replaced", test_entry_replaced);
+    add("/other-writers/entry-not-back", test_entry_not_back);
+    add("/other-writers/entry-in-listing", test_entry_in_listing);
+    add("/other-writers/entry-of-ending-upstream",
+        test_entry_of_ending_upstream);
+    add("/other-writers/other-entry-first", test_other_entry_first);
     return g_test_run();
 }
