store_client: list the store if a watch returns too much

Cause: the response to the watch is longer than the 16 MiB that are accepted, and a failed watch is repeated from the same revision. Evidence: STORE_LOST "the on_body callback failed" on all four instances, no STORE_BACK. Ruled out by the logs: timeouts, undecodable responses. Ruled out as a fix: a higher limit, as the number of such entries has none, and memory has.

The HTTP client reports a body that is too long, by its header if that gives the length, and the store is then listed in pages, without stale reads, whose watch would return the same changes again.

--- a/balance/store_sync.c
+++ b/balance/store_sync.c
@@ -42,9 +42,10 @@
 struct rg_store_sync {
     struct rg_store_sync_opts opts;
     struct rg_rand rand;
-    bool listing;     /* else watching */
-    bool strict;      /* stale reads are not allowed in the listing */
-    bool catching_up; /* the next watch completes a listing of stale reads */
+    bool listing;      /* else watching */
+    bool strict;       /* stale reads are not allowed in the listing */
+    bool many_changes; /* listing, since a watch had too many changes */
+    bool catching_up;  /* the next watch completes a listing of stale reads */
     bool complete;
     bool sampled; /* a sample was read, or reading it failed */
     bool standby;
@@ -312,6 +313,10 @@
     if (s->settling) {
         rg_store_sync_settled(s);
     }
+    if (s->many_changes) {
+        s->many_changes = false;
+        s->not_before_ms = now_ms + s->opts.pause_ms;
+    }
     return true;
 }
 
@@ -352,6 +357,14 @@
     restart_listing(s);
 }
 
+void
+rg_store_sync_changes_too_long(struct rg_store_sync *s, uint64_t now_ms)
+{
+    rg_store_sync_history_gone(s, now_ms);
+    s->strict = true;
+    s->many_changes = true;
+}
+
 void
 rg_store_sync_failed(struct rg_store_sync *s, uint64_t now_ms)
 {
--- a/edge/http_client.c
+++ b/edge/http_client.c
@@ -1,6 +1,7 @@
 #include "edge/http_client.h"
 
 #include <http_parser.h>
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -35,7 +36,8 @@
     struct conn *conn; /* NULL if not connected or connecting */
     bool busy;
     bool receiving;
-    bool keep; /* the connection may serve another call */
+    bool keep;     /* the connection may serve another call */
+    bool too_long; /* the body is larger than the options allow */
     uint32_t timeout_ms;
     struct rg_strbuf body;
     char field[HEADER_MAX]; /* name of the header being read */
@@ -71,6 +73,7 @@
         .body = {c->body.s ? c->body.s : "", c->body.len},
         .header = c->has_header ? c->header : NULL,
         .error = error,
+        .too_long = c->too_long,
     };
 
     if (!c->busy) {
@@ -159,12 +162,24 @@
     return 0;
 }
 
+/* A body that is too large is not read if its length is known. */
+static int
+on_headers(http_parser *parser)
+{
+    struct rg_http_client *c = ((struct conn *)parser->data)->client;
+    bool has_length = parser->content_length != ULLONG_MAX;
+
+    c->too_long = has_length && parser->content_length > c->opts.body_max;
+    return c->too_long ? -1 : 0;
+}
+
 static int
 on_body(http_parser *parser, const char *at, size_t len)
 {
     struct rg_http_client *c = ((struct conn *)parser->data)->client;
 
     if (c->body.len + len > c->opts.body_max) {
+        c->too_long = true;
         return 1;
     }
     memcpy(rg_strbuf_reserve(&c->body, len), at, len);
@@ -185,6 +200,7 @@
 static const http_parser_settings parser_settings = {
     .on_header_field = on_header_field,
     .on_header_value = on_header_value,
+    .on_headers_complete = on_headers,
     .on_body = on_body,
     .on_message_complete = on_complete,
 };
@@ -218,7 +234,8 @@
         return;
     }
     if (error != HPE_OK) {
-        rg_http_client_reset(c, http_errno_description(error));
+        rg_http_client_reset(c, c->too_long ? "the body is too long"
+                                            : http_errno_description(error));
         return;
     }
     /* Restarted by each read: a large response over a slow link times out
@@ -334,6 +351,7 @@
     c->busy = true;
     c->receiving = false;
     c->keep = false;
+    c->too_long = false;
     c->field[0] = '\0';
     c->header[0] = '\0';
     c->in_value = false;
--- a/edge/http_client.h
+++ b/edge/http_client.h
@@ -11,7 +11,8 @@
 #include "common/str.h"
 
 /* Outcome of a call. `status` is the HTTP status, or 0 if no complete response
- * arrived; `error` then says why. `body` and `header` are borrowed and valid
+ * arrived; `error` then says why, and `too_long` is set if its body is larger
+ * than the options allow. `body` and `header` are borrowed and valid
  * during the callback only. A header that occurs several times is delivered as
  * a list with commas. */
 struct rg_http_response {
@@ -20,6 +21,7 @@
     const char *header; /* value of the header in the options; NULL: the
                            response has none */
     const char *error;
+    bool too_long;
 };
 
 typedef void (*rg_http_client_cb)(void *ctx,
--- a/edge/store_client.c
+++ b/edge/store_client.c
@@ -11,7 +11,7 @@
 #include "platform/kv.h"
 
 /* Largest response accepted: a page of a listing, or a watch that returns many
- * versions of the configuration. */
+ * versions of the configuration. After a larger one everything is listed. */
 #define MAX_BODY_BYTES (16 * 1024 * 1024)
 struct rg_store_client {
     struct rg_store_client_opts opts;
@@ -313,6 +313,15 @@
     make_next_call(s);
 }
 
+/* Everything has to be listed again. */
+static void
+log_relisted(struct rg_store_client *s, const char *why)
+{
+    counters(s)[RG_METRIC_STORE_RELISTED]++;
+    rg_log_event(s->opts.log, RG_LOG_NOTICE, "STORE_RELISTED", "why=\"%s\"",
+                 why);
+}
+
 static void
 on_response(void *ctx, const struct rg_http_response *response)
 {
@@ -330,11 +339,13 @@
         return;
     }
     if (response->status == 410) {
-        counters(s)[RG_METRIC_STORE_RELISTED]++;
-        rg_log_event(s->opts.log, RG_LOG_NOTICE, "STORE_RELISTED",
-                     "why=\"history is gone\"");
+        log_relisted(s, "history is gone");
         rg_store_sync_history_gone(s->sync, s->response_ms);
     }
+    else if (response->too_long && s->call.kind == RG_STORE_SYNC_WATCH) {
+        log_relisted(s, "too many changes for one response");
+        rg_store_sync_changes_too_long(s->sync, s->response_ms);
+    }
     else if (response->status == 0) {
         call_failed(s, response->error);
     }
--- a/test/test_http_client.c
+++ b/test/test_http_client.c
@@ -22,6 +22,8 @@
     const char *header; /* lines with the header of each response, or NULL */
     char headers[64];   /* values received, "-" for none, in order */
     bool duplicate;     /* send each response twice in one write */
+    const char *raw;    /* the first response, or NULL */
+    bool too_long;      /* the first response was */
     char response[256];
     uv_write_t write;
     char read[4096];
@@ -50,6 +52,11 @@
         return;
     }
     f->requests++;
+    if (f->raw && f->requests == 1) {
+        uv_buf_t raw = uv_buf_init((char *)f->raw, (unsigned)strlen(f->raw));
+        uv_write(&f->write, stream, &raw, 1, NULL);
+        return;
+    }
     if (f->header) {
         const char *header = f->requests == 2 ? "" : f->header;
         snprintf(f->response, sizeof(f->response),
@@ -84,6 +91,14 @@
 {
     struct fixture *f = ctx;
 
+    if (f->raw && f->requests == 1) {
+        g_assert_cmpuint(response->status, ==, 0);
+        f->too_long = response->too_long;
+        f->bodies[f->count++] = '-';
+        rg_http_client_get(f->client, "/", 1000);
+        return;
+    }
+    g_assert_false(response->too_long);
     g_assert_cmpuint(response->status, ==, 200);
     g_assert_cmpuint(response->body.len, ==, 1);
     f->bodies[f->count++] = response->body.ptr[0];
@@ -185,6 +200,30 @@
     expect_headers("Store-Era:\r\n", ";-;;");
 }
 
+/* A response whose body is larger than allowed fails as such, before it has
+ * arrived if its length is known; the next call gets its own response. */
+static void
+expect_too_long(const char *raw)
+{
+    struct fixture f = {.raw = raw};
+
+    run_calls(&f);
+    g_assert_cmpstr(f.bodies, ==, "-23");
+    g_assert_true(f.too_long);
+    g_assert_cmpint(f.connections, ==, 2);
+    tear_down(&f);
+}
+
+static void
+test_too_long(void)
+{
+    expect_too_long("HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n");
+    expect_too_long("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "65\r\n"
+                    "0123456789012345678901234567890123456789012345678"
+                    "0123456789012345678901234567890123456789012345678901");
+}
+
 int
 main(int argc, char **argv)
 {
@@ -194,5 +233,6 @@
     g_test_add_func("/http-client/duplicate-response",
                     test_duplicate_response);
     g_test_add_func("/http-client/header", test_header);
+    g_test_add_func("/http-client/too-long", test_too_long);
     return g_test_run();
 }
--- a/test/test_store_sync.c
+++ b/test/test_store_sync.c
@@ -119,6 +119,35 @@
     rg_store_sync_destroy(s);
 }
 
+/* Guards against a watch that is repeated for ever since its response would be
+ * too long (review/8): everything is listed without stale reads, whose watch
+ * would return the same changes, and the next watch begins where that ends. */
+static void
+test_changes_too_long(void)
+{
+    struct rg_store_sync *s = create_listed_sync(1000);
+
+    g_assert_cmpint(rg_store_sync_next(s, 1000).kind, ==, RG_STORE_SYNC_WATCH);
+    rg_store_sync_changes_too_long(s, 1500);
+    struct rg_store_sync_step step = rg_store_sync_next(s, 1500);
+    g_assert_cmpint(step.kind, ==, RG_STORE_SYNC_LIST);
+    g_assert_cmpstr(step.after, ==, "");
+    rg_store_sync_listed(s, "k50", true, 30, 1510);
+    step = rg_store_sync_next(s, 1510);
+    g_assert_cmpint(step.kind, ==, RG_STORE_SYNC_LIST);
+    g_assert_false(step.stale);
+    rg_store_sync_listed(s, "k70", false, 32, 1600);
+    g_assert_true(rg_store_sync_is_current(s));
+    /* Large changes that go on do not make it list all the time. */
+    step = rg_store_sync_next(s, 1600);
+    g_assert_cmpint(step.kind, ==, RG_STORE_SYNC_WAIT);
+    g_assert_cmpuint(step.at_ms, >, 1600);
+    step = rg_store_sync_next(s, step.at_ms);
+    g_assert_cmpint(step.kind, ==, RG_STORE_SYNC_WATCH);
+    g_assert_cmpuint(step.revision, ==, 30);
+    rg_store_sync_destroy(s);
+}
+
 /* Pages after the first may be stale reads. The view is complete only once a
  * watch that does not wait has returned what they lack, starting at the oldest
  * page. If the history for that watch is gone, the next listing uses no stale
@@ -572,6 +601,7 @@
     g_test_add_func("/store-sync/sample", test_sample);
     g_test_add_func("/store-sync/listing-pages", test_listing_pages);
     g_test_add_func("/store-sync/age-of-listing", test_age_of_listing);
+    g_test_add_func("/store-sync/changes-too-long", test_changes_too_long);
     g_test_add_func("/store-sync/stale-pages", test_stale_pages);
     g_test_add_func("/store-sync/one-page", test_one_page);
     g_test_add_func("/store-sync/listing-resumes", test_listing_resumes);
