requests: no reset behind the requests that a fault has left hanging

Cause: a reset asks for another failure within 4.5 s, as a sign that the fault is or was just there. Requests that hang keep their slots until their callers give up, 8 s here; later ones wait behind them, fail as overdue, and renew the evidence. Evidence: the upstream is EJECTED again 1.1 and 4.4 s after the end of a fault of 0.8 s, each time with one failed probe, and RETURNED 9.6 s after it. Ruled out: a fault that goes on (the record shows none), late reports (all instances eject within 0.1 s).

A reset now also asks that the fault itself is known to have been there within 4.5 s: by the first failure after the last known answer, or by a request sent longer after that than the longest deadline of the service, which shows it within that deadline before. Tried and left out: a field for the first failure in the digests, 5,009 bytes a second where 5,000 are allowed.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -56,6 +56,15 @@
 
 /* --- view, peers and time ------------------------------------------------ */
 
+static void
+note_deadline(struct rg_balancer *b, uint32_t service, uint32_t timeout_ms)
+{
+    uint32_t *max_ms = &b->services[service].deadline_max_ms;
+    uint32_t deadline_ms = timeout_ms ? timeout_ms : RG_BAL_NO_DEADLINE;
+
+    *max_ms = deadline_ms > *max_ms ? deadline_ms : *max_ms;
+}
+
 bool
 rg_balancer_set_routes(struct rg_balancer *b, struct rg_routes *routes)
 {
@@ -71,6 +80,7 @@
             r->shares[j].service_index =
                 rg_pool_configured_service(b->pool, &r->shares[j].service);
             rg_bal_reserve_service(b, r->shares[j].service_index);
+            note_deadline(b, r->shares[j].service_index, r->timeout_ms);
         }
     }
     rg_log_event(b->opts.log, RG_LOG_NOTICE, "CONFIG",
--- a/balance/balancer_outcomes.c
+++ b/balance/balancer_outcomes.c
@@ -215,6 +215,9 @@
         rg_unacknowledged_add_report(endpoint, row->source,
                                      &row->unacknowledged, now_ms);
     }
+    if (row->failed_ms != 0) {
+        rg_endpoint_add_reported_failure(endpoint, row->failed_ms);
+    }
     update_reported(b, endpoint);
     check_outlier(b, endpoint);
 }
--- a/balance/outlier.c
+++ b/balance/outlier.c
@@ -64,6 +64,49 @@
     return later(s->own.last_ms[RG_OUTCOME_ANSWERED], s->reported.answered_ms);
 }
 
+/* Last answer that is known, late ones included. */
+static uint64_t
+last_any_answer_ms(const struct rg_endpoint *e)
+{
+    const struct rg_outlier_state *s = &e->outlier;
+
+    return later(later(last_answered_ms(s), s->answered_ms),
+                 later(e->latency_at_ms, s->own.last_ms[RG_OUTCOME_LATE]));
+}
+
+uint64_t
+rg_endpoint_failing_since_ms(const struct rg_endpoint *e)
+{
+    const struct rg_outlier_state *s = &e->outlier;
+    uint64_t answered_ms = last_any_answer_ms(e);
+    uint64_t failed_ms =
+        later(s->own.last_ms[RG_OUTCOME_FAILED], s->reported_failed_ms);
+
+    /* Which failure was the first after a late report of an answer is not
+     * known, but none was before the answer. */
+    return failed_ms > answered_ms ? later(s->failing_since_ms, answered_ms)
+                                   : 0;
+}
+
+/* Failures become known in any order. */
+static void
+note_failing(struct rg_endpoint *e, uint64_t at_ms)
+{
+    struct rg_outlier_state *s = &e->outlier;
+    uint64_t answered_ms = last_any_answer_ms(e);
+    bool is_known = s->failing_since_ms > answered_ms;
+
+    if (at_ms > answered_ms && (!is_known || at_ms < s->failing_since_ms)) {
+        s->failing_since_ms = at_ms;
+    }
+}
+
+void
+rg_endpoint_add_reported_failure(struct rg_endpoint *e, uint64_t at_ms)
+{
+    note_failing(e, at_ms);
+}
+
 bool
 rg_endpoint_is_outlier(const struct rg_endpoint *e)
 {
@@ -90,6 +133,7 @@
     }
     if (outcome == RG_OUTCOME_FAILED) {
         s->failed_before_ms = s->own.last_ms[RG_OUTCOME_FAILED];
+        note_failing(e, at_ms);
     }
     rg_outcomes_add_at(&s->own, outcome, at_ms, now_ms);
     s->serial++;
@@ -125,11 +169,7 @@
 rg_endpoint_no_answer_since(const struct rg_endpoint *e, uint64_t since_ms,
                             uint64_t now_ms)
 {
-    const struct rg_outlier_state *s = &e->outlier;
-
-    return last_answered_ms(s) < since_ms && s->answered_ms < since_ms &&
-           e->latency_at_ms < since_ms &&
-           s->own.last_ms[RG_OUTCOME_LATE] < since_ms &&
+    return last_any_answer_ms(e) < since_ms &&
            total(e, RG_OUTCOME_LATE, now_ms) == 0;
 }
 
--- a/balance/outlier.h
+++ b/balance/outlier.h
@@ -69,6 +69,15 @@
 uint64_t rg_endpoint_other_failure_ms(const struct rg_endpoint *e,
                                       uint64_t own_ms);
 
+/* When the first request failed since the last answer, as far as is known here
+ * and from peers, and not later; 0: none has. Requests that fail afterwards
+ * need not be due to a fault that goes on: they may wait behind those that it
+ * has left hanging. */
+uint64_t rg_endpoint_failing_since_ms(const struct rg_endpoint *e);
+
+/* A peer reports a failure. */
+void rg_endpoint_add_reported_failure(struct rg_endpoint *e, uint64_t at_ms);
+
 /* As rg_endpoint_no_answer_since(), and several requests have failed, here or
  * elsewhere, and no peer that reports failures reports an answer. That no
  * answer is known since `since_ms` proves little by itself: there may have
--- a/balance/pool.h
+++ b/balance/pool.h
@@ -76,6 +76,7 @@
     uint64_t answered_ms; /* last answer known when it changed */
     uint64_t failed_before_ms;   /* own failure before the last one */
     uint64_t reported_failed_ms; /* last failure ever reported */
+    uint64_t failing_since_ms;   /* see rg_endpoint_failing_since_ms() */
     uint64_t until_ms;           /* end of the exclusion of an outlier */
     uint64_t probed_ms;          /* last flow sent as a probe */
     bool slow;                   /* an outlier that has answered late */
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -16,8 +16,13 @@
 #include "balance/tracked_flows.h"
 #include "common/rand.h"
 
+/* Longest deadline of a service of which one route has none. */
+#define RG_BAL_NO_DEADLINE UINT32_MAX
+
 /* State kept for each service. */
 struct rg_bal_service {
+    uint32_t
+        deadline_max_ms; /* longest of its routes, in any version so far */
     struct rg_admit admit;
     struct rg_capacity capacity;
     uint32_t capacity_ticks; /* since its slots were last counted */
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -35,9 +35,9 @@
  * another upstream: what is known of the upstream is out of date by then. */
 #define LOST_WAIT_MAX_MS 1600
 #define LOST_NO_OUTLIER_WAIT_MAX_MS 2000
-/* Another request must have failed there within this time. Requests fail
- * within 500 ms, so the fault that it shows has ended less than 5 s ago, if at
- * all. */
+/* Another request must have failed there, and the fault must have been active
+ * within this time, see fault_shown_ms(). Requests fail within 500 ms, so it
+ * has ended less than 5 s ago, if at all. */
 #define LOST_EVIDENCE_MAX_MS 4500
 /* The same where requests fail but the upstream is no outlier. */
 #define LOST_NO_OUTLIER_FACTOR 32
@@ -132,6 +132,32 @@
     return at_ms != 0 && b->now_ms - at_ms <= OVERLOAD_EXPIRY_MS;
 }
 
+/* When the upstream of an overdue request was last known to hang, 0: never.
+ * Requests that a fault has left hanging keep its slots until their callers
+ * give up, and later ones wait behind them although the fault may be over. So
+ * what the first failure after the last answer shows is of that time, and a
+ * request shows nothing of what came after the longest deadline before it. */
+static uint64_t
+fault_shown_ms(const struct rg_balancer *b, const struct rg_tracked_flow *t)
+{
+    const struct rg_bal_service *s = rg_bal_service(b, t->endpoint->service);
+    uint64_t since_ms = rg_endpoint_failing_since_ms(t->endpoint);
+
+    if (since_ms == 0 || !s || s->deadline_max_ms == RG_BAL_NO_DEADLINE ||
+        t->since_ms < s->deadline_max_ms)
+    {
+        return since_ms;
+    }
+    uint64_t earliest_ms = t->since_ms - s->deadline_max_ms;
+    return earliest_ms > since_ms ? earliest_ms : since_ms;
+}
+
+static bool
+is_recent_evidence(const struct rg_balancer *b, uint64_t at_ms)
+{
+    return at_ms != 0 && b->now_ms - at_ms <= LOST_EVIDENCE_MAX_MS;
+}
+
 /* A long wait proves a failure only if the median of the route is known well
  * enough, neither a queue at the upstreams nor the usual work there explains
  * it, and another request has failed there lately. When the request of an
@@ -150,7 +176,8 @@
            t->endpoint->local && route->answers >= LOST_MIN_ANSWERS &&
            possible_ms(b, t->endpoint) <=
                LOST_DEADLINE_SHARE_MAX * route->timeout_ms &&
-           failed_ms != 0 && b->now_ms - failed_ms <= LOST_EVIDENCE_MAX_MS &&
+           is_recent_evidence(b, failed_ms) &&
+           is_recent_evidence(b, fault_shown_ms(b, t)) &&
            !was_overloaded(b, t->endpoint);
 }
 
--- a/balance/store_sync.h
+++ b/balance/store_sync.h
@@ -141,9 +141,9 @@
 /* The store no longer has the history that the watch needs. */
 void rg_store_sync_history_gone(struct rg_store_sync *s, uint64_t now_ms);
 
-/* The changes that the watch asks for are too many for one response. They would
- * be asked for again and again: everything is listed instead, in pages, and
- * without stale reads, from which a watch would return them once more. */
+/* The changes that the watch asks for are too many for one response. They
+ * would be asked for again and again: everything is listed instead, in pages,
+ * and without stale reads, from which a watch would return them once more. */
 void rg_store_sync_changes_too_long(struct rg_store_sync *s, uint64_t now_ms);
 
 /* In standby, another instance polls the store and peers pass on the changes:
--- a/test/test_resets.c
+++ b/test/test_resets.c
@@ -250,6 +250,62 @@
     }
 }
 
+/* A peer reports an answer at the upstream of this flow. */
+static void
+report_answer(struct fixture *f, const struct flow *flow, uint32_t source)
+{
+    struct rg_outcome_row row = {
+        .token = flow->token,
+        .source = source,
+        .serial = (uint32_t)f->now_ms,
+        .counts = {[RG_OUTCOME_ANSWERED] = 1},
+        .last_ms = f->now_ms,
+        .answered_ms = f->now_ms,
+    };
+
+    rg_balancer_add_reported_outcomes(f->balancer, &row, f->now_ms);
+}
+
+/* Requests fail at an upstream for 5 s, as peers report, before the last of
+ * them is sent here. Returns the number of resets. */
+static uint32_t
+resets_after_failures(uint32_t timeout_ms, bool answers_meanwhile)
+{
+    struct fixture *f = create_fixture(timeout_ms, timeout_ms);
+
+    serve(f, MAIN_PORT, 60, 5);
+    struct flow flow = open_flow(f, MAIN_PORT);
+    for (int i = 0; i < 5; i++) {
+        if (i == 4 && answers_meanwhile) {
+            report_answer(f, &flow, 3);
+        }
+        report_failures(f, &flow, 1, 2);
+        report_failures(f, &flow, 2, 2);
+        serve(f, UNSAFE_PORT, 88, 5); /* about a second */
+    }
+    send_data(f, &flow);
+    uint64_t sent_ms = f->now_ms;
+    while (f->now_ms < sent_ms + 1900) {
+        serve(f, UNSAFE_PORT, 10, 5);
+        report_failures(f, &flow, 1, 2);
+    }
+    uint32_t resets = f->resets;
+    destroy_fixture(f);
+    return resets;
+}
+
+/* Guards against resets behind requests of a fault that has ended (review/10):
+ * they keep the slots of their upstream for their deadline, and later ones
+ * that wait show nothing new. Where deadlines are short, or the upstream has
+ * answered since, a later failure is that of a fault that goes on. */
+static void
+test_slots_held(void)
+{
+    g_assert_cmpuint(resets_after_failures(8000, false), ==, 0);
+    g_assert_cmpuint(resets_after_failures(8000, true), ==, 1);
+    g_assert_cmpuint(resets_after_failures(1500, false), ==, 1);
+}
+
 /* A quiet route whose few answers took 1 to 2 ms shares its upstreams with one
  * of 47 ms, at times seven times as long. Its requests, which wait for those,
  * were reset after 405 to 520 ms at an outlier that was sound. */
@@ -455,6 +511,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/resets/long-deadline", test_long_deadline);
+    g_test_add_func("/resets/slots-held", test_slots_held);
     g_test_add_func("/resets/quiet-route", test_quiet_route);
     g_test_add_func("/resets/adopted-request", test_adopted_request);
     g_test_add_func("/resets/answer-before-next-request",
