pool: of upstreams with one token, the one that started first has it

Cause: the upstream that an instance learned of first had the token, and an instance that starts learns in the order of the listing. Evidence: TOKEN_TAKEN with upstream and holder exchanged at the two instances that were started again, and at no other. Ruled out: corrected tokens (no MOVED or KEPT).

The one that started first now has the token, in any order. Tracked flows stay at an endpoint that has lost it, and once the holder is forgotten the next one gets it; before, that got no flows until a restart of the instance.

--- a/balance/open_flows.c
+++ b/balance/open_flows.c
@@ -58,18 +58,28 @@
     return (struct named){.kind = TOKEN_UNKNOWN};
 }
 
+/* The endpoint that a token names. A flow that is tracked stays at its own if
+ * that has the same token, although another endpoint is found by it. */
+static struct rg_endpoint *
+endpoint_named(const struct rg_balancer *b, const struct rg_tracked_flow *t,
+               uint32_t token)
+{
+    return t && t->endpoint->token == token ? t->endpoint
+                                            : rg_pool_by_token(b->pool, token);
+}
+
 static struct named
 read_token(const struct rg_balancer *b, const struct rg_tracked_flow *t,
            const struct rg_segment *s)
 {
-    struct rg_endpoint *e = rg_pool_by_token(b->pool, s->token);
+    struct rg_endpoint *e = endpoint_named(b, t, s->token);
 
     if (e) {
         return (struct named){.kind = TOKEN_FLOW, .endpoint = e};
     }
     if (t) {
-        e = rg_pool_by_token(b->pool,
-                             rg_token_of_opening(s->token, t->opening_seq));
+        e = endpoint_named(b, t,
+                           rg_token_of_opening(s->token, t->opening_seq));
     }
     if (e) {
         return (struct named){.kind = TOKEN_OPENING, .endpoint = e};
--- a/balance/pool.c
+++ b/balance/pool.c
@@ -38,6 +38,7 @@
     struct rg_endpoint **all;
     size_t count;
     size_t capacity;
+    size_t ambiguous; /* endpoints that do not have their token */
     uint32_t listing;
     bool is_listing;             /* between rg_pool_begin_listing() and
                                     rg_pool_end_listing() */
@@ -341,6 +342,54 @@
            !is_configured(p, &info->service);
 }
 
+/* Of two endpoints with the same token, the one that started first has it, in
+ * whatever order an instance learns of them, so that all send the packets of a
+ * flow to the same one. */
+static bool
+goes_before(const struct rg_endpoint *a, const struct rg_endpoint *b)
+{
+    if (a->boot_ms != b->boot_ms) {
+        return a->boot_ms < b->boot_ms;
+    }
+    return strcmp(a->id.s, b->id.s) < 0;
+}
+
+/* Gives its token to an endpoint that does not have it, unless another one has
+ * and keeps it. */
+static void
+claim_token(struct rg_pool *p, struct rg_endpoint *e)
+{
+    struct rg_endpoint *holder = rg_pool_by_token(p, e->token);
+
+    if (holder && !goes_before(e, holder)) {
+        return;
+    }
+    if (holder) {
+        table_drop(p, &p->by_token, holder);
+        holder->ambiguous = true;
+        p->ambiguous++;
+    }
+    table_add(p, &p->by_token, e);
+    e->ambiguous = false;
+    p->ambiguous--;
+}
+
+static void
+add_token(struct rg_pool *p, struct rg_endpoint *e)
+{
+    const struct rg_endpoint *other = rg_pool_by_token(p, e->token);
+
+    e->ambiguous = true;
+    p->ambiguous++;
+    claim_token(p, e);
+    if (other) {
+        rg_log_event(p->opts.log, RG_LOG_WARNING, "TOKEN_TAKEN",
+                     "upstream=\"%s\" token=\"%08x\" holder=\"%s\"",
+                     e->ambiguous ? e->id.s : other->id.s, e->token,
+                     e->ambiguous ? other->id.s : e->id.s);
+    }
+}
+
 /* Returns the endpoint that an entry describes, added to its tables. */
 static struct rg_endpoint *
 get_endpoint(struct rg_pool *p, const struct rg_endpoint_info *info,
@@ -373,15 +422,7 @@
     }
     else {
         e = add_endpoint(p, info, token);
-        e->ambiguous = known != NULL;
-        if (known) {
-            rg_log_event(p->opts.log, RG_LOG_WARNING, "TOKEN_TAKEN",
-                         "upstream=\"%s\" token=\"%08x\" holder=\"%s\"",
-                         e->id.s, token, known->id.s);
-        }
-        else {
-            table_add(p, &p->by_token, e);
-        }
+        add_token(p, e);
     }
     e->local = local;
     table_add(p, &p->by_id, e);
@@ -590,6 +631,22 @@
     }
 }
 
+/* Forgets an endpoint. */
+static void
+free_endpoint(struct rg_pool *p, struct rg_endpoint *e)
+{
+    if (e->revision > p->compacted_revision) {
+        p->compacted_revision = e->revision;
+    }
+    if (e->ambiguous) {
+        p->ambiguous--;
+    }
+    else {
+        table_drop(p, &p->by_token, e);
+    }
+    free(e);
+}
+
 void
 rg_pool_tick(struct rg_pool *p, uint64_t now_ms)
 {
@@ -603,16 +660,18 @@
         }
         if (e->state == RG_ENDPOINT_GONE && e->refs == 0 &&
             now_ms >= e->keep_until_ms) {
-            if (e->revision > p->compacted_revision) {
-                p->compacted_revision = e->revision;
-            }
-            table_drop(p, &p->by_token, e);
-            free(e);
+            free_endpoint(p, e);
             continue;
         }
         p->all[kept++] = e;
     }
     p->count = kept;
+    /* Those that have been forgotten had tokens that others have as well. */
+    for (size_t i = 0; i < p->count && p->ambiguous > 0; i++) {
+        if (p->all[i]->ambiguous) {
+            claim_token(p, p->all[i]);
+        }
+    }
 }
 
 size_t
--- a/balance/pool.h
+++ b/balance/pool.h
@@ -92,7 +92,7 @@
     struct rg_addr addr;
     struct rg_data_centre *data_centre; /* borrowed from the pool */
     bool local;                         /* in this instance's data centre */
-    bool ambiguous; /* an older endpoint has the same token: no new flows */
+    bool ambiguous; /* another endpoint has its token: no new flows */
     uint8_t state;  /* enum rg_endpoint_state */
     uint32_t slots;
     uint64_t revision;      /* of its entry */
@@ -154,10 +154,10 @@
 #define RG_POOL_INVALID_KEEP_MS 1500
 
 /* Takes over an upstream's entry as of `revision`; an older one than known is
- * ignored. If another known endpoint has the same token, the new one is
- * ambiguous and gets no flows. Returns false if the entry is invalid: it moves
- * a known endpoint from a service that a configuration has named to one that
- * none has. */
+ * ignored. Of endpoints with the same token, the one that started first has
+ * it; the others are ambiguous and get no new flows. Returns false if the
+ * entry is invalid: it moves a known endpoint from a service that a
+ * configuration has named to one that none has. */
 bool rg_pool_update(struct rg_pool *p, const struct rg_endpoint_info *info,
                     uint64_t revision, uint64_t now_ms);
 
@@ -201,7 +201,7 @@
 /* Removes expired endpoints. Call it a few times a second. */
 void rg_pool_tick(struct rg_pool *p, uint64_t now_ms);
 
-/* NULL if no known endpoint has this token. */
+/* The endpoint that has this token, NULL if none is known. */
 struct rg_endpoint *rg_pool_by_token(const struct rg_pool *p, uint32_t token);
 
 /* Endpoints of a service that have an entry (READY, DRAINING or MISSING),
