soak: what a restore of the store has lost counts from when it is written again

Trace: the drain was written at 9.29 s, the store restored at 10.00 and 10.41 s from copies without it, the entry written again at about 11.4 s; all instances had it by 12.62 s. The evacuation was written at 3.17 s and lost at 3.61 s; the operator of the stand-in wrote configurations again, and evacuations never, so that no instance could know. The platform's operator writes all of it again ("What the operator and the hosts wrote is written again"), and bounds hold for machines in touch, that is while "the core was stable".

The operator now writes evacuations again. A drain or evacuation that the copy lacks counts from when it is written again; an evacuation until then from the restore. All else is checked as before; test_eras, which restores the store with a drain that the copy lacks, keeps its checks.

--- a/standin/soak/evacuation.c
+++ b/standin/soak/evacuation.c
@@ -37,6 +37,17 @@
     return true;
 }
 
+static void
+write_key(struct soak *s, const char *key, bool evacuated)
+{
+    if (evacuated) {
+        soak_store_put(s, key, "{}");
+    }
+    else {
+        soak_store_remove(s, key);
+    }
+}
+
 static void
 set_evacuated(struct soak *s, int data_centre, bool evacuated)
 {
@@ -45,11 +56,31 @@
     snprintf(key, sizeof(key), "op/evacuate/z%d", data_centre);
     soak_log(s, "%s %s", evacuated ? "put" : "remove", key);
     s->evacuated_ms[data_centre] = evacuated ? s->now_ms : 0;
-    if (evacuated) {
-        soak_store_put(s, key, "{}");
+    write_key(s, key, evacuated);
+}
+
+void
+soak_evacuations_restored(struct soak *s, uint64_t copy_ms)
+{
+    for (int dc = 0; dc < SOAK_DATA_CENTRE_COUNT; dc++) {
+        if (s->evacuated_ms[dc] > copy_ms) {
+            s->evacuated_ms[dc] = s->now_ms;
+        }
     }
-    else {
-        soak_store_remove(s, key);
+}
+
+void
+soak_evacuations_rewrite(struct soak *s)
+{
+    char key[32];
+
+    for (int dc = 0; dc < SOAK_DATA_CENTRE_COUNT; dc++) {
+        bool evacuated = s->evacuated_ms[dc] != 0;
+        snprintf(key, sizeof(key), "op/evacuate/z%d", dc);
+        if (evacuated && !soak_store_has(s, key)) {
+            s->evacuated_ms[dc] = s->now_ms;
+        }
+        write_key(s, key, evacuated);
     }
 }
 
--- a/standin/soak/faults.c
+++ b/standin/soak/faults.c
@@ -289,13 +289,16 @@
     if (faults_on &&
         rg_rand_below(&s->restore_rand, RESTORE_PERIOD_MS / tick_ms) == 0)
     {
-        soak_store_restore(
+        uint64_t copy_ms = soak_store_restore(
             s, rg_rand_below(&s->restore_rand, RESTORE_AGE_MAX_MS));
+        soak_upstreams_restored(s, copy_ms);
+        soak_evacuations_restored(s, copy_ms);
     }
     if (s->restored_ms && s->now_ms - s->restored_ms >= REWRITE_MS) {
         s->restored_ms = 0;
         soak_upstreams_rewrite(s);
         soak_config_rewrite(s);
+        soak_evacuations_rewrite(s);
     }
     if (!faults_on) {
         end_faults(s, true);
--- a/standin/soak/store.c
+++ b/standin/soak/store.c
@@ -185,7 +185,7 @@
 
 /* Leases are lost, and with them the system's own keys; later changes are not
  * in the history any more. */
-void
+uint64_t
 soak_store_restore(struct soak *s, uint64_t age_ms)
 {
     struct soak_store *store = s->store;
@@ -198,7 +198,7 @@
         g_ptr_array_remove_index(copies, copies->len - 1);
     }
     if (copies->len == 0) {
-        return;
+        return s->now_ms;
     }
     const struct copy *c = copies->pdata[copies->len - 1];
     soak_log(s, "the store is restored from %lu ms ago, revision %lu to %lu",
@@ -219,6 +219,7 @@
         }
         g_ptr_array_remove_index(store->history, store->history->len - 1);
     }
+    return c->at_ms;
 }
 
 void
--- a/standin/soak/upstreams.c
+++ b/standin/soak/upstreams.c
@@ -361,6 +361,17 @@
     soak_upstream_put_entry(s, u);
 }
 
+void
+soak_upstreams_restored(struct soak *s, uint64_t copy_ms)
+{
+    for (int i = 0; i < s->upstream_count; i++) {
+        struct soak_upstream *u = &s->upstreams[i];
+        if (u->draining_ms > copy_ms) {
+            u->draining_ms = 0; /* until it writes its entry again */
+        }
+    }
+}
+
 void
 soak_upstreams_rewrite(struct soak *s)
 {
