--- a/balance/priv.h
+++ b/balance/priv.h
@@ -195,13 +195,14 @@
 struct rg_decision rg_bal_forward(struct rg_balancer *b,
                                   const struct rg_endpoint *endpoint,
                                   uint32_t token);
-/* True if the store confirmed the view recently, so that what the view lacks
- * does not exist. */
+/* True if the store confirmed the view recently. What the view lacks did not
+ * exist then, and may since. */
 bool rg_bal_is_confirmed(const struct rg_balancer *b);
-/* True if the view was the store's newest state at a time after `at_ms`, and
- * is still confirmed. What it lacks was then removed from what existed at
- * `at_ms`, and not added since only. Never true while the view is provisional:
- * after a restore the store may lack the newest configuration for a while. */
+/* True if the view was the store's newest state at some time after `at_ms`,
+ * and is still confirmed. What existed at `at_ms` and is missing from the view
+ * has been removed; it is not missing only because the view is old. Never true
+ * while the view is provisional: after a restore the store may lack the newest
+ * configuration for a while. */
 bool rg_bal_is_confirmed_since(const struct rg_balancer *b, uint64_t at_ms);
 
 /* Limits on openings to cold upstreams, in balancer_cold_start.c. */
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -135,8 +135,9 @@
 /* When the upstream of an overdue request was last known to hang, 0: never.
  * Requests that a fault has left hanging keep its slots until their callers
  * give up, and later ones wait behind them although the fault may be over. So
- * what the first failure after the last answer shows is of that time, and a
- * request shows nothing of what came after the longest deadline before it. */
+ * the first failure after the last answer shows the fault, at that time. A
+ * later one shows it only if those requests must have gone when it was sent,
+ * and not after the longest deadline before that. */
 static uint64_t
 fault_shown_ms(const struct rg_balancer *b, const struct rg_tracked_flow *t)
 {
