--- a/test/test_removed_routes.c
+++ b/test/test_removed_routes.c
@@ -301,13 +301,12 @@
         h->held[i] += 1 + rg_rand_below(rand, lacks);
         set_version(f, i, h->held[i], h->has_route[h->held[i]]);
     }
+    bool is_newest =
+        h->held[i] == h->newest && f->now_ms >= newest_ms + lag_ms;
     /* The answer was sent before the newest version came. */
     bool was_newest = h->held[i] + 1 == h->newest &&
                       f->now_ms - newest_ms <= CONFIRMATION_LAG_MS;
-    if (h->held[i] == h->newest && f->now_ms >= newest_ms + lag_ms) {
-        confirm(f, i);
-    }
-    else if (was_newest) {
+    if (is_newest || was_newest) {
         confirm(f, i);
     }
 }
