--- a/test/fake_instances.h
+++ b/test/fake_instances.h
@@ -243,4 +243,10 @@
     return rg_balancer_metrics(f->instances[instance])->counters[c];
 }
 
+static inline void
+add_case(const char *path, void (*test)(struct fixture *, gconstpointer))
+{
+    g_test_add(path, struct fixture, NULL, setup, test, teardown);
+}
+
 #endif
--- a/test/test_other_writers.c
+++ b/test/test_other_writers.c
@@ -180,23 +180,18 @@
                      ==, UPSTREAMS + 1);
 }
 
-static void
-add(const char *path, void (*test)(struct fixture *, gconstpointer))
-{
-    g_test_add(path, struct fixture, NULL, setup, test, teardown);
-}
-
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    add("/other-writers/opening-outstanding", test_opening_outstanding);
-    add("/other-writers/moves-to-other-service", test_moves_to_other_service);
-    add("/other-writers/entry-replaced", test_entry_replaced);
-    add("/other-writers/entry-not-back", test_entry_not_back);
-    add("/other-writers/entry-in-listing", test_entry_in_listing);
-    add("/other-writers/entry-of-ending-upstream",
-        test_entry_of_ending_upstream);
-    add("/other-writers/other-entry-first", test_other_entry_first);
+    add_case("/other-writers/opening-outstanding", test_opening_outstanding);
+    add_case("/other-writers/moves-to-other-service",
+             test_moves_to_other_service);
+    add_case("/other-writers/entry-replaced", test_entry_replaced);
+    add_case("/other-writers/entry-not-back", test_entry_not_back);
+    add_case("/other-writers/entry-in-listing", test_entry_in_listing);
+    add_case("/other-writers/entry-of-ending-upstream",
+             test_entry_of_ending_upstream);
+    add_case("/other-writers/other-entry-first", test_other_entry_first);
     return g_test_run();
 }
--- a/test/test_removed_routes.c
+++ b/test/test_removed_routes.c
@@ -371,28 +371,22 @@
     g_assert_cmpint(resets, >, RUNS / 2);
 }
 
-static void
-add(const char *path, void (*test)(struct fixture *, gconstpointer))
-{
-    g_test_add(path, struct fixture, NULL, setup, test, teardown);
-}
-
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    add("/removed-routes/behind-by-one", test_behind_by_one);
-    add("/removed-routes/behind-by-three", test_behind_by_three);
-    add("/removed-routes/confirmed-removal", test_confirmed_removal);
-    add("/removed-routes/older-flow", test_older_flow);
-    add("/removed-routes/moved-flow", test_moved_flow);
-    add("/removed-routes/moved-flow-without-route",
-        test_moved_flow_without_route);
-    add("/removed-routes/told-by-peer", test_told_by_peer);
-    add("/removed-routes/after-restore", test_after_restore);
-    add("/removed-routes/stale-view", test_stale_view);
-    add("/removed-routes/copies", test_copies);
-    add("/removed-routes/reused-ports", test_reused_ports);
-    add("/removed-routes/any-order", test_any_order);
+    add_case("/removed-routes/behind-by-one", test_behind_by_one);
+    add_case("/removed-routes/behind-by-three", test_behind_by_three);
+    add_case("/removed-routes/confirmed-removal", test_confirmed_removal);
+    add_case("/removed-routes/older-flow", test_older_flow);
+    add_case("/removed-routes/moved-flow", test_moved_flow);
+    add_case("/removed-routes/moved-flow-without-route",
+             test_moved_flow_without_route);
+    add_case("/removed-routes/told-by-peer", test_told_by_peer);
+    add_case("/removed-routes/after-restore", test_after_restore);
+    add_case("/removed-routes/stale-view", test_stale_view);
+    add_case("/removed-routes/copies", test_copies);
+    add_case("/removed-routes/reused-ports", test_reused_ports);
+    add_case("/removed-routes/any-order", test_any_order);
     return g_test_run();
 }
--- a/test/test_same_token.c
+++ b/test/test_same_token.c
@@ -159,18 +159,12 @@
     g_assert_cmpuint(open_at_upstream(f, older), !=, 0);
 }
 
-static void
-add(const char *path, void (*test)(struct fixture *, gconstpointer))
-{
-    g_test_add(path, struct fixture, NULL, setup, test, teardown);
-}
-
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     find_ids();
-    add("/same-token/any-order", test_any_order);
-    add("/same-token/flow-stays", test_flow_stays);
+    add_case("/same-token/any-order", test_any_order);
+    add_case("/same-token/flow-stays", test_flow_stays);
     return g_test_run();
 }
