--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""Consumers move between zones while their flows are being opened."""
+"""Consumers with open flows move between zones while requests run."""
 
 import os
 import random
@@ -9,29 +9,40 @@
 from lab import Lab, run_case  # noqa: E402
 
 ZONES = ("zone-a", "zone-b")
-SHIFTS = 17
-SHIFT_SHARE = 0.5
-SHIFT_S = 2.5
+SHIFTS = 15
+SHIFT_SHARE = 0.6
+SHIFT_S = 3.0
 PAUSE_S = 2.5
-# Occasional loss of datagrams; the same with TROUBLE=0.
-LOSS = 0.01
+FLOWS_PER_S = 1250
+LONG_SHARE = 0.1
+LONG_REQUESTS = 3
 
 
 def create():
-    return Lab(zones=ZONES, edges_per_zone=3, hosts_per_zone=80, slots=8,
-               consumers_per_zone=8, work_s=work, budget_s=4.0,
-               timeout_ms=4000, target_ms=600, loss=LOSS)
+    return Lab(zones=ZONES, edges_per_zone=3, hosts_per_zone=70, slots=8,
+               consumers_per_zone=20, work_s=work, budget_s=1.5,
+               timeout_ms=1500, target_ms=250, pause_s=pause)
 
 
 def work():
     """Seconds that a request takes at its host."""
-    return random.uniform(0.3, 0.6)
+    return random.uniform(0.05, 0.07)
+
+
+def pause():
+    """Seconds between two requests of a flow."""
+    return random.uniform(2.0, 4.0)
+
+
+def requests():
+    return LONG_REQUESTS if random.random() < LONG_SHARE else 1
 
 
 def shift(lab, source, target):
     home = [c for c in lab.consumers if c.home == source]
     moved = lab.rand.sample(home, int(len(home) * SHIFT_SHARE))
-    lab.note("half of the consumers of %s move to %s" % (source, target))
+    lab.note("%d of %d consumers of %s move to %s" % (
+        len(moved), len(home), source, target))
     for c in moved:
         c.zone = target
     lab.after(SHIFT_S, shift_back, lab, moved)
@@ -44,12 +55,12 @@
 
 
 def play(lab, trouble):
-    lab.traffic(600, lambda: 1)
-    lab.run(8)
+    lab.traffic(FLOWS_PER_S, requests)
+    lab.run(10)
     for i in range(SHIFTS):
         if trouble:
             shift(lab, ZONES[i % 2], ZONES[1 - i % 2])
         lab.run(SHIFT_S + PAUSE_S)
 
 
-run_case(HERE, "shift of consumers", create, play)
+run_case(HERE, "shift of consumers with open flows", create, play)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""Single instances are killed while long requests run."""
+"""Consumers move between zones while their flows are being opened."""
 
 import os
 import random
@@ -8,39 +8,48 @@
 sys.path.insert(0, os.path.join(HERE, "..", "standin-3"))
 from lab import Lab, run_case  # noqa: E402
 
-ZONES = ("zone-a",)
-EDGES = 4
-HOSTS = 200
-FLOWS_PER_S = 700
-KILL_EVERY_S = 6.5
-DOWN_S = 1.0
-PLAY_S = 91
+ZONES = ("zone-a", "zone-b")
+SHIFTS = 17
+SHIFT_SHARE = 0.5
+SHIFT_S = 2.5
+PAUSE_S = 2.5
 # Occasional loss of datagrams; the same with TROUBLE=0.
 LOSS = 0.01
 
 
 def create():
-    return Lab(zones=ZONES, edges_per_zone=EDGES, hosts_per_zone=HOSTS,
-               slots=20, consumers_per_zone=16, work_s=work, budget_s=8.0,
-               timeout_ms=8000, target_ms=4000, loss=LOSS)
+    return Lab(zones=ZONES, edges_per_zone=3, hosts_per_zone=80, slots=8,
+               consumers_per_zone=8, work_s=work, budget_s=4.0,
+               timeout_ms=4000, target_ms=600, loss=LOSS)
 
 
 def work():
     """Seconds that a request takes at its host."""
-    return random.uniform(2.0, 3.0)
+    return random.uniform(0.3, 0.6)
 
 
-def kill(lab, number):
-    lab.edges[number % len(lab.edges)].kill_and_start(DOWN_S, lambda: None)
-    lab.after(KILL_EVERY_S, kill, lab, number + 1)
+def shift(lab, source, target):
+    home = [c for c in lab.consumers if c.home == source]
+    moved = lab.rand.sample(home, int(len(home) * SHIFT_SHARE))
+    lab.note("half of the consumers of %s move to %s" % (source, target))
+    for c in moved:
+        c.zone = target
+    lab.after(SHIFT_S, shift_back, lab, moved)
+
+
+def shift_back(lab, moved):
+    lab.note("they move back")
+    for c in moved:
+        c.zone = c.home
 
 
 def play(lab, trouble):
-    lab.traffic(FLOWS_PER_S, lambda: 1)
+    lab.traffic(600, lambda: 1)
     lab.run(8)
-    if trouble:
-        kill(lab, 0)
-    lab.run(PLAY_S)
+    for i in range(SHIFTS):
+        if trouble:
+            shift(lab, ZONES[i % 2], ZONES[1 - i % 2])
+        lab.run(SHIFT_S + PAUSE_S)
 
 
-run_case(HERE, "single instances are killed", create, play)
+run_case(HERE, "shift of consumers", create, play)
