--- a/review/13/case.py
+++ b/review/13/case.py
@@ -20,7 +20,8 @@
 def create():
     return Lab(zones=ZONES, edges_per_zone=3, hosts_per_zone=80, slots=8,
                consumers_per_zone=8, work_s=work, budget_s=4.0,
-               timeout_ms=4000, target_ms=600, loss=LOSS)
+               timeout_ms=4000, target_ms=600, loss=LOSS,
+               route_type="unsafe")
 
 
 def work():
--- a/review/standin-3/lab.py
+++ b/review/standin-3/lab.py
@@ -375,7 +375,7 @@
     def request(self, f):
         if self.lab.flows.get(f.key) is not f:
             return
-        data = b"GET /%08d " % self.lab.count("requests")
+        data = b"%08d " % self.lab.count("requests")
         f.left -= 1
         f.asked = self.lab.now()
         f.waiting = data + b"." * (200 - len(data))
@@ -539,7 +539,7 @@
 class Lab:
     def __init__(self, zones, edges_per_zone, hosts_per_zone, slots,
                  consumers_per_zone, work_s, budget_s, timeout_ms, target_ms,
-                 pause_s=None, loss=0.0, seed=None):
+                 pause_s=None, loss=0.0, route_type="safe", seed=None):
         if not os.access(BINARY, os.X_OK):
             raise CannotRun("build the deploy file first: no %s" % BINARY)
         self.rand = random.Random(seed)
@@ -571,7 +571,7 @@
         self.store.put("op/config", json.dumps({
             "Version": 1, "Routes": [{
                 "Name": "r0", "Host": "198.18.0.1",
-                "Prefix": "/%d/" % ROUTE_PORT, "RouteType": "safe",
+                "Prefix": "/%d/" % ROUTE_PORT, "RouteType": route_type,
                 "TimeoutMs": timeout_ms, "TargetLatencyMs": target_ms,
                 "Priority": 2, "Service": "s0", "MaxAttempts": 2}],
             "Services": [{"Name": "s0", "HealthPath": "/health",
