--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -243,6 +243,7 @@
     rg_bal_tick_outcomes(b);
     rg_bal_tick_cold_start(b);
     rg_bal_tick_locality(b);
+    rg_bal_tick_homes(b);
 }
 
 void
@@ -250,12 +251,14 @@
 {
     b->now_ms = now_ms;
     b->paused_ms = now_ms;
+    b->homes.listening_ms = now_ms;
     rg_bal_ignore_untracked(b, RG_TRACKED_IDLE_TIMEOUT_MS);
 }
 
 void
 rg_balancer_peer_heard(struct rg_balancer *b, uint64_t now_ms)
 {
+    rg_bal_note_peer_heard(b, now_ms);
     b->peer_heard_ms = now_ms;
 }
 
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -24,6 +24,7 @@
 
 struct rg_balancer_opts {
     struct rg_name data_centre;
+    uint32_t id;          /* of this instance, see rg_peers_id() */
     uint64_t flow_age_ms; /* maximum lifetime of a flow */
     uint64_t stale_ms;    /* an older view does not refuse openings */
     /* The state of the store that a confirmation of the view speaks of may be
@@ -45,9 +46,9 @@
     RG_DECISION_DROP,
     RG_DECISION_FORWARD, /* to `endpoint`, with `token` in the packet */
     RG_DECISION_REFUSE,  /* reset the flow at its caller */
-    RG_DECISION_HOLD,    /* peers are asked where the flow is: offer the packet
-                            again once rg_balancer_find_flow_record() finds it,
-                            or by rg_balancer_held_packet() after a while */
+    RG_DECISION_HOLD,    /* peers are asked where the flow is: pass the packet
+                            to rg_balancer_held_packet() as soon as
+                            rg_balancer_is_flow_found(), or after a while */
     RG_DECISION_WAIT,    /* keep the opening under `slot` until
                             rg_balancer_next_waiting() returns it */
 };
@@ -129,8 +130,12 @@
                                       const struct rg_segment *segment,
                                       uint64_t now_ms);
 
-/* Decides on a packet that was held in vain: no peer knows its flow. Does not
- * return RG_DECISION_HOLD. */
+/* True if a packet that is held need not wait any longer: peers have told
+ * where its flow is, or that nothing is known which its token does not say. */
+bool rg_balancer_is_flow_found(const struct rg_balancer *b,
+                               const struct rg_segment *segment);
+
+/* Decides on a packet that was held. Does not return RG_DECISION_HOLD. */
 struct rg_decision rg_balancer_held_packet(struct rg_balancer *b,
                                            const struct rg_segment *segment,
                                            uint64_t now_ms);
--- a/balance/fleet_size.c
+++ b/balance/fleet_size.c
@@ -17,19 +17,32 @@
     return i;
 }
 
+/* Takes over what is newer. An older build tells no address. */
+static void
+merge(struct rg_fleet_size_entry *known,
+      const struct rg_fleet_size_entry *entry)
+{
+    if (entry->active_ms > known->active_ms) {
+        known->active_ms = entry->active_ms;
+        known->addr = entry->addr.port != 0 ? entry->addr : known->addr;
+    }
+    if (known->addr.port == 0) {
+        known->addr = entry->addr;
+    }
+}
+
 void
-rg_fleet_size_add(struct rg_fleet_size *s, uint32_t hash, uint64_t active_ms,
-                  uint64_t now_ms)
+rg_fleet_size_add_entry(struct rg_fleet_size *s,
+                        const struct rg_fleet_size_entry *entry,
+                        uint64_t now_ms)
 {
-    size_t i = find_position(s, hash);
+    size_t i = find_position(s, entry->hash);
 
-    if (active_ms + RG_FLEET_SIZE_EXPIRY_MS <= now_ms) {
+    if (entry->active_ms + RG_FLEET_SIZE_EXPIRY_MS <= now_ms) {
         return;
     }
-    if (i < s->count && s->entries[i].hash == hash) {
-        if (active_ms > s->entries[i].active_ms) {
-            s->entries[i].active_ms = active_ms;
-        }
+    if (i < s->count && s->entries[i].hash == entry->hash) {
+        merge(&s->entries[i], entry);
         return;
     }
     if (i == RG_FLEET_SIZE_HASHES_MAX) {
@@ -43,7 +56,16 @@
         s->count++;
     }
     memmove(&s->entries[i + 1], &s->entries[i], moved * sizeof(s->entries[0]));
-    s->entries[i] = (struct rg_fleet_size_entry){hash, active_ms};
+    s->entries[i] = *entry;
+}
+
+void
+rg_fleet_size_add(struct rg_fleet_size *s, uint32_t hash, uint64_t active_ms,
+                  uint64_t now_ms)
+{
+    struct rg_fleet_size_entry entry = {.hash = hash, .active_ms = active_ms};
+
+    rg_fleet_size_add_entry(s, &entry, now_ms);
 }
 
 void
--- a/balance/fleet_size.h
+++ b/balance/fleet_size.h
@@ -11,6 +11,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "common/addr.h"
+
 #define RG_FLEET_SIZE_HASHES_MAX 64
 /* An instance counts as gone after this time without activity. In a large
  * fleet it takes a while until the activity of one instance is reported to
@@ -19,6 +21,7 @@
 
 struct rg_fleet_size_entry {
     uint32_t hash;
+    struct rg_addr addr; /* where peers reach it; port 0: not known */
     uint64_t active_ms;
 };
 
@@ -31,6 +34,10 @@
 /* The instance whose name has this hash was active at `active_ms`. */
 void rg_fleet_size_add(struct rg_fleet_size *s, uint32_t hash,
                        uint64_t active_ms, uint64_t now_ms);
+/* The same, with its address. */
+void rg_fleet_size_add_entry(struct rg_fleet_size *s,
+                             const struct rg_fleet_size_entry *entry,
+                             uint64_t now_ms);
 
 /* Removes instances that are gone. */
 void rg_fleet_size_expire(struct rg_fleet_size *s, uint64_t now_ms);
--- a/balance/flow_records.c
+++ b/balance/flow_records.c
@@ -8,23 +8,9 @@
 /* A flow is not asked for again within this time. */
 #define ASK_INTERVAL_MS 100
 
-/* True if the flow was asked for lately; it then counts as asked for now. */
-static bool
-was_asked(struct rg_balancer *b, const struct rg_flow_id *flow)
-{
-    uint32_t hash = rg_flow_hash(flow);
-    struct rg_flow_asked *asked =
-        &b->flow_sync.asked[hash % RG_FLOW_ASKED_MAX];
-
-    if (asked->hash == hash && b->now_ms - asked->at_ms < ASK_INTERVAL_MS) {
-        return true;
-    }
-    *asked = (struct rg_flow_asked){.hash = hash, .at_ms = b->now_ms};
-    return false;
-}
-
 void
-rg_bal_ask_for_flow(struct rg_balancer *b, const struct rg_flow_id *flow)
+rg_bal_ask_for_flow(struct rg_balancer *b, const struct rg_flow_id *flow,
+                    uint32_t seq)
 {
     struct rg_flow_sync *sync = &b->flow_sync;
 
@@ -32,7 +18,7 @@
         rg_bal_count(b, RG_METRIC_FLOW_QUERIES_OMITTED);
         return;
     }
-    if (!was_asked(b, flow)) {
+    if (rg_bal_note_asked(b, flow, seq, ASK_INTERVAL_MS)) {
         sync->queries[sync->query_count++] = *flow;
     }
 }
@@ -43,6 +29,12 @@
     return t->state == RG_TRACKED_IDLE || t->state == RG_TRACKED_REQUEST;
 }
 
+bool
+rg_bal_has_record(const struct rg_tracked_flow *t)
+{
+    return t->proven && !t->resumed && is_open(t);
+}
+
 /* Before a planned stop, peers are told of all flows at once. */
 static bool
 is_due(const struct rg_balancer *b, const struct rg_tracked_flow *t)
@@ -56,8 +48,9 @@
 {
     struct rg_flow_sync *sync = &b->flow_sync;
 
-    if (!t->repeated || !t->proven || t->resumed || !is_open(t) ||
-        t->told == sync->round || !is_due(b, t))
+    rg_bal_tell_homes(b, t);
+    if (!t->repeated || !rg_bal_has_record(t) || t->told == sync->round ||
+        !is_due(b, t))
     {
         return;
     }
@@ -76,7 +69,7 @@
 {
     const struct rg_tracked_flow *t = rg_tracked_flows_find(b->flows, flow);
 
-    if (!t || !t->proven || t->resumed || !is_open(t)) {
+    if (!t || !rg_bal_has_record(t)) {
         return false;
     }
     *out = (struct rg_flow_record){
@@ -124,13 +117,28 @@
     return count;
 }
 
-/* True if what is known of the flow here must not be replaced: it is proven,
- * or the entry is that of another flow with the same ports. */
 static bool
-is_settled(const struct rg_tracked_flow *t,
-           const struct rg_flow_record *record)
+is_same_flow(const struct rg_tracked_flow *t,
+             const struct rg_flow_record *record)
 {
-    return t->proven || t->opening_seq != record->opening_seq;
+    return t->opening_seq == record->opening_seq;
+}
+
+/* True if the endpoint of the flow is known here. */
+static bool
+is_proven(const struct rg_tracked_flow *t, const struct rg_flow_record *record)
+{
+    return t->proven && is_same_flow(t, record);
+}
+
+/* True if the entry is that of an earlier flow with the same ports, which has
+ * ended or was only told of. */
+static bool
+is_replaceable(const struct rg_tracked_flow *t,
+               const struct rg_flow_record *record)
+{
+    return !is_same_flow(t, record) &&
+           (t->state == RG_TRACKED_CLOSED || t->packet_ms == 0);
 }
 
 /* Corrects an entry that this instance has for the flow without knowing its
@@ -155,19 +163,22 @@
 
     b->now_ms = now_ms;
     rg_bal_count(b, RG_METRIC_FLOW_RECORDS_RECEIVED);
-    if (!endpoint || record->age_ms >= b->opts.flow_age_ms ||
-        (t && is_settled(t, record)))
-    {
+    if (record->age_ms >= b->opts.flow_age_ms || (t && is_proven(t, record))) {
+        return;
+    }
+    bool replaces = t && is_replaceable(t, record);
+    if (!endpoint || (t && !replaces && !is_same_flow(t, record))) {
+        rg_bal_record_not_stored(b, &record->flow);
         return;
     }
-    if (t) {
+    if (t && !replaces) {
         correct_entry(b, t, endpoint);
     }
     else {
-        t = rg_flows_adopt(b, NULL, &record->flow, record->opening_seq,
-                           endpoint);
+        t = rg_flows_adopt(b, t, &record->flow, record->opening_seq, endpoint);
     }
     if (!t) {
+        rg_bal_record_not_stored(b, &record->flow);
         return;
     }
     t->opened_ms = now_ms - record->age_ms;
@@ -175,6 +186,7 @@
     t->repeated = true;
     t->proven = true;
     t->told = b->flow_sync.round; /* its sender has told the others */
+    t->told_homes = true;
     rg_bal_log_flow_record(b, t);
 }
 
--- a/balance/flow_records.h
+++ b/balance/flow_records.h
@@ -32,14 +32,6 @@
  * for. */
 #define RG_FLOW_RECORDS_MAX 64
 #define RG_FLOW_QUERIES_MAX 32
-/* Flows that are remembered as asked for; a later one replaces another. */
-#define RG_FLOW_ASKED_MAX 256
-
-struct rg_flow_asked {
-    uint32_t hash;
-    uint64_t at_ms;
-};
-
 /* Round of a flow that no peer has been told of, and the first other one. */
 #define RG_FLOW_NOT_TOLD 0
 #define RG_FLOW_FIRST_ROUND 1
@@ -50,7 +42,6 @@
     size_t record_count;
     struct rg_flow_id queries[RG_FLOW_QUERIES_MAX];
     size_t query_count;
-    struct rg_flow_asked asked[RG_FLOW_ASKED_MAX];
     uint8_t round; /* flows told in an earlier one are told again; not
                       RG_FLOW_NOT_TOLD */
 };
--- a/balance/flows.c
+++ b/balance/flows.c
@@ -162,6 +162,7 @@
         .answer_ms = RG_TRACKED_UNANSWERED,
         .repeated = opening->ack != 0,
         .has_first_copy = opening->ack == 0,
+        .next_seq = opening->seq + 1,
     };
     acquire(t, endpoint);
     return t;
@@ -201,6 +202,7 @@
         release(t);
         acquire(t, endpoint);
         t->told = RG_FLOW_NOT_TOLD;
+        t->told_homes = false;
     }
     t->last_ms = b->now_ms;
 }
@@ -357,10 +359,34 @@
     }
 }
 
+/* True if packets of the flow have passed another instance: the caller has
+ * sent data that did not come here, or a peer has told of the flow. */
+static bool
+was_elsewhere(const struct rg_tracked_flow *t, const struct rg_segment *s)
+{
+    return (int32_t)(s->seq - t->next_seq) > 0 ||
+           (t->adopted && t->packet_ms == 0);
+}
+
+static void
+note_sequence(struct rg_balancer *b, struct rg_tracked_flow *t,
+              const struct rg_segment *s)
+{
+    uint32_t next_seq = s->seq + s->len;
+
+    if (was_elsewhere(t, s)) {
+        rg_bal_tell_arrival(b, s);
+    }
+    if ((int32_t)(next_seq - t->next_seq) > 0) {
+        t->next_seq = next_seq;
+    }
+}
+
 void
 rg_flows_update(struct rg_balancer *b, struct rg_tracked_flow *t,
                 const struct rg_segment *s, struct rg_route *route)
 {
+    note_sequence(b, t, s);
     t->packet_ms = b->now_ms;
     t->last_ms = b->now_ms;
     if (t->state == RG_TRACKED_OPENING) {
@@ -383,6 +409,7 @@
     if (t) {
         t->resumed = true;
         t->last_ack = s->ack;
+        t->next_seq = s->seq;
         rg_flows_update(b, t, s, route);
     }
 }
--- a/balance/moved_flows.c
+++ b/balance/moved_flows.c
@@ -39,6 +39,7 @@
     bool live = is_live(seen, b->now_ms);
     uint32_t now_ms = (uint32_t)b->now_ms;
 
+    rg_bal_tell_arrival(b, s);
     if (!live || seen->hash == hash) {
         *seen = (struct rg_moved_seen){
             .hash = hash,
--- a/balance/open_flows.c
+++ b/balance/open_flows.c
@@ -204,7 +204,7 @@
     if (b->held_in_vain) {
         return false;
     }
-    rg_bal_ask_for_flow(b, &s->flow);
+    rg_bal_ask_for_flow(b, &s->flow, s->seq);
     return b->opts.can_hold && b->fleet.instances > 1;
 }
 
@@ -312,6 +312,7 @@
                            "wrong-service");
     }
     rg_flows_update(b, t, s, route);
+    rg_bal_tell_homes(b, t);
     enum rg_lost why = rg_request_is_lost(b, t);
     if (why != RG_LOST_NOT) {
         rg_request_reset(b, t, s, why);
@@ -389,3 +390,12 @@
                ? steer_tracked(b, t, s, route, &named)
                : steer_untracked(b, t, s, route, &named);
 }
+
+bool
+rg_balancer_is_flow_found(const struct rg_balancer *b,
+                          const struct rg_segment *s)
+{
+    struct rg_flow_record record;
+
+    return rg_balancer_find_flow_record(b, &s->flow, &record);
+}
--- a/balance/peers.c
+++ b/balance/peers.c
@@ -42,6 +42,18 @@
 #define BEHIND_PERCENT 23
 #define BEHIND_MIN_MS 500
 
+/* Random members of which one is put into a digest. */
+#define MEMBER_DRAWS 4
+/* In a large fleet it takes longer until all have heard that an instance is
+ * active. */
+#define HOME_ACTIVE_LARGE_MS 60000
+
+/* A home of a flow, and its rank among all instances. */
+struct ranked_home {
+    uint64_t rank;
+    struct rg_flow_home home;
+};
+
 struct peer {
     struct rg_addr addr;
     struct rg_name name; /* empty: no digest yet */
@@ -85,8 +97,8 @@
     return hash;
 }
 
-static uint32_t
-name_hash(const struct rg_name *name)
+uint32_t
+rg_peers_id(const struct rg_name *name)
 {
     return (uint32_t)(rank_of(name) >> 32);
 }
@@ -214,14 +226,24 @@
     for (uint16_t i = 0; i < d->contacts_count; i++) {
         find_or_add(p, &d->contacts[i].addr, now_ms);
     }
-    rg_fleet_size_add(&p->fleet_size, name_hash(&d->from), now_ms, now_ms);
+    struct rg_fleet_size_entry sender = {.hash = rg_peers_id(&d->from),
+                                         .active_ms = now_ms};
+    if (d->is_home) {
+        sender.addr = d->addr;
+    }
+    rg_fleet_size_add_entry(&p->fleet_size, &sender, now_ms);
     if (local) {
-        rg_fleet_size_add(&p->local_size, name_hash(&d->from), now_ms, now_ms);
+        rg_fleet_size_add(&p->local_size, rg_peers_id(&d->from), now_ms,
+                          now_ms);
     }
     for (uint16_t i = 0; i < d->members_count; i++) {
         const struct rg_msg_member *m = &d->members[i];
-        uint64_t active_ms = m->age_ms > now_ms ? 0 : now_ms - m->age_ms;
-        rg_fleet_size_add(&p->fleet_size, m->hash, active_ms, now_ms);
+        struct rg_fleet_size_entry member = {
+            .hash = m->hash,
+            .addr = m->addr,
+            .active_ms = m->age_ms > now_ms ? 0 : now_ms - m->age_ms,
+        };
+        rg_fleet_size_add_entry(&p->fleet_size, &member, now_ms);
     }
     uint64_t revision = rg_revision_received(d->era, d->revision);
     uint64_t latest = rg_revision_received(d->latest_era, d->latest_revision);
@@ -287,19 +309,37 @@
     }
 }
 
-/* Adds a part of the entries that the fleet size estimate is based on. */
+/* The one of several random members that was active last, as far as is known
+ * here: what is new reaches all instances sooner. */
+static const struct rg_fleet_size_entry *
+select_member(struct rg_peers *p)
+{
+    const struct rg_fleet_size *s = &p->fleet_size;
+    const struct rg_fleet_size_entry *newest = NULL;
+
+    for (int i = 0; i < MEMBER_DRAWS; i++) {
+        const struct rg_fleet_size_entry *e =
+            &s->entries[rg_rand_below(&p->rand, (uint32_t)s->count)];
+        if (!newest || e->active_ms > newest->active_ms) {
+            newest = e;
+        }
+    }
+    return newest;
+}
+
+/* Adds some of the instances with the smallest hashes. */
 static void
 add_members(struct rg_peers *p, uint64_t now_ms, struct rg_msg_digest *out)
 {
-    const struct rg_fleet_size *s = &p->fleet_size;
     size_t max = sizeof(out->members) / sizeof(out->members[0]);
-    size_t start = rg_rand_below(&p->rand, (uint32_t)s->count);
 
-    for (size_t i = 0; i < s->count && i < max; i++) {
-        const struct rg_fleet_size_entry *e =
-            &s->entries[(start + i) % s->count];
+    for (size_t i = 0; i < p->fleet_size.count && i < max; i++) {
+        const struct rg_fleet_size_entry *e = select_member(p);
         out->members[out->members_count++] = (struct rg_msg_member){
-            .hash = e->hash, .age_ms = (uint32_t)(now_ms - e->active_ms)};
+            .hash = e->hash,
+            .age_ms = (uint32_t)(now_ms - e->active_ms),
+            .addr = e->addr,
+        };
     }
 }
 
@@ -343,6 +383,7 @@
     out->openings_per_s = view->openings_per_s;
     out->leaving = view->leaving;
     out->opening_tokens = true;
+    out->is_home = true;
     if (rg_rand_below(&p->rand, CONTACTS_ONE_IN) == 0) {
         add_contacts(p, now_ms, out);
     }
@@ -514,11 +555,70 @@
     return count;
 }
 
+static void
+add_self(struct rg_peers *p, uint64_t now_ms)
+{
+    struct rg_fleet_size_entry self = {.hash = rg_peers_id(&p->opts.name),
+                                       .addr = p->opts.addr,
+                                       .active_ms = now_ms};
+
+    rg_fleet_size_add_entry(&p->fleet_size, &self, now_ms);
+}
+
+/* Inserts a home among those that rank highest, highest first. */
+static size_t
+insert_home(struct ranked_home out[RG_FLOW_HOMES_MAX], size_t count,
+            const struct ranked_home *home)
+{
+    size_t i = count;
+
+    while (i > 0 && out[i - 1].rank < home->rank) {
+        if (i < RG_FLOW_HOMES_MAX) {
+            out[i] = out[i - 1];
+        }
+        i--;
+    }
+    if (i < RG_FLOW_HOMES_MAX) {
+        out[i] = *home;
+    }
+    return count < RG_FLOW_HOMES_MAX ? count + 1 : count;
+}
+
+size_t
+rg_peers_flow_homes(const struct rg_peers *p, uint32_t flow_hash,
+                    uint64_t now_ms,
+                    struct rg_flow_home out[RG_FLOW_HOMES_MAX])
+{
+    const struct rg_fleet_size *fleet = &p->fleet_size;
+    uint64_t active_ms = fleet->count < RG_FLEET_SIZE_HASHES_MAX
+                             ? RECENT_MS
+                             : HOME_ACTIVE_LARGE_MS;
+    struct ranked_home ranked[RG_FLOW_HOMES_MAX];
+    size_t count = 0;
+
+    for (size_t i = 0; i < fleet->count; i++) {
+        const struct rg_fleet_size_entry *e = &fleet->entries[i];
+        bool self = rg_addr_eq(&e->addr, &p->opts.addr);
+        if (e->addr.port == 0 || (!self && e->active_ms + active_ms <= now_ms))
+        {
+            continue;
+        }
+        struct ranked_home home = {
+            .rank = rg_mix64((uint64_t)e->hash << 32 | flow_hash),
+            .home = {.id = e->hash, .addr = e->addr, .self = self},
+        };
+        count = insert_home(ranked, count, &home);
+    }
+    for (size_t i = 0; i < count; i++) {
+        out[i] = ranked[i].home;
+    }
+    return count;
+}
+
 size_t
 rg_peers_fleet_size(struct rg_peers *p, uint64_t now_ms)
 {
-    rg_fleet_size_add(&p->fleet_size, name_hash(&p->opts.name), now_ms,
-                      now_ms);
+    add_self(p, now_ms);
     rg_fleet_size_expire(&p->fleet_size, now_ms);
     return rg_fleet_size_estimate(&p->fleet_size);
 }
--- a/balance/peers.h
+++ b/balance/peers.h
@@ -118,6 +118,25 @@
 size_t rg_peers_flow_targets(const struct rg_peers *p, uint64_t now_ms,
                              struct rg_addr out[RG_PEERS_MAX]);
 
+/* An instance that keeps what others tell of a flow. */
+struct rg_flow_home {
+    uint32_t id; /* hash of its name */
+    struct rg_addr addr;
+    bool self; /* this instance */
+};
+
+/* Homes of a flow: those instances of the fleet, in any data centre, that rank
+ * first for its hash. All instances choose the same ones as far as they know
+ * the same instances: all of a small fleet, and the same part of a large one.
+ * Returns their number. */
+#define RG_FLOW_HOMES_MAX 3
+size_t rg_peers_flow_homes(const struct rg_peers *p, uint32_t flow_hash,
+                           uint64_t now_ms,
+                           struct rg_flow_home out[RG_FLOW_HOMES_MAX]);
+
+/* Identifies an instance by its name. */
+uint32_t rg_peers_id(const struct rg_name *name);
+
 /* Size of the whole fleet, this instance included; an estimate if it is larger
  * than the number of instances that can be known. */
 size_t rg_peers_fleet_size(struct rg_peers *p, uint64_t now_ms);
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -7,6 +7,7 @@
 #include "balance/balancer.h"
 #include "balance/capacity.h"
 #include "balance/cold_start.h"
+#include "balance/flow_homes.h"
 #include "balance/flow_records.h"
 #include "balance/locality.h"
 #include "balance/moved_flows.h"
@@ -58,6 +59,7 @@
     struct rg_outcome_table *outcome_table;
     struct rg_moved_flows moved;
     struct rg_flow_sync flow_sync;
+    struct rg_flow_homes homes;
     struct rg_bal_service *services; /* by service index */
     size_t service_count;
     struct rg_fleet fleet;
@@ -111,16 +113,6 @@
     return b->now_ms - at_ms;
 }
 
-/* Hash of a flow for small tables. */
-static inline uint32_t
-rg_flow_hash(const struct rg_flow_id *f)
-{
-    uint64_t addresses = (uint64_t)f->caller_ip << 32 | f->service_ip;
-    uint64_t ports = (uint64_t)f->caller_port << 16 | f->service_port;
-
-    return (uint32_t)(rg_mix64(rg_mix64(addresses) ^ ports) >> 32);
-}
-
 /* Buffer size for a flow as text: "address:port>address:port". */
 #define RG_FLOW_TEXT_MAX 48
 
@@ -301,12 +293,52 @@
 
 /* Flows that peers are told of and asked for, in flow_records.c. */
 
-/* Queues a question for a flow: where it is, and who got packets of it. */
-void rg_bal_ask_for_flow(struct rg_balancer *b, const struct rg_flow_id *flow);
+/* Queues a question for a flow: where it is, and who got packets of it. `seq`
+ * is that of one of its packets. */
+void rg_bal_ask_for_flow(struct rg_balancer *b, const struct rg_flow_id *flow,
+                         uint32_t seq);
+/* True if peers can be told where the flow is. */
+bool rg_bal_has_record(const struct rg_tracked_flow *t);
 /* Queues the flow for peers if they have to be told of it. */
 void rg_bal_collect_flow_record(struct rg_balancer *b,
                                 struct rg_tracked_flow *t);
 
+/* What the homes of a flow are asked and told, in flow_homes.c. */
+
+/* Notes a question for the flow; false if there was one within this time. */
+bool rg_bal_note_asked(struct rg_balancer *b, const struct rg_flow_id *flow,
+                       uint32_t seq, uint32_t interval_ms);
+/* True if enough homes have answered lately that nobody has told them of the
+ * flow's endpoint, and they would have been told. It then has the one that its
+ * token names: only flows that two upstreams may have are told of. The flow
+ * was not open before `opened_ms`, 0: not known. */
+bool rg_bal_no_endpoint_told(const struct rg_balancer *b,
+                             const struct rg_flow_id *flow,
+                             uint64_t opened_ms);
+/* True if this instance started so lately that it may not know all others. */
+bool rg_bal_is_starting(const struct rg_balancer *b);
+/* True if all homes have answered lately. */
+bool rg_bal_homes_have_answered(const struct rg_balancer *b,
+                                const struct rg_flow_id *flow);
+/* True if enough homes, asked at `asked_after_ms` or later, have answered that
+ * no other instance has got packets of the flow since `since_ms`. */
+bool rg_bal_has_stayed(const struct rg_balancer *b,
+                       const struct rg_flow_id *flow, uint64_t since_ms,
+                       uint64_t asked_after_ms);
+/* A packet of a flow that passed another instance before. Queues that for its
+ * homes. */
+void rg_bal_tell_arrival(struct rg_balancer *b, const struct rg_segment *s);
+/* Queues the flow for its homes if two upstreams may have it, and its endpoint
+ * is known. */
+void rg_bal_tell_homes(struct rg_balancer *b, struct rg_tracked_flow *t);
+/* A record of the flow was received and could not be kept. */
+void rg_bal_record_not_stored(struct rg_balancer *b,
+                              const struct rg_flow_id *flow);
+/* Call it before each message of a peer is handled. */
+void rg_bal_note_peer_heard(struct rg_balancer *b, uint64_t now_ms);
+/* Call it every RG_BALANCER_TICK_MS. */
+void rg_bal_tick_homes(struct rg_balancer *b);
+
 /* Flows that the fabric has moved to other instances, in moved_flows.c. */
 
 /* A packet of an open flow that is not in the flow table goes to `endpoint`.
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -56,14 +56,14 @@
 /* Queues may remain for this long after a service was overloaded. */
 #define OVERLOAD_EXPIRY_MS 3000
 /* From this share of its deadline on, peers are asked at intervals whether the
- * flow of a waiting request has moved, and get this long to answer. */
+ * flow of a waiting request has moved. */
 #define ASK_DEADLINE_SHARE 0.2
 #define ASK_INTERVAL_MS 500
-#define ASK_TIMEOUT_MS 150
 /* They are asked again at each tick from this long before the request may be
  * reset, since its flow may have moved after the last question. */
 #define ASK_BEFORE_RESET_MS 200
-/* An older question is repeated before a reset. */
+/* The answer to an older question is out of date, and the question is repeated
+ * before a reset. */
 #define ASK_VALID_MS (ASK_INTERVAL_MS + RG_BALANCER_TICK_MS)
 /* The last response of any upstream may be this many mean intervals old; if it
  * is older, the fault may be in this instance. */
@@ -324,11 +324,8 @@
 static void
 ask(struct rg_balancer *b, struct rg_tracked_flow *t)
 {
-    for (int i = RG_TRACKED_QUESTIONS - 1; i > 0; i--) {
-        t->asked_ms[i] = t->asked_ms[i - 1];
-    }
-    t->asked_ms[0] = b->now_ms;
-    rg_bal_ask_for_flow(b, &t->flow);
+    t->asked_ms = b->now_ms;
+    rg_bal_ask_for_flow(b, &t->flow, t->last_seq);
 }
 
 static bool
@@ -354,31 +351,26 @@
         t->overdue && (is_near(waited_ms, lost_after_ms(b, route, t)) ||
                        is_near(waited_ms, lost_no_outlier_after_ms(route)));
     bool waits = waited_ms >= ASK_DEADLINE_SHARE * route->timeout_ms;
-    uint64_t asked_ms_ago = b->now_ms - t->asked_ms[0];
+    uint64_t asked_ms_ago = b->now_ms - t->asked_ms;
     if ((waits &&
-         (t->asked_ms[0] <= t->since_ms || asked_ms_ago >= ASK_INTERVAL_MS)) ||
+         (t->asked_ms <= t->since_ms || asked_ms_ago >= ASK_INTERVAL_MS)) ||
         near)
     {
         ask(b, t);
     }
 }
 
-/* True if peers have had the time to answer a recent question, and none has
- * got packets of the flow since its request came here. Retransmissions show by
+/* True if the flow's homes have answered a recent question: no other instance
+ * has got packets of it since its request came here. Retransmissions show by
  * themselves that it has not moved. */
 static bool
 has_not_moved(const struct rg_balancer *b, const struct rg_tracked_flow *t,
               enum rg_lost why)
 {
-    for (int i = 0; i < RG_TRACKED_QUESTIONS; i++) {
-        uint64_t ago_ms = b->now_ms - t->asked_ms[i];
-        if (t->asked_ms[i] > t->since_ms && ago_ms >= ASK_TIMEOUT_MS &&
-            ago_ms <= ASK_VALID_MS)
-        {
-            return true;
-        }
-    }
-    return why != RG_LOST_HUNG;
+    uint64_t asked_after_ms = b->now_ms - ASK_VALID_MS;
+
+    return why != RG_LOST_HUNG ||
+           rg_bal_has_stayed(b, &t->flow, t->since_ms, asked_after_ms);
 }
 
 void
@@ -415,7 +407,7 @@
         return;
     }
     if (!has_not_moved(b, t, why)) {
-        if (b->now_ms - t->asked_ms[0] > ASK_VALID_MS) {
+        if (b->now_ms - t->asked_ms >= RG_BALANCER_TICK_MS) {
             ask(b, t);
         }
         return;
--- a/balance/segment.h
+++ b/balance/segment.h
@@ -6,6 +6,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "common/rand.h"
+
 /* Both ends of a flow, in host byte order. Hashed and compared as raw memory,
  * so it must not have padding. */
 struct rg_flow_id {
@@ -15,6 +17,16 @@
     uint16_t service_port;
 };
 
+/* Hash of a flow, the same on all instances. */
+static inline uint32_t
+rg_flow_hash(const struct rg_flow_id *f)
+{
+    uint64_t addresses = (uint64_t)f->caller_ip << 32 | f->service_ip;
+    uint64_t ports = (uint64_t)f->caller_port << 16 | f->service_port;
+
+    return (uint32_t)(rg_mix64(rg_mix64(addresses) ^ ports) >> 32);
+}
+
 /* Sequence numbers further apart than this are taken for those of different
  * flows with the same ports. */
 #define RG_SEQ_DISTANCE_MAX (UINT32_C(1) << 20)
--- a/balance/tracked_flows.h
+++ b/balance/tracked_flows.h
@@ -21,9 +21,6 @@
 
 #define RG_TRACKED_UNANSWERED UINT32_MAX
 
-/* Questions for a flow that are remembered: those of as many ticks. */
-#define RG_TRACKED_QUESTIONS 3
-
 /* An idle open flow is dropped from the table after this time; its packets are
  * still steered by their token. */
 #define RG_TRACKED_IDLE_TIMEOUT_MS 5000
@@ -53,11 +50,11 @@
     uint64_t acked_ms;   /* the caller last acknowledged new bytes */
     uint64_t overdue_ms; /* when the request counted as failed */
     uint64_t retransmitted_ms; /* last retransmission of the last data */
-    /* When peers were asked whether the flow has moved since its request, the
-     * last time first. */
-    uint64_t asked_ms[RG_TRACKED_QUESTIONS];
-    uint32_t opening_seq; /* initial sequence number of the caller */
-    uint32_t last_seq;    /* of the last data */
+    uint64_t asked_ms;         /* peers were last asked whether the flow has
+                                  moved since its request */
+    uint32_t opening_seq;      /* initial sequence number of the caller */
+    uint32_t last_seq;         /* of the last data */
+    uint32_t next_seq;         /* of the data that the caller sends next */
     uint32_t last_ack;
     uint32_t request_ack; /* value of last_ack when the request was sent */
     uint32_t answer_ms;   /* of the last request, or RG_TRACKED_UNANSWERED */
@@ -67,15 +64,16 @@
     bool repeated;           /* its opening was: two upstreams may have it */
     bool probe;              /* tests whether an outlier has recovered */
     bool has_first_copy;     /* the first copy of its opening passed here */
-    bool adopted;   /* opened elsewhere or long ago, and no response to it has
-                       passed here: when its request was sent is not known */
-    bool resumed;   /* began with later data: opening_seq is not known */
-    bool requested; /* the next request takes room of its own: the opening has
-                       taken it for the first one */
-    uint8_t trial;  /* enum rg_trial: of its opening */
-    bool proven;    /* the caller is known to have taken this endpoint */
-    uint8_t told;   /* round in which peers were told of it, or
-                       RG_FLOW_NOT_TOLD */
+    bool adopted;    /* opened elsewhere or long ago, and no response to it has
+                        passed here: when its request was sent is not known */
+    bool resumed;    /* began with later data: opening_seq is not known */
+    bool requested;  /* the next request takes room of its own: the opening has
+                        taken it for the first one */
+    uint8_t trial;   /* enum rg_trial: of its opening */
+    bool proven;     /* the caller is known to have taken this endpoint */
+    bool told_homes; /* of the endpoint */
+    uint8_t told;    /* round in which peers were told of it, or
+                        RG_FLOW_NOT_TOLD */
 };
 
 struct rg_tracked_flows;
--- a/edge/flow_gossip.c
+++ b/edge/flow_gossip.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "common/mem.h"
+#include "edge/flow_codec.h"
 
 /* Before a stop, peers are told of all flows this many times, as datagrams may
  * be lost, with this many ticks between. All fit into the shortest stop. */
@@ -28,40 +29,6 @@
     return rg_balancer_metrics(g->opts.balancer)->counters;
 }
 
-static struct rg_msg_flow_id
-encode_flow(const struct rg_flow_id *f)
-{
-    return (struct rg_msg_flow_id){
-        .caller_ip = f->caller_ip,
-        .service_ip = f->service_ip,
-        .caller_port = f->caller_port,
-        .service_port = f->service_port,
-    };
-}
-
-static struct rg_flow_id
-decode_flow(const struct rg_msg_flow_id *f)
-{
-    return (struct rg_flow_id){
-        .caller_ip = f->caller_ip,
-        .service_ip = f->service_ip,
-        .caller_port = f->caller_port,
-        .service_port = f->service_port,
-    };
-}
-
-static struct rg_msg_flow_record
-encode_record(const struct rg_flow_record *r)
-{
-    return (struct rg_msg_flow_record){
-        .flow = encode_flow(&r->flow),
-        .token = r->token,
-        .opening_seq = r->opening_seq,
-        .ack = r->ack,
-        .age_ms = r->age_ms,
-    };
-}
-
 static void
 send_to_targets(struct rg_flow_gossip *g, const struct rg_msg *m,
                 uint64_t now_ms)
@@ -87,16 +54,17 @@
                                                   RECORDS_MAX)) > 0)
     {
         for (size_t i = 0; i < count; i++) {
-            out->records[i] = encode_record(&records[i]);
+            out->records[i] = rg_flow_record_encode(&records[i]);
         }
         out->records_count = (uint16_t)count;
         counters(g)[RG_METRIC_FLOW_RECORDS_SENT] += count;
         send_to_targets(g, &m, now_ms);
+        rg_home_gossip_tell_records(g->opts.homes, records, count, now_ms);
     }
 }
 
-void
-rg_flow_gossip_ask(struct rg_flow_gossip *g, uint64_t now_ms)
+static void
+ask_peers(struct rg_flow_gossip *g, uint64_t now_ms)
 {
     struct rg_flow_id flows[QUERIES_MAX];
     struct rg_msg m = {.kind = RG_MSG_FLOW_QUERY};
@@ -108,14 +76,22 @@
                                                   QUERIES_MAX)) > 0)
     {
         for (size_t i = 0; i < count; i++) {
-            out->flows[i] = encode_flow(&flows[i]);
+            out->flows[i] = rg_flow_encode(&flows[i]);
         }
         out->flows_count = (uint16_t)count;
         counters(g)[RG_METRIC_FLOW_QUERIES_SENT] += count;
         send_to_targets(g, &m, now_ms);
+        rg_home_gossip_ask(g->opts.homes, flows, count, now_ms);
     }
 }
 
+void
+rg_flow_gossip_exchange(struct rg_flow_gossip *g, uint64_t now_ms)
+{
+    rg_home_gossip_tell(g->opts.homes, now_ms);
+    ask_peers(g, now_ms);
+}
+
 void
 rg_flow_gossip_tick(struct rg_flow_gossip *g, uint64_t now_ms)
 {
@@ -125,7 +101,7 @@
         rg_balancer_tell_flows_again(g->opts.balancer);
     }
     tell_peers(g, now_ms);
-    rg_flow_gossip_ask(g, now_ms);
+    rg_flow_gossip_exchange(g, now_ms);
 }
 
 static void
@@ -137,10 +113,11 @@
 
     out->from = g->opts.name;
     for (uint16_t i = 0; i < query->flows_count; i++) {
-        struct rg_flow_id flow = decode_flow(&query->flows[i]);
+        struct rg_flow_id flow = rg_flow_decode(&query->flows[i]);
         struct rg_flow_record record;
         if (rg_balancer_find_flow_record(g->opts.balancer, &flow, &record)) {
-            out->records[out->records_count++] = encode_record(&record);
+            out->records[out->records_count++] =
+                rg_flow_record_encode(&record);
         }
     }
     if (out->records_count > 0) {
@@ -158,7 +135,7 @@
 
     out->from = g->opts.name;
     for (uint16_t i = 0; i < query->flows_count; i++) {
-        struct rg_flow_id flow = decode_flow(&query->flows[i]);
+        struct rg_flow_id flow = rg_flow_decode(&query->flows[i]);
         uint64_t at_ms = rg_balancer_flow_seen_ms(g->opts.balancer, &flow);
         if (at_ms != 0 && at_ms <= now_ms) {
             out->sightings[out->sightings_count++] =
@@ -186,10 +163,14 @@
                          const struct rg_msg_flow_sightings *sightings,
                          uint64_t now_ms)
 {
+    uint32_t source = rg_peers_id(&sightings->from);
+
     for (uint16_t i = 0; i < sightings->sightings_count; i++) {
         const struct rg_msg_flow_sighting *s = &sightings->sightings[i];
-        struct rg_flow_id flow = decode_flow(&s->flow);
+        struct rg_flow_id flow = rg_flow_decode(&s->flow);
         if (s->age_ms <= now_ms) {
+            rg_balancer_keep_sighting(g->opts.balancer, &flow, source,
+                                      now_ms - s->age_ms, now_ms);
             rg_balancer_add_flow_sighting(g->opts.balancer, &flow,
                                           now_ms - s->age_ms, now_ms);
         }
@@ -204,7 +185,7 @@
     for (uint16_t i = 0; i < records->records_count; i++) {
         const struct rg_msg_flow_record *r = &records->records[i];
         struct rg_flow_record record = {
-            .flow = decode_flow(&r->flow),
+            .flow = rg_flow_decode(&r->flow),
             .token = r->token,
             .opening_seq = r->opening_seq,
             .ack = r->ack,
--- a/edge/flow_gossip.h
+++ b/edge/flow_gossip.h
@@ -6,6 +6,7 @@
 
 #include "balance/balancer.h"
 #include "balance/peers.h"
+#include "edge/home_gossip.h"
 #include "proto/messages.gen.h"
 
 struct rg_flow_gossip_opts {
@@ -13,6 +14,7 @@
     struct rg_addr addr;          /* at which peers answer */
     struct rg_balancer *balancer; /* borrowed */
     const struct rg_peers *peers; /* borrowed */
+    struct rg_home_gossip *homes; /* borrowed */
     /* Sends a message to the peer at `to`. */
     void (*send)(void *ctx, const struct rg_msg *m, const struct rg_addr *to);
     void *ctx;
@@ -27,8 +29,9 @@
 /* Call it every RG_BALANCER_TICK_MS, after rg_balancer_tick(). */
 void rg_flow_gossip_tick(struct rg_flow_gossip *g, uint64_t now_ms);
 
-/* Asks peers for flows without waiting for the next tick. */
-void rg_flow_gossip_ask(struct rg_flow_gossip *g, uint64_t now_ms);
+/* Asks peers for flows, and tells homes of theirs, without waiting for the
+ * next tick. */
+void rg_flow_gossip_exchange(struct rg_flow_gossip *g, uint64_t now_ms);
 
 /* Handle the messages of peers. */
 void rg_flow_gossip_query(struct rg_flow_gossip *g,
--- a/edge/gossip.c
+++ b/edge/gossip.c
@@ -10,6 +10,7 @@
 #include "common/clock.h"
 #include "common/mem.h"
 #include "edge/flow_gossip.h"
+#include "edge/home_gossip.h"
 #include "edge/http_client.h"
 #include "edge/http_server.h"
 #include "proto/messages.gen.h"
@@ -44,6 +45,7 @@
     struct rg_gossip_opts opts;
     struct rg_peers *peers;
     struct rg_flow_gossip *flows;
+    struct rg_home_gossip *homes;
     uv_udp_t udp;
     struct rg_http_server *server;
     struct rg_http_client *client;
@@ -278,6 +280,14 @@
         rg_flow_gossip_records(g->flows, &m->u.flow_records,
                                rg_clock_boottime_ms());
         break;
+    case RG_MSG_HOME_QUERY:
+        rg_home_gossip_query(g->homes, &m->u.home_query,
+                             rg_clock_boottime_ms());
+        break;
+    case RG_MSG_HOME_ANSWER:
+        rg_home_gossip_answer(g->homes, &m->u.home_answer,
+                              rg_clock_boottime_ms());
+        break;
     default:
         counters(g)[RG_METRIC_MALFORMED]++;
     }
@@ -501,6 +511,7 @@
     struct rg_gossip *g = handle->data;
 
     rg_flow_gossip_destroy(g->flows);
+    rg_home_gossip_destroy(g->homes);
     rg_peers_destroy(g->peers);
     free(g);
 }
@@ -539,11 +550,21 @@
 
     g->opts = *opts;
     g->peers = rg_peers_create(&opts->peers);
+    struct rg_home_gossip_opts homes = {
+        .name = opts->peers.name,
+        .addr = opts->peers.addr,
+        .balancer = opts->balancer,
+        .peers = g->peers,
+        .send = send_message,
+        .ctx = g,
+    };
+    g->homes = rg_home_gossip_create(&homes);
     struct rg_flow_gossip_opts flows = {
         .name = opts->peers.name,
         .addr = opts->peers.addr,
         .balancer = opts->balancer,
         .peers = g->peers,
+        .homes = g->homes,
         .send = send_message,
         .ctx = g,
     };
@@ -573,9 +594,9 @@
 }
 
 void
-rg_gossip_ask(struct rg_gossip *g, uint64_t now_ms)
+rg_gossip_exchange_flows(struct rg_gossip *g, uint64_t now_ms)
 {
-    rg_flow_gossip_ask(g->flows, now_ms);
+    rg_flow_gossip_exchange(g->flows, now_ms);
 }
 
 void
--- a/edge/gossip.h
+++ b/edge/gossip.h
@@ -34,8 +34,9 @@
 /* Call it every RG_BALANCER_TICK_MS, after rg_balancer_tick(). */
 void rg_gossip_tick(struct rg_gossip *g);
 
-/* Asks peers for flows now instead of with the next tick. */
-void rg_gossip_ask(struct rg_gossip *g, uint64_t now_ms);
+/* Asks peers for flows, and tells them of others, now instead of with the next
+ * tick. */
+void rg_gossip_exchange_flows(struct rg_gossip *g, uint64_t now_ms);
 
 /* The process was suspended for a while: discards the datagrams that have
  * waited since, as what they say of ages no longer holds. */
--- a/edge/main.c
+++ b/edge/main.c
@@ -320,14 +320,14 @@
 
 /* --- start --------------------------------------------------------------- */
 
-/* Peers are asked now, as the packet waits. */
+/* Peers are asked now, as packets wait, and told before the flows move on. */
 static void
-on_hold(void *ctx, uint64_t now)
+on_flow_news(void *ctx, uint64_t now)
 {
     struct edge *e = ctx;
 
     if (e->gossip) {
-        rg_gossip_ask(e->gossip, now);
+        rg_gossip_exchange_flows(e->gossip, now);
     }
 }
 
@@ -339,7 +339,7 @@
         .address = e->settings.packet_address,
         .balancer = e->balancer,
         .on_wakeup = on_wakeup,
-        .on_hold = on_hold,
+        .on_flow_news = on_flow_news,
         .ctx = e,
     };
     struct rg_http_server_opts health = {
@@ -493,6 +493,7 @@
         rg_edge_max_staleness_ms(settings), settings->store.settle_ms);
     struct rg_balancer_opts opts = {
         .data_centre = settings->data_centre,
+        .id = rg_peers_id(&settings->name),
         .flow_age_ms = settings->flow_age_ms,
         .stale_ms = settings->apply_ms,
         /* The store's answer to a watch is up to date when it is sent. */
--- a/edge/packet_socket.c
+++ b/edge/packet_socket.c
@@ -147,17 +147,25 @@
     }
 }
 
+/* Peers are asked and told of flows at once: packets wait for the answers, and
+ * this instance may be gone soon. */
+static void
+exchange_flows(struct rg_packet_socket *p)
+{
+    if (rg_balancer_has_flow_news(p->opts.balancer)) {
+        p->opts.on_flow_news(p->opts.ctx, rg_clock_boottime_ms());
+    }
+}
+
 /* A held packet may be sent once peers have told of its flow, or its time is
  * over. */
 static bool
 is_due(void *ctx, const struct rg_held_packet *held)
 {
     struct rg_packet_socket *p = ctx;
-    struct rg_flow_record record;
 
     return rg_clock_boottime_ms() >= held->until_ms ||
-           rg_balancer_find_flow_record(p->opts.balancer, &held->segment.flow,
-                                        &record);
+           rg_balancer_is_flow_found(p->opts.balancer, &held->segment);
 }
 
 static void
@@ -180,6 +188,7 @@
     struct rg_packet_socket *p = timer->data;
 
     release_held(p);
+    exchange_flows(p);
     if (rg_held_packets_count(p->held) == 0) {
         uv_timer_stop(timer);
     }
@@ -195,7 +204,6 @@
         carry_out(p, &decision, segment, data, len);
         return;
     }
-    p->opts.on_hold(p->opts.ctx, now_ms);
     if (!uv_is_active((const uv_handle_t *)&p->held_timer)) {
         uv_timer_start(&p->held_timer, on_held_timer, HELD_CHECK_MS,
                        HELD_CHECK_MS);
@@ -292,6 +300,7 @@
             handle_packet(p, p->data[i], p->in[i].msg_len, p->last_ms);
         }
         flush(p);
+        exchange_flows(p);
         if (count < BATCH) {
             return;
         }
--- a/edge/packet_socket.h
+++ b/edge/packet_socket.h
@@ -7,6 +7,7 @@
 #include <uv.h>
 
 #include "balance/balancer.h"
+#include "balance/flow_homes.h"
 #include "common/err.h"
 
 struct rg_packet_socket;
@@ -17,8 +18,9 @@
     struct rg_balancer *balancer; /* borrowed */
     /* Called with the current time before packets are received. */
     void (*on_wakeup)(void *ctx, uint64_t now_ms);
-    /* Called when a packet is held until peers have said where its flow is. */
-    void (*on_hold)(void *ctx, uint64_t now_ms);
+    /* Called after packets were received of whose flows peers have to be asked
+     * or told, see rg_balancer_has_flow_news(). */
+    void (*on_flow_news)(void *ctx, uint64_t now_ms);
     void *ctx;
 };
 
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -144,9 +144,10 @@
 static void
 pack_member(msgpack_packer *pk, const struct rg_msg_member *m)
 {
-    rg_pack_list(pk, 2);
+    rg_pack_list(pk, 3);
     rg_pack_u64(pk, m->hash);
     rg_pack_u64(pk, m->age_ms);
+    rg_pack_addr(pk, &m->addr);
 }
 
 static bool
@@ -165,6 +166,11 @@
         return false;
     }
     m->age_ms = (uint32_t)value;
+    if (o->via.array.size > 2) {
+        if (!rg_unpack_addr(&o->via.array.ptr[2], &m->addr)) {
+            return false;
+        }
+    }
     return true;
 }
 
@@ -628,6 +634,68 @@
     return true;
 }
 
+static void
+pack_flow_question(msgpack_packer *pk, const struct rg_msg_flow_question *m)
+{
+    rg_pack_list(pk, 2);
+    pack_flow_id(pk, &m->flow);
+    rg_pack_u64(pk, m->seq);
+}
+
+static bool
+unpack_flow_question(const msgpack_object *o, struct rg_msg_flow_question *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 2)) {
+        return false;
+    }
+    if (!unpack_flow_id(&o->via.array.ptr[0], &m->flow)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[1], 4294967295U, &value)) {
+        return false;
+    }
+    m->seq = (uint32_t)value;
+    return true;
+}
+
+static void
+pack_flow_answer(msgpack_packer *pk, const struct rg_msg_flow_answer *m)
+{
+    rg_pack_list(pk, 4);
+    pack_flow_id(pk, &m->flow);
+    rg_pack_u64(pk, m->known);
+    rg_pack_u64(pk, m->seen);
+    rg_pack_u64(pk, m->seen_age_ms);
+}
+
+static bool
+unpack_flow_answer(const msgpack_object *o, struct rg_msg_flow_answer *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 4)) {
+        return false;
+    }
+    if (!unpack_flow_id(&o->via.array.ptr[0], &m->flow)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[1], 255U, &value)) {
+        return false;
+    }
+    m->known = (uint8_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[2], 255U, &value)) {
+        return false;
+    }
+    m->seen = (uint8_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[3], 4294967295U, &value)) {
+        return false;
+    }
+    m->seen_age_ms = (uint32_t)value;
+    return true;
+}
+
 static void
 pack_ping(msgpack_packer *pk, const struct rg_msg_ping *m)
 {
@@ -1040,6 +1108,7 @@
     rg_pack_u64(pk, m->era);
     rg_pack_u64(pk, m->latest_era);
     rg_pack_u64(pk, m->provisional);
+    rg_pack_u64(pk, m->is_home);
 }
 
 static bool
@@ -1173,6 +1242,12 @@
         }
         m->provisional = (uint8_t)value;
     }
+    if (o->via.array.size > 24) {
+        if (!rg_unpack_u64(&o->via.array.ptr[24], 255U, &value)) {
+            return false;
+        }
+        m->is_home = (uint8_t)value;
+    }
     return true;
 }
 
@@ -1414,6 +1489,92 @@
     return true;
 }
 
+static void
+pack_home_query(msgpack_packer *pk, const struct rg_msg_home_query *m)
+{
+    rg_pack_name(pk, &m->from);
+    rg_pack_addr(pk, &m->addr);
+    rg_pack_u64(pk, m->asked_ms);
+    rg_pack_list(pk, m->questions_count);
+    for (uint16_t i = 0; i < m->questions_count; i++) {
+        pack_flow_question(pk, &m->questions[i]);
+    }
+}
+
+static bool
+unpack_home_query(const msgpack_object *o, struct rg_msg_home_query *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 6)) {
+        return false;
+    }
+    if (!rg_unpack_name(&o->via.array.ptr[2], &m->from)) {
+        return false;
+    }
+    if (!rg_unpack_addr(&o->via.array.ptr[3], &m->addr)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[4], 4294967295U, &value)) {
+        return false;
+    }
+    m->asked_ms = (uint32_t)value;
+    if (!rg_unpack_list(&o->via.array.ptr[5], 16, &m->questions_count)) {
+        return false;
+    }
+    for (uint16_t i = 0; i < m->questions_count; i++) {
+        if (!unpack_flow_question(&o->via.array.ptr[5].via.array.ptr[i],
+                                  &m->questions[i]))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+pack_home_answer(msgpack_packer *pk, const struct rg_msg_home_answer *m)
+{
+    rg_pack_name(pk, &m->from);
+    rg_pack_u64(pk, m->asked_ms);
+    rg_pack_u64(pk, m->listening_ms);
+    rg_pack_list(pk, m->answers_count);
+    for (uint16_t i = 0; i < m->answers_count; i++) {
+        pack_flow_answer(pk, &m->answers[i]);
+    }
+}
+
+static bool
+unpack_home_answer(const msgpack_object *o, struct rg_msg_home_answer *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 6)) {
+        return false;
+    }
+    if (!rg_unpack_name(&o->via.array.ptr[2], &m->from)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[3], 4294967295U, &value)) {
+        return false;
+    }
+    m->asked_ms = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[4], 4294967295U, &value)) {
+        return false;
+    }
+    m->listening_ms = (uint32_t)value;
+    if (!rg_unpack_list(&o->via.array.ptr[5], 16, &m->answers_count)) {
+        return false;
+    }
+    for (uint16_t i = 0; i < m->answers_count; i++) {
+        if (!unpack_flow_answer(&o->via.array.ptr[5].via.array.ptr[i],
+                                &m->answers[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
 size_t
 rg_msg_pack(const struct rg_msg *m, uint8_t *out, size_t size)
 {
@@ -1495,7 +1656,7 @@
         pack_content(&pk, &m->u.content);
         break;
     case RG_MSG_DIGEST:
-        rg_pack_list(&pk, 24);
+        rg_pack_list(&pk, 25);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_digest(&pk, &m->u.digest);
@@ -1530,6 +1691,18 @@
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_flow_sightings(&pk, &m->u.flow_sightings);
         break;
+    case RG_MSG_HOME_QUERY:
+        rg_pack_list(&pk, 6);
+        rg_pack_u64(&pk, RG_MSG_VERSION);
+        rg_pack_u64(&pk, (uint64_t)m->kind);
+        pack_home_query(&pk, &m->u.home_query);
+        break;
+    case RG_MSG_HOME_ANSWER:
+        rg_pack_list(&pk, 6);
+        rg_pack_u64(&pk, RG_MSG_VERSION);
+        rg_pack_u64(&pk, (uint64_t)m->kind);
+        pack_home_answer(&pk, &m->u.home_answer);
+        break;
     }
     return buf.overflow ? 0 : buf.len;
 }
@@ -1574,6 +1747,10 @@
         return unpack_flow_query(o, &m->u.flow_query);
     case RG_MSG_FLOW_SIGHTINGS:
         return unpack_flow_sightings(o, &m->u.flow_sightings);
+    case RG_MSG_HOME_QUERY:
+        return unpack_home_query(o, &m->u.home_query);
+    case RG_MSG_HOME_ANSWER:
+        return unpack_home_answer(o, &m->u.home_answer);
     }
     return false;
 }
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -65,6 +65,8 @@
     uint32_t hash;
     /* time since it was last active */
     uint32_t age_ms;
+    /* its peer address, port 0: not known */
+    struct rg_addr addr;
 };
 
 /* An endpoint that the sender has ejected because it does not answer openings.
@@ -225,6 +227,27 @@
     uint32_t age_ms;
 };
 
+/* A flow that a home is asked for. */
+struct rg_msg_flow_question {
+    /* both ends */
+    struct rg_msg_flow_id flow;
+    /* sequence number of a packet of the caller, which tells it from other
+     * flows with the same ports */
+    uint32_t seq;
+};
+
+/* What a home knows of a flow. */
+struct rg_msg_flow_answer {
+    /* both ends */
+    struct rg_msg_flow_id flow;
+    /* 1: its endpoint is, or was, known; a record is sent as well if it is */
+    uint8_t known;
+    /* 1: an instance other than the asking one has got packets of it lately */
+    uint8_t seen;
+    /* time since the last of them */
+    uint32_t seen_age_ms;
+};
+
 /* Probe of a member. */
 struct rg_msg_ping {
     /* repeated in the ack */
@@ -404,6 +427,8 @@
     /* 1: entries of the sender's view may be older than what others know, as
      * the era is new */
     uint8_t provisional;
+    /* 1: the sender answers as a home of flows */
+    uint8_t is_home;
 };
 
 /* HTTP: part of a snapshot, with routes of the configuration in force. */
@@ -466,7 +491,8 @@
     struct rg_msg_flow_id flows[16];
 };
 
-/* Answer to a query: flows of which the sender got packets lately. */
+/* Flows of which the sender got packets lately: an answer to a query, or told
+ * to their homes when they arrive. */
 struct rg_msg_flow_sightings {
     /* name of the sender */
     struct rg_name from;
@@ -475,6 +501,32 @@
     struct rg_msg_flow_sighting sightings[16];
 };
 
+/* Asks a home of the flows, which answers also if it knows nothing of them. */
+struct rg_msg_home_query {
+    /* name of the sender */
+    struct rg_name from;
+    /* peer address of the sender */
+    struct rg_addr addr;
+    /* clock of the sender, returned in the answer */
+    uint32_t asked_ms;
+    /* the flows */
+    uint16_t questions_count;
+    struct rg_msg_flow_question questions[16];
+};
+
+/* Answer of a home, with one row for each flow of the query. */
+struct rg_msg_home_answer {
+    /* name of the sender */
+    struct rg_name from;
+    /* of the query */
+    uint32_t asked_ms;
+    /* for so long the sender has missed nothing that it was told */
+    uint32_t listening_ms;
+    /* the flows */
+    uint16_t answers_count;
+    struct rg_msg_flow_answer answers[16];
+};
+
 enum rg_msg_kind {
     RG_MSG_PING = 1,
     RG_MSG_ACK = 2,
@@ -494,6 +546,8 @@
     RG_MSG_FLOW_RECORDS = 16,
     RG_MSG_FLOW_QUERY = 17,
     RG_MSG_FLOW_SIGHTINGS = 18,
+    RG_MSG_HOME_QUERY = 19,
+    RG_MSG_HOME_ANSWER = 20,
 };
 
 /* Any message. */
@@ -518,6 +572,8 @@
         struct rg_msg_flow_records flow_records;
         struct rg_msg_flow_query flow_query;
         struct rg_msg_flow_sightings flow_sightings;
+        struct rg_msg_home_query home_query;
+        struct rg_msg_home_answer home_answer;
     } u;
 };
 
