open_flows: the token of an opening proves nothing because nobody has answered

Cause: two upstreams had answered the opening, and the caller's token was that of the one it did not take. The instance to which the flow moved asked the peers of its own data centre, and followed the token after 30 ms without an answer.

Change: the flow's homes are asked. Data follows the token of an opening if two of them say that they were told of no endpoint; with no answer it is dropped, and its retransmission asks again. The same where a later copy of the opening came here and the first one did not, and for data that came more than 200 ms after the last copy, which counted as the first data. An instance that takes up a flow at its start tells the homes, as it does not know of other answers.

Red before: test_flow_records /no-answer-at-start, "assertion failed (rg_balancer_held_packet(...).kind == RG_DECISION_DROP): (1 == 0)".

Three checks assumed that an unanswered question means "no": /moved-at-start and /held-in-vain now let homes answer, and ask for the same packets forwarded in the same millisecond; /record-of-earlier-flow asks that the record found is that of the new flow, since its endpoint is known now.

--- a/balance/open_flows.c
+++ b/balance/open_flows.c
@@ -9,6 +9,9 @@
 #define CALLER_PACKET_BYTES 1200
 /* Peers send several digests in this time. */
 #define PEERS_SILENT_MS 1000
+/* Callers send the first retransmission of a request this long after it, and
+ * no sooner. */
+#define FIRST_RETRANSMISSION_MS 200
 
 /* Whether a packet to this route's address may be sent to the endpoint that
  * its token names. Any endpoint is allowed while flows may exist that were
@@ -146,11 +149,20 @@
     return named->endpoint;
 }
 
+/* True if the packet is the caller's first after the answer to its opening:
+ * there was no time for an earlier one since the last copy of the opening came
+ * here. If the first copy passed another instance, later ones may have been
+ * late on their way, and the flow open there before. */
+static bool
+is_first_data(const struct rg_balancer *b, const struct rg_tracked_flow *t)
+{
+    return t->has_first_copy &&
+           b->now_ms - t->last_ms < FIRST_RETRANSMISSION_MS;
+}
+
 /* True if the packet shows that the caller took the endpoint which its token
  * names: the endpoint has got packets of the open flow before, or the packet
- * is the caller's first after the answer to its opening. If that is data, and
- * the first copy of the opening passed another instance, the flow may have
- * been open there before. */
+ * is the caller's first after the answer to its opening. */
 static bool
 is_proof(const struct rg_balancer *b, const struct rg_tracked_flow *t,
          const struct rg_segment *s, const struct named *named)
@@ -159,7 +171,7 @@
         t->state == RG_TRACKED_OPENING && is_among_first(t, s);
 
     return (named->kind == TOKEN_FLOW && b->fleet.opening_tokens) ||
-           (follows_opening && (is_pure_ack(s) || t->has_first_copy));
+           (follows_opening && (is_pure_ack(s) || is_first_data(b, t)));
 }
 
 /* Endpoint for a packet of a tracked flow, NULL if it is not known. */
@@ -208,15 +220,6 @@
     return b->opts.can_hold && b->fleet.instances > 1;
 }
 
-/* True if this instance has peers but gets nothing from them, so that no
- * answer to a question says nothing. */
-static bool
-is_cut_off(const struct rg_balancer *b)
-{
-    return b->fleet.instances > 1 && b->peer_heard_ms != 0 &&
-           b->now_ms - b->peer_heard_ms > PEERS_SILENT_MS;
-}
-
 /* The packet does not show where its flow is. If it cannot wait until peers
  * have said so, it is dropped, and its retransmission finds the flow. */
 static struct rg_decision
@@ -234,8 +237,50 @@
                              "unproven-token");
 }
 
+/* The token of an opening does not prove the endpoint: the caller may have
+ * taken the answer of another one. If nobody can say so in time, the packet is
+ * dropped. Its retransmission finds the answer, or has a token that proves its
+ * endpoint, as an upstream that has the flow acknowledges it. */
+static struct rg_decision
+handle_unproven(struct rg_balancer *b, const struct rg_segment *s,
+                const char *reason)
+{
+    rg_bal_note_open(b, s);
+    if (ask_and_hold(b, s)) {
+        return rg_bal_hold(b, s, reason);
+    }
+    return rg_bal_drop(b, s, RG_METRIC_DROPPED_UNPROVEN_TOKEN, reason);
+}
+
+/* True if this instance has peers but gets nothing from them. */
+static bool
+is_cut_off(const struct rg_balancer *b)
+{
+    return b->fleet.instances > 1 && b->peer_heard_ms != 0 &&
+           b->now_ms - b->peer_heard_ms > PEERS_SILENT_MS;
+}
+
+/* True if a packet whose token does not prove its endpoint may follow it:
+ * homes have answered that they were told of no other one. Nearly all flows
+ * have one endpoint, so an instance that has just started, and cannot know all
+ * homes, follows the token if none has answered; and so do all while some
+ * peers write the same token into openings and other packets. `opened_ms` is
+ * the time of an opening, 0: none came here. */
+static bool
+may_follow_token(const struct rg_balancer *b, const struct rg_segment *s,
+                 uint64_t opened_ms)
+{
+    bool is_starting = rg_bal_is_starting(b) && !is_cut_off(b);
+    bool cannot_wait = b->held_in_vain || !b->opts.can_hold;
+
+    return rg_bal_no_endpoint_told(b, &s->flow, opened_ms) ||
+           (b->held_in_vain && is_starting) ||
+           (cannot_wait && !b->fleet.opening_tokens);
+}
+
 /* Tracks a flow that was opened by way of another instance and is at its
- * start. */
+ * start. Whether a second upstream got its opening is not known here, so its
+ * homes are told of the endpoint. */
 static void
 adopt(struct rg_balancer *b, struct rg_tracked_flow *ended,
       const struct rg_segment *s, struct rg_route *route,
@@ -246,7 +291,11 @@
 
     if (t) {
         t->last_ack = s->ack;
+        t->next_seq = s->seq;
+        t->repeated = true;
+        t->proven = true;
         rg_flows_update(b, t, s, route);
+        rg_bal_tell_homes(b, t);
     }
 }
 
@@ -263,7 +312,7 @@
 
 /* At the start of a flow the token is that of the answer that the caller took,
  * if the packet is the acknowledgement of that answer. Before later packets,
- * other answers may have come, and peers may know better.
+ * other answers may have come; the flow's homes know if there were any.
  * `ended` is the entry of an earlier flow with the same ports, or NULL. */
 static struct rg_decision
 steer_untracked(struct rg_balancer *b, struct rg_tracked_flow *ended,
@@ -276,12 +325,10 @@
         return rg_bal_drop(b, s, RG_METRIC_DROPPED_WRONG_SERVICE,
                            "wrong-service");
     }
-    if (named->kind == TOKEN_START && !is_pure_ack(s) && ask_and_hold(b, s)) {
-        return rg_bal_hold(b, s, "moved-at-start");
-    }
-    if (named->kind == TOKEN_START && !is_pure_ack(s) && is_cut_off(b)) {
-        return rg_bal_drop(b, s, RG_METRIC_DROPPED_UNPROVEN_TOKEN,
-                           "no-peers-to-ask");
+    if (named->kind == TOKEN_START && !is_pure_ack(s) &&
+        !may_follow_token(b, s, 0))
+    {
+        return handle_unproven(b, s, "moved-at-start");
     }
     rg_bal_note_untracked(b, s, endpoint);
     if (named->kind == TOKEN_START) {
@@ -298,15 +345,18 @@
               const struct rg_segment *s, struct rg_route *route,
               const struct named *named)
 {
-    bool is_first = t->state == RG_TRACKED_OPENING;
+    bool unproven =
+        t->state == RG_TRACKED_OPENING && !is_proof(b, t, s, named);
 
-    if (is_first && !is_proof(b, t, s, named) && ask_and_hold(b, s)) {
-        return rg_bal_hold(b, s, "first-copy-elsewhere");
+    if (unproven && !may_follow_token(b, s, t->opened_ms)) {
+        return handle_unproven(b, s, "first-copy-elsewhere");
     }
     struct rg_endpoint *endpoint = tracked_endpoint(b, t, s, route, named);
     if (!endpoint) {
         return handle_unplaced(b, s, named);
     }
+    /* As far as anybody can know. */
+    t->proven = t->proven || (unproven && endpoint == named->endpoint);
     if (!token_is_allowed(b, route, endpoint, t)) {
         return rg_bal_drop(b, s, RG_METRIC_DROPPED_WRONG_SERVICE,
                            "wrong-service");
@@ -395,7 +445,12 @@
 rg_balancer_is_flow_found(const struct rg_balancer *b,
                           const struct rg_segment *s)
 {
+    const struct rg_tracked_flow *t =
+        rg_tracked_flows_find(b->flows, &s->flow);
     struct rg_flow_record record;
 
-    return rg_balancer_find_flow_record(b, &s->flow, &record);
+    return rg_balancer_find_flow_record(b, &s->flow, &record) ||
+           (rg_bal_homes_have_answered(b, &s->flow) &&
+            rg_bal_no_endpoint_told(b, &s->flow, t ? t->opened_ms : 0) &&
+            read_token(b, t, s).kind != TOKEN_UNKNOWN);
 }
--- a/test/test_flow_records.c
+++ b/test/test_flow_records.c
@@ -67,6 +67,27 @@
     return send_data(f, instance, a.other.opening, 100, 1000, 100);
 }
 
+/* The first data of a flow comes again, to an instance that did not see it
+ * open, with the token of the upstream that the caller did not take. */
+static struct rg_segment
+first_data(uint32_t token)
+{
+    struct rg_segment s = segment_from(CALLER_PORT);
+
+    s.token = token;
+    s.seq = OPENING_SEQ + 1;
+    s.ack = UPSTREAM_SEQ + 1;
+    s.len = 100;
+    return s;
+}
+
+static void
+hold_packets(struct fixture *f)
+{
+    f->can_hold = true;
+    restart_all(f, 1);
+}
+
 /* Guards against an order that reaches the wrong upstream after the instance
  * that saw its flow open was stopped as planned: the caller still has the
  * token of the upstream that it did not take. */
@@ -142,11 +163,15 @@
 }
 
 /* Guards against flows that are lost or delayed when they move in the first
- * moments: the token of the opening is enough at the start of a flow. */
+ * moments: with the acknowledgement of the answer to the opening its token is
+ * enough. Other packets are forwarded as soon as homes have answered that
+ * nobody has told them of another endpoint. */
 static void
 test_moved_at_start(struct fixture *f, gconstpointer unused)
 {
     (void)unused;
+    hold_packets(f);
+    let_homes_listen(f);
     struct tokens token = open_at(f, 0, 0);
 
     f->now_ms += RTT_MS;
@@ -155,8 +180,13 @@
     g_assert_cmpuint(send_data(f, 1, token.opening, 0, 0, 1200).token, ==,
                      token.flow);
     /* The second packet of a long request, without the first. */
-    g_assert_cmpuint(send_data(f, 2, token.opening, 1200, 0, 1200).token, ==,
-                     token.flow);
+    struct rg_segment s = first_data(token.opening);
+    s.seq += 1200;
+    s.len = 1200;
+    g_assert_cmpuint(deliver(f, 2, &s).token, ==, token.flow);
+    /* The same where nobody has told homes of the flow. */
+    s.flow.caller_port++;
+    g_assert_cmpuint(deliver(f, 2, &s).token, ==, token.flow);
 }
 
 /* Guards against the packets of a long request being dropped if they arrive in
@@ -202,27 +232,6 @@
                      own.flow);
 }
 
-/* The first data of a flow comes again, to an instance that did not see it
- * open, with the token of the upstream that the caller did not take. */
-static struct rg_segment
-first_data(uint32_t token)
-{
-    struct rg_segment s = segment_from(CALLER_PORT);
-
-    s.token = token;
-    s.seq = OPENING_SEQ + 1;
-    s.ack = UPSTREAM_SEQ + 1;
-    s.len = 100;
-    return s;
-}
-
-static void
-hold_packets(struct fixture *f)
-{
-    f->can_hold = true;
-    restart_all(f, 1);
-}
-
 /* Guards against a slow first request that reaches the wrong upstream when its
  * flow moves before peers were told of it: the packet waits for their answer.
  */
@@ -272,18 +281,21 @@
 }
 
 /* Guards against packets that wait for ever, or are lost, when no peer knows
- * their flow. */
+ * their flow: two homes say so, the third one has just been started. */
 static void
 test_held_in_vain(struct fixture *f, gconstpointer unused)
 {
     (void)unused;
     hold_packets(f);
+    let_homes_listen(f);
     struct tokens token = open_at(f, 0, 0);
     restart_instance(f, 0, 77);
     struct rg_segment s = first_data(token.opening);
     g_assert_cmpint(rg_balancer_packet(f->instances[1], &s, f->now_ms).kind,
                     ==, RG_DECISION_HOLD);
-    pass_queries(f, 1, 0);
+    g_assert_false(rg_balancer_is_flow_found(f->instances[1], &s));
+    exchange(f, 1);
+    g_assert_true(rg_balancer_is_flow_found(f->instances[1], &s));
     g_assert_cmpuint(
         rg_balancer_held_packet(f->instances[1], &s, f->now_ms).token, ==,
         token.flow);
@@ -297,6 +309,46 @@
     g_assert_cmpuint(counter(f, 1, RG_METRIC_HELD), ==, 2);
 }
 
+/* Guards against following the token of an answer that the caller did not take
+ * since nobody has answered (review-13): the flow moved to an instance that
+ * hears its peers, but those that know the flow are not among them, or their
+ * answers are lost. Its retransmission finds the endpoint once they answer. */
+static void
+test_no_answer_at_start(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    hold_packets(f);
+    let_homes_listen(f);
+    f->cut[1] = true;
+    struct two_answers a = open_at_two(f);
+    struct rg_segment s = first_data(a.taken.opening);
+    g_assert_cmpuint(deliver(f, 0, &s).token, ==, a.taken.flow);
+    f->now_ms += 200;
+    rg_balancer_peer_heard(f->instances[1], f->now_ms);
+    s = first_data(a.other.opening);
+    g_assert_cmpint(deliver(f, 1, &s).kind, ==, RG_DECISION_DROP);
+    f->cut[1] = false;
+    f->now_ms += 400;
+    g_assert_cmpuint(deliver(f, 1, &s).token, ==, a.taken.flow);
+}
+
+/* Guards against the same after the instance that saw the flow open was killed
+ * (review-14): the homes of the flow have been told at once. */
+static void
+test_killed_after_start(struct fixture *f, gconstpointer unused)
+{
+    (void)unused;
+    hold_packets(f);
+    let_homes_listen(f);
+    struct two_answers a = open_at_two(f);
+    struct rg_segment s = first_data(a.taken.opening);
+    g_assert_cmpuint(deliver(f, 0, &s).token, ==, a.taken.flow);
+    restart_instance(f, 0, 77);
+    f->now_ms += 200;
+    s = first_data(a.other.opening);
+    g_assert_cmpuint(deliver(f, 1, &s).token, ==, a.taken.flow);
+}
+
 /* Guards against following the token of an answer that the caller did not take
  * where no peer can say so: the flow moved to an instance that heard nothing
  * from its peers, asked in vain, and reached an upstream that reset it (soak,
@@ -406,8 +458,10 @@
     g_assert_true(
         rg_balancer_find_flow_record(f->instances[1], &record.flow, &found));
     g_assert_cmpuint(acknowledge(f, 1, token.opening).token, ==, token.flow);
-    g_assert_false(
+    g_assert_true(
         rg_balancer_find_flow_record(f->instances[1], &record.flow, &found));
+    g_assert_cmpuint(found.opening_seq, ==, OPENING_SEQ);
+    g_assert_cmpuint(found.token, ==, token.flow);
 }
 
 /* Guards against unbounded memory and datagrams: many flows at once are told
@@ -479,6 +533,8 @@
         {"/flow-records/packets-out-of-order", test_packets_out_of_order},
         {"/flow-records/late-copy-before-flow", test_late_copy_before_flow},
         {"/flow-records/held-at-start", test_held_at_start},
+        {"/flow-records/no-answer-at-start", test_no_answer_at_start},
+        {"/flow-records/killed-after-start", test_killed_after_start},
         {"/flow-records/held-after-late-copy", test_held_after_late_copy},
         {"/flow-records/held-in-vain", test_held_in_vain},
         {"/flow-records/no-peers-to-ask", test_no_peers_to_ask},
--- a/test/test_openings.c
+++ b/test/test_openings.c
@@ -96,11 +96,18 @@
 test_late_copy_elsewhere(struct fixture *f, gconstpointer unused)
 {
     (void)unused;
+    f->can_hold = true;
     for (uint16_t i = 0; i < 16; i++) {
         restart_all(f, 100 + 10 * (uint64_t)i);
+        let_homes_listen(f);
         struct tokens token = open_at(f, 0, 0);
         f->now_ms += RTT_MS;
-        struct rg_decision d = send_data(f, 1, token.opening, 0, 0, 100);
+        struct rg_segment s = segment_from(CALLER_PORT);
+        s.token = token.opening;
+        s.seq = OPENING_SEQ + 1;
+        s.ack = UPSTREAM_SEQ + 1;
+        s.len = 100;
+        struct rg_decision d = deliver(f, 1, &s);
         g_assert_cmpuint(d.token, ==, token.flow);
         f->now_ms += RTT_MS;
         d = send_data(f, 1, token.flow, 100, 1000, 0);
@@ -229,11 +236,18 @@
 static void
 test_acknowledged_bytes_decide(struct fixture *f, gconstpointer unused)
 {
+    (void)unused;
+    f->can_hold = true;
+    restart_all(f, 1);
+    let_homes_listen(f);
     struct two_answers a = open_at_two(f);
+    struct rg_segment s = segment_from(CALLER_PORT);
 
-    (void)unused;
-    g_assert_cmpuint(send_data(f, 0, a.other.opening, 0, 0, 100).token, ==,
-                     a.other.flow);
+    s.token = a.other.opening;
+    s.seq = OPENING_SEQ + 1;
+    s.ack = UPSTREAM_SEQ + 1;
+    s.len = 100;
+    g_assert_cmpuint(deliver(f, 0, &s).token, ==, a.other.flow);
     f->now_ms += RTT_MS;
     g_assert_cmpuint(send_data(f, 0, a.taken.flow, 100, 1000, 0).token, ==,
                      a.taken.flow);
