balance: homes of flows among all registered instances in large fleets

Cause: a digest tells of the 64 instances with the smallest hashes, and with more than that peers know different parts of the fleet. In test_peers, 1,600 instances that start from one address form groups that never hear of each other (of the 64, an instance knew 2, 3, 8 or 51 after ten minutes), and 43% of the questions went to homes that had not been told and said so.

From 48 registered instances on, homes are chosen among these.

Ruled out: more rows in each digest, or the newest first (0.57 of the questions found a home that knew, at 1,600).

test_peers /peers/homes, a kill a second, with one view of the registrations: no home denies what was told at 71, 300 and 1,600, and 0.966, 0.999 and 1.000 of the questions for flows that nobody told of are answered by two. Before, at 71 and 300: 3 and 1 wrong answers of 2,700.

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -170,6 +170,12 @@
     rg_instances_known_add(&b->instances_known, fleet->instances, b->now_ms);
 }
 
+struct rg_instances *
+rg_balancer_instances(struct rg_balancer *b)
+{
+    return b->instances;
+}
+
 uint32_t
 rg_balancer_openings_per_s(const struct rg_balancer *b)
 {
@@ -288,6 +294,7 @@
     b->pool = rg_pool_create(&pool);
     b->flows = rg_tracked_flows_create(opts->tracked_flows);
     b->waiting = rg_admission_queue_create();
+    b->instances = rg_instances_create();
     b->outcome_table = rg_outcome_table_create((uint32_t)rg_mix64(opts->seed));
     b->rand.state = opts->seed;
     b->fleet = (struct rg_fleet){.instances = 1,
@@ -310,6 +317,7 @@
         rg_pool_destroy(b->pool);
         free(b->services);
         rg_admission_queue_destroy(b->waiting);
+        rg_instances_destroy(b->instances);
         rg_outcome_table_destroy(b->outcome_table);
         free(b);
     }
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -15,6 +15,7 @@
 #include "balance/admission_queue.h"
 #include "balance/cold_start.h"
 #include "balance/flow_records.h"
+#include "balance/instances.h"
 #include "balance/metrics.h"
 #include "balance/outcome_table.h"
 #include "balance/pool.h"
@@ -80,6 +81,9 @@
 /* The upstreams; kept up to date by the store client and by snapshots. */
 struct rg_pool *rg_balancer_pool(struct rg_balancer *b);
 
+/* Instances registered in the store; kept up to date as the upstreams are. */
+struct rg_instances *rg_balancer_instances(struct rg_balancer *b);
+
 /* What is known of the instances that share the upstreams; one by default. */
 struct rg_fleet {
     size_t instances;       /* all, this one included */
--- a/balance/peers.h
+++ b/balance/peers.h
@@ -13,6 +13,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "balance/instances.h"
 #include "common/addr.h"
 #include "common/str.h"
 #include "proto/messages.gen.h"
@@ -127,11 +128,13 @@
 
 /* Homes of a flow: those instances of the fleet, in any data centre, that rank
  * first for its hash. All instances choose the same ones as far as they know
- * the same instances: all of a small fleet, and the same part of a large one.
- * Returns their number. */
+ * the same instances: those that were active lately, as told by peers; in a
+ * fleet that is too large for this, those registered in the store. Returns
+ * their number. */
 #define RG_FLOW_HOMES_MAX 3
-size_t rg_peers_flow_homes(const struct rg_peers *p, uint32_t flow_hash,
-                           uint64_t now_ms,
+size_t rg_peers_flow_homes(const struct rg_peers *p,
+                           const struct rg_instances *registered,
+                           uint32_t flow_hash, uint64_t now_ms,
                            struct rg_flow_home out[RG_FLOW_HOMES_MAX]);
 
 /* Identifies an instance by its name. */
--- a/balance/snapshot.c
+++ b/balance/snapshot.c
@@ -192,6 +192,36 @@
     part->evacuations_known = rg_evacuations_are_complete(x);
 }
 
+/* The same for the instances that have changed, or all. */
+static void
+write_instances(struct endpoint_writer *w, const struct rg_instances *x)
+{
+    struct rg_msg_boots_part *part = &w->m.u.boots_part;
+    size_t max = sizeof(part->instances) / sizeof(part->instances[0]);
+
+    for (size_t i = 0; i < rg_instances_count(x); i++) {
+        const struct rg_instance *instance = rg_instances_at(x, i);
+        bool removed = instance->removed_ms != 0;
+        if (w->after == 0 ? removed : instance->revision <= w->after) {
+            continue;
+        }
+        if (part->instances_count == max) {
+            write_message(&w->m, w->out);
+            part->boots_count = 0;
+            part->evacuations_count = 0;
+            part->instances_count = 0;
+        }
+        part->instances[part->instances_count++] = (struct rg_msg_instance){
+            .id = instance->id,
+            .addr = instance->addr,
+            .revision = rg_revision_number(instance->revision),
+            .era = rg_revision_era(instance->revision),
+            .removed = removed,
+        };
+    }
+    part->instances_known = rg_instances_are_complete(x);
+}
+
 void
 rg_snapshot_write(struct rg_balancer *b, uint64_t revision,
                   const struct rg_snapshot_base *base, uint64_t now_ms,
@@ -220,6 +250,7 @@
     w->now_ms = now_ms;
     rg_pool_each(pool, write_endpoint, w);
     write_evacuations(w);
+    write_instances(w, rg_balancer_instances(b));
     w->m.u.boots_part.last = true;
     write_message(&w->m, out);
     free(w);
@@ -243,6 +274,9 @@
     struct rg_evacuation_change *evacuations;
     size_t evacuation_count;
     bool evacuations_known;
+    struct rg_msg_instance *instances;
+    size_t instance_count;
+    bool instances_known;
     bool provisional;
     bool ended; /* the last part has been read */
 };
@@ -344,6 +378,19 @@
     }
 }
 
+static void
+add_instances(struct contents *c, const struct rg_msg_boots_part *part)
+{
+    size_t count = c->instance_count + part->instances_count;
+
+    c->instances_known = part->instances_known;
+    c->instances =
+        rg_realloc(c->instances, (count + 1) * sizeof(*c->instances));
+    memcpy(c->instances + c->instance_count, part->instances,
+           part->instances_count * sizeof(*c->instances));
+    c->instance_count = count;
+}
+
 static bool
 add_message(struct contents *c, const struct rg_msg *m)
 {
@@ -356,6 +403,7 @@
     case RG_MSG_BOOTS_PART:
         add_endpoints(c, &m->u.boots_part);
         add_evacuations(c, &m->u.boots_part);
+        add_instances(c, &m->u.boots_part);
         return true;
     default:
         return false;
@@ -471,6 +519,35 @@
     }
 }
 
+/* Changes of a view that does not know all instances are of no use: what is
+ * known here stays. */
+static void
+apply_instances(struct rg_instances *x, const struct contents *c,
+                uint64_t now_ms)
+{
+    bool whole = c->after == 0;
+
+    if (!c->instances_known) {
+        return;
+    }
+    if (whole) {
+        rg_instances_begin_listing(x);
+    }
+    for (size_t i = 0; i < c->instance_count; i++) {
+        const struct rg_msg_instance *m = &c->instances[i];
+        uint64_t revision = rg_revision_received(m->era, m->revision);
+        if (m->removed) {
+            rg_instances_remove(x, m->id, revision, now_ms);
+        }
+        else {
+            rg_instances_update(x, m->id, &m->addr, revision);
+        }
+    }
+    if (whole) {
+        rg_instances_end_listing(x, c->provisional ? 0 : c->revision, now_ms);
+    }
+}
+
 bool
 rg_snapshot_read(struct rg_balancer *b, struct rg_str bytes,
                  uint64_t *revision, uint64_t now_ms)
@@ -491,6 +568,7 @@
     struct rg_pool *pool = rg_balancer_pool(b);
     if (ok && (c.revision > *revision || settles(pool, &c, *revision))) {
         apply_evacuations(pool, &c, now_ms);
+        apply_instances(rg_balancer_instances(b), &c, now_ms);
         apply_view(pool, &c, *revision, now_ms);
         *revision = c.revision > *revision ? c.revision : *revision;
     }
@@ -498,6 +576,7 @@
     free(c.cold_limits);
     free(c.endpoints);
     free(c.evacuations);
+    free(c.instances);
     free(m);
     return ok;
 }
--- a/edge/home_gossip.c
+++ b/edge/home_gossip.c
@@ -73,7 +73,9 @@
 find_homes(const struct rg_home_gossip *h, const struct rg_flow_id *flow,
            uint64_t now_ms, struct rg_flow_home out[RG_FLOW_HOMES_MAX])
 {
-    return rg_peers_flow_homes(h->opts.peers, rg_flow_hash(flow), now_ms, out);
+    return rg_peers_flow_homes(h->opts.peers,
+                               rg_balancer_instances(h->opts.balancer),
+                               rg_flow_hash(flow), now_ms, out);
 }
 
 static void
--- a/edge/store_client.c
+++ b/edge/store_client.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "balance/peers.h"
 #include "balance/revision.h"
 #include "common/clock.h"
 #include "common/mem.h"
@@ -111,8 +112,14 @@
         break;
     case RG_KV_INSTANCE:
         s->registered++;
+        rg_instances_update(rg_balancer_instances(s->opts.balancer),
+                            rg_peers_id(&c->id), &c->instance, c->revision);
         s->opts.on_instance(s->opts.ctx, &c->instance);
         break;
+    case RG_KV_INSTANCE_REMOVED:
+        rg_instances_remove(rg_balancer_instances(s->opts.balancer),
+                            rg_peers_id(&c->id), c->revision, now);
+        break;
     case RG_KV_OTHER:
         break;
     }
@@ -229,6 +236,7 @@
         rg_pool_begin_listing(pool);
     }
     rg_evacuations_begin_listing(rg_pool_evacuations(pool));
+    rg_instances_begin_listing(rg_balancer_instances(s->opts.balancer));
 }
 
 static void
@@ -236,12 +244,15 @@
 {
     struct rg_pool *pool = rg_balancer_pool(s->opts.balancer);
     uint64_t revision = rg_store_sync_revision(s->sync);
-    /* A provisional listing lifts no evacuation: the request may be newer than
-     * the copy from which the store was restored. */
-    uint64_t lift_revision =
+    /* A provisional listing lifts no evacuation, and removes no instance: what
+     * it lacks may be newer than the copy from which the store was restored.
+     */
+    uint64_t known_revision =
         rg_pool_listing_is_provisional(pool) ? 0 : revision;
 
-    rg_evacuations_end_listing(rg_pool_evacuations(pool), lift_revision, now);
+    rg_evacuations_end_listing(rg_pool_evacuations(pool), known_revision, now);
+    rg_instances_end_listing(rg_balancer_instances(s->opts.balancer),
+                             known_revision, now);
     rg_pool_end_listing(pool, revision, rg_store_sync_keep_ms(s->sync, now),
                         now);
 }
--- a/proto/messages.gen.c
+++ b/proto/messages.gen.c
@@ -634,6 +634,48 @@
     return true;
 }
 
+static void
+pack_instance(msgpack_packer *pk, const struct rg_msg_instance *m)
+{
+    rg_pack_list(pk, 5);
+    rg_pack_u64(pk, m->id);
+    rg_pack_addr(pk, &m->addr);
+    rg_pack_u64(pk, m->revision);
+    rg_pack_u64(pk, m->era);
+    rg_pack_u64(pk, m->removed);
+}
+
+static bool
+unpack_instance(const msgpack_object *o, struct rg_msg_instance *m)
+{
+    uint64_t value;
+
+    if (!rg_unpack_shape(o, 5)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[0], 4294967295U, &value)) {
+        return false;
+    }
+    m->id = (uint32_t)value;
+    if (!rg_unpack_addr(&o->via.array.ptr[1], &m->addr)) {
+        return false;
+    }
+    if (!rg_unpack_u64(&o->via.array.ptr[2], 18446744073709551615ULL, &value))
+    {
+        return false;
+    }
+    m->revision = (uint64_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[3], 4294967295U, &value)) {
+        return false;
+    }
+    m->era = (uint32_t)value;
+    if (!rg_unpack_u64(&o->via.array.ptr[4], 255U, &value)) {
+        return false;
+    }
+    m->removed = (uint8_t)value;
+    return true;
+}
+
 static void
 pack_flow_question(msgpack_packer *pk, const struct rg_msg_flow_question *m)
 {
@@ -1325,6 +1367,11 @@
     rg_pack_u64(pk, m->evacuations_known);
     rg_pack_u64(pk, m->era);
     rg_pack_u64(pk, m->provisional);
+    rg_pack_list(pk, m->instances_count);
+    for (uint16_t i = 0; i < m->instances_count; i++) {
+        pack_instance(pk, &m->instances[i]);
+    }
+    rg_pack_u64(pk, m->instances_known);
 }
 
 static bool
@@ -1392,6 +1439,23 @@
         }
         m->provisional = (uint8_t)value;
     }
+    if (o->via.array.size > 11) {
+        if (!rg_unpack_list(&o->via.array.ptr[11], 16, &m->instances_count)) {
+            return false;
+        }
+        for (uint16_t i = 0; i < m->instances_count; i++) {
+            if (!unpack_instance(&o->via.array.ptr[11].via.array.ptr[i],
+                                 &m->instances[i])) {
+                return false;
+            }
+        }
+    }
+    if (o->via.array.size > 12) {
+        if (!rg_unpack_u64(&o->via.array.ptr[12], 255U, &value)) {
+            return false;
+        }
+        m->instances_known = (uint8_t)value;
+    }
     return true;
 }
 
@@ -1668,7 +1732,7 @@
         pack_routes_part(&pk, &m->u.routes_part);
         break;
     case RG_MSG_BOOTS_PART:
-        rg_pack_list(&pk, 11);
+        rg_pack_list(&pk, 13);
         rg_pack_u64(&pk, RG_MSG_VERSION);
         rg_pack_u64(&pk, (uint64_t)m->kind);
         pack_boots_part(&pk, &m->u.boots_part);
--- a/proto/messages.gen.h
+++ b/proto/messages.gen.h
@@ -227,6 +227,20 @@
     uint32_t age_ms;
 };
 
+/* The registration of an instance in the store, or its removal. */
+struct rg_msg_instance {
+    /* hash of its name */
+    uint32_t id;
+    /* its peer address */
+    struct rg_addr addr;
+    /* revision of the store at which it was registered or removed */
+    uint64_t revision;
+    /* era of the store that this revision is of */
+    uint32_t era;
+    /* 1: removed */
+    uint8_t removed;
+};
+
 /* A flow that a home is asked for. */
 struct rg_msg_flow_question {
     /* both ends */
@@ -470,6 +484,11 @@
     /* 1: endpoints may be older than what the receiver knows, as the era is
      * new */
     uint8_t provisional;
+    /* registrations of instances, as the endpoints */
+    uint16_t instances_count;
+    struct rg_msg_instance instances[16];
+    /* 1: the parts contain all of them; 0: the sender does not know them */
+    uint8_t instances_known;
 };
 
 /* Open flows that two upstreams may have, or that the receiver asked for. */
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -30,6 +30,7 @@
     struct instance all[FLEET_MAX];
     struct rg_addr addrs[FLEET_MAX];
     uint64_t started_ms[FLEET_MAX]; /* last start, 0: with the fleet */
+    struct rg_instances *registered;
     int count;
     uint64_t now_ms;
     uint64_t revision; /* of the store */
@@ -77,6 +78,7 @@
     f->rand.state = SEED;
     f->delayed = -1;
     f->waiting = g_ptr_array_new_with_free_func(g_free);
+    f->registered = rg_instances_create();
     for (int i = 0; i < count; i++) {
         f->all[i].peers = create_peers(i);
         f->addrs[i] = addr_of(i);
@@ -94,6 +96,7 @@
         rg_peers_destroy(f->all[i].peers);
     }
     g_ptr_array_unref(f->waiting);
+    rg_instances_destroy(f->registered);
     g_free(f);
 }
 
@@ -858,8 +861,8 @@
 {
     struct rg_flow_home homes[RG_FLOW_HOMES_MAX];
     int asker = random_settled(f);
-    size_t count =
-        rg_peers_flow_homes(f->all[asker].peers, t->hash, f->now_ms, homes);
+    size_t count = rg_peers_flow_homes(f->all[asker].peers, f->registered,
+                                       t->hash, f->now_ms, homes);
     int told = 0;
     int listening = 0;
 
@@ -881,8 +884,24 @@
 {
     t->hash = (uint32_t)rg_rand_next(&f->rand);
     t->by = random_settled(f);
-    t->count =
-        rg_peers_flow_homes(f->all[t->by].peers, t->hash, f->now_ms, t->homes);
+    t->count = rg_peers_flow_homes(f->all[t->by].peers, f->registered, t->hash,
+                                   f->now_ms, t->homes);
+}
+
+/* All are registered. A process that is started again within the lifetime of
+ * its registration keeps it. */
+static void
+register_all(struct fleet *f)
+{
+    rg_instances_begin_listing(f->registered);
+    for (int i = 0; i < f->count; i++) {
+        g_autofree char *text = g_strdup_printf("edge-%d", i);
+        struct rg_name name;
+        g_assert_true(rg_name_set(&name, rg_str_of(text)));
+        rg_instances_update(f->registered, rg_peers_id(&name), &f->addrs[i],
+                            1);
+    }
+    rg_instances_end_listing(f->registered, 1, f->now_ms);
 }
 
 /* Instances are killed and started again while others tell and ask. */
@@ -896,6 +915,7 @@
                                                  : KILL_PERIODS};
     struct told_flow told[HOMES_FLOWS];
 
+    register_all(f);
     run(f, HOMES_WARM_UP_PERIODS);
     for (int period = 0; period < HOMES_PERIODS; period++) {
         restart_next(f, period, &killed);
@@ -961,7 +981,7 @@
     g_test_add_func("/peers/newer-era", test_newer_era);
     g_test_add_func("/peers/lost-version", test_lost_version);
     g_test_add_func("/peers/era-in-digests", test_era_in_digests);
-    static const int sizes[] = {3, 6, 31};
+    static const int sizes[] = {3, 6, 31, 71, 300, 1600};
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
         g_autofree char *path = g_strdup_printf("/peers/homes/%d", sizes[i]);
         g_test_add_data_func(path, GINT_TO_POINTER(sizes[i]), test_homes);
--- a/test/test_snapshot.c
+++ b/test/test_snapshot.c
@@ -401,6 +401,54 @@
     rg_balancer_destroy(from);
 }
 
+/* Instances that count as registered. */
+static int
+count_registered(struct rg_balancer *b)
+{
+    const struct rg_instances *x = rg_balancer_instances(b);
+    int n = 0;
+
+    for (size_t i = 0; i < rg_instances_count(x); i++) {
+        n += rg_instances_at(x, i)->removed_ms == 0;
+    }
+    return n;
+}
+
+/* Guards against instances that choose other homes for a flow since they do
+ * not poll the store: registrations and their removals come with the view of a
+ * peer. */
+static void
+test_instances(void)
+{
+    struct rg_balancer *from = create_full_balancer(5);
+    struct rg_balancer *to = create_balancer();
+    struct rg_instances *x = rg_balancer_instances(from);
+    struct rg_addr addr;
+    uint64_t revision = 0;
+
+    rg_addr_parse(&addr, "10.0.0.1:80");
+    for (uint32_t id = 1; id <= 100; id++) {
+        rg_instances_update(x, id, &addr, id);
+    }
+    /* Not all are known yet, so none is told. */
+    g_assert_true(transfer(from, 200, to, &revision));
+    g_assert_cmpint(count_registered(to), ==, 0);
+    rg_instances_begin_listing(x);
+    for (uint32_t id = 1; id <= 100; id++) {
+        rg_instances_update(x, id, &addr, 200 + id);
+    }
+    rg_instances_end_listing(x, 301, 1000);
+    g_assert_true(transfer(from, 301, to, &revision));
+    g_assert_cmpint(count_registered(to), ==, 100);
+    rg_instances_remove(x, 7, 302, 1000);
+    rg_instances_update(x, 101, &addr, 303);
+    rg_instances_update(x, 102, &addr, 304);
+    g_assert_true(transfer(from, 304, to, &revision));
+    g_assert_cmpint(count_registered(to), ==, 101);
+    rg_balancer_destroy(from);
+    rg_balancer_destroy(to);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -413,6 +461,7 @@
     g_test_add_func("/snapshot/lapsed-in-complete", test_lapsed_in_complete);
     g_test_add_func("/snapshot/newer-era", test_newer_era);
     g_test_add_func("/snapshot/provisional", test_provisional);
+    g_test_add_func("/snapshot/instances", test_instances);
     g_test_add_func("/snapshot/truncated", test_truncated);
     g_test_add_func("/snapshot/damaged", test_damaged);
     return g_test_run();
