--- a/test/fake_instances.h
+++ b/test/fake_instances.h
@@ -26,7 +26,9 @@
 #define FIRST_COPY_MS 200
 #define SECOND_COPY_MS 600
 
+#ifndef INSTANCES
 #define INSTANCES 3
+#endif
 
 /* The tokens that the packets of one upstream carry: its answer to the
  * opening, and what it sends after it has got packets of the open flow. */
