--- a/balance/peers.c
+++ b/balance/peers.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "balance/fleet_size.h"
+#include "balance/home_choice.h"
 #include "balance/revision.h"
 #include "balance/store_answers.h"
 #include "common/mem.h"
@@ -42,17 +43,8 @@
 #define BEHIND_PERCENT 23
 #define BEHIND_MIN_MS 500
 
-/* From this number of registered instances on, homes are chosen among these.
- */
-#define LARGE_FLEET 48
 /* Random members of which one is put into a digest. */
 #define MEMBER_DRAWS 4
-/* A home of a flow, and its rank among all instances. */
-struct ranked_home {
-    uint64_t rank;
-    struct rg_flow_home home;
-};
-
 struct peer {
     struct rg_addr addr;
     struct rg_name name; /* empty: no digest yet */
@@ -564,99 +556,21 @@
     rg_fleet_size_add_entry(&p->fleet_size, &self, now_ms);
 }
 
-/* Inserts a home among those that rank highest, highest first. */
-static size_t
-insert_home(struct ranked_home out[RG_FLOW_HOMES_MAX], size_t count,
-            const struct ranked_home *home)
-{
-    size_t i = count;
-
-    while (i > 0 && out[i - 1].rank < home->rank) {
-        if (i < RG_FLOW_HOMES_MAX) {
-            out[i] = out[i - 1];
-        }
-        i--;
-    }
-    if (i < RG_FLOW_HOMES_MAX) {
-        out[i] = *home;
-    }
-    return count < RG_FLOW_HOMES_MAX ? count + 1 : count;
-}
-
-/* The homes found so far of the flow with this hash. */
-struct home_search {
-    uint32_t flow_hash;
-    struct rg_addr self;
-    struct ranked_home homes[RG_FLOW_HOMES_MAX];
-    size_t count;
-};
-
-static void
-consider_home(struct home_search *search, uint32_t id,
-              const struct rg_addr *addr)
-{
-    struct ranked_home home = {
-        .rank = rg_mix64((uint64_t)id << 32 | search->flow_hash),
-        .home = {.id = id,
-                 .addr = *addr,
-                 .self = rg_addr_eq(addr, &search->self)},
-    };
-
-    search->count = insert_home(search->homes, search->count, &home);
-}
-
-static void
-consider_active(const struct rg_peers *p, struct home_search *search,
-                uint64_t now_ms)
-{
-    for (size_t i = 0; i < p->fleet_size.count; i++) {
-        const struct rg_fleet_size_entry *e = &p->fleet_size.entries[i];
-        bool self = rg_addr_eq(&e->addr, &p->opts.addr);
-        if (e->addr.port != 0 && (self || e->active_ms + RECENT_MS > now_ms)) {
-            consider_home(search, e->hash, &e->addr);
-        }
-    }
-}
-
-static void
-consider_registered(const struct rg_instances *registered,
-                    struct home_search *search, uint64_t now_ms)
-{
-    for (size_t i = 0; i < rg_instances_count(registered); i++) {
-        const struct rg_instance *instance = rg_instances_at(registered, i);
-        if (rg_instance_counts(instance, now_ms)) {
-            consider_home(search, instance->id, &instance->addr);
-        }
-    }
-}
-
-/* True if peers may know different parts of the fleet, or be slow to learn of
- * it. */
-static bool
-is_large(const struct rg_instances *registered)
-{
-    return rg_instances_are_complete(registered) &&
-           rg_instances_count(registered) >= LARGE_FLEET;
-}
-
 size_t
 rg_peers_flow_homes(const struct rg_peers *p,
                     const struct rg_instances *registered, uint32_t flow_hash,
                     uint64_t now_ms,
                     struct rg_flow_home out[RG_FLOW_HOMES_MAX])
 {
-    struct home_search search = {.flow_hash = flow_hash, .self = p->opts.addr};
+    struct rg_home_candidates candidates = {
+        .self = p->opts.addr,
+        .active = &p->fleet_size,
+        .active_since_ms = now_ms > RECENT_MS ? now_ms - RECENT_MS : 0,
+        .registered = registered,
+        .now_ms = now_ms,
+    };
 
-    if (is_large(registered)) {
-        consider_registered(registered, &search, now_ms);
-    }
-    else {
-        consider_active(p, &search, now_ms);
-    }
-    for (size_t i = 0; i < search.count; i++) {
-        out[i] = search.homes[i].home;
-    }
-    return search.count;
+    return rg_home_choice(&candidates, flow_hash, out);
 }
 
 size_t
--- a/balance/peers.h
+++ b/balance/peers.h
@@ -13,7 +13,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "balance/instances.h"
+#include "balance/home_choice.h"
 #include "common/addr.h"
 #include "common/str.h"
 #include "proto/messages.gen.h"
@@ -119,19 +119,7 @@
 size_t rg_peers_flow_targets(const struct rg_peers *p, uint64_t now_ms,
                              struct rg_addr out[RG_PEERS_MAX]);
 
-/* An instance that keeps what others tell of a flow. */
-struct rg_flow_home {
-    uint32_t id; /* hash of its name */
-    struct rg_addr addr;
-    bool self; /* this instance */
-};
-
-/* Homes of a flow: those instances of the fleet, in any data centre, that rank
- * first for its hash. All instances choose the same ones as far as they know
- * the same instances: those that were active lately, as told by peers; in a
- * fleet that is too large for this, those registered in the store. Returns
- * their number. */
-#define RG_FLOW_HOMES_MAX 3
+/* Homes of a flow, see rg_home_choice(). Returns their number. */
 size_t rg_peers_flow_homes(const struct rg_peers *p,
                            const struct rg_instances *registered,
                            uint32_t flow_hash, uint64_t now_ms,
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -65,8 +65,8 @@
     struct rg_fleet fleet;
     struct rg_instances_known instances_known;
     struct rg_instances *instances; /* registered in the store */
-    double openings_per_s;    /* moving average */
-    uint64_t openings_before; /* value of the counter at the last tick */
+    double openings_per_s;          /* moving average */
+    uint64_t openings_before;       /* value of the counter at the last tick */
     /* Moving averages: share of openings that were lost and retransmitted,
      * time from an opening to the caller's next packet, and time between two
      * responses of any upstreams. */
--- a/test/fake_instances.h
+++ b/test/fake_instances.h
@@ -256,6 +256,19 @@
     fake_homes_exchange(&homes, instance, f->now_ms);
 }
 
+/* The first data of the flow, or its retransmission. */
+static inline struct rg_segment
+first_data(uint32_t token)
+{
+    struct rg_segment s = segment_from(CALLER_PORT);
+
+    s.token = token;
+    s.seq = OPENING_SEQ + 1;
+    s.ack = UPSTREAM_SEQ + 1;
+    s.len = 100;
+    return s;
+}
+
 /* Sends a packet; if it is held, the homes of its flow are asked. */
 static inline struct rg_decision
 deliver(struct fixture *f, int instance, const struct rg_segment *s)
--- a/test/test_flow_homes.c
+++ b/test/test_flow_homes.c
@@ -19,26 +19,13 @@
     let_homes_listen(f);
 }
 
-/* Data at the start of the flow. */
-static struct rg_segment
-start_data(uint32_t token)
-{
-    struct rg_segment s = segment_from(CALLER_PORT);
-
-    s.token = token;
-    s.seq = OPENING_SEQ + 1;
-    s.ack = UPSTREAM_SEQ + 1;
-    s.len = 100;
-    return s;
-}
-
 /* Two upstreams answer the opening, and the first data goes to the one that
  * the caller took. */
 static struct two_answers
 open_doubtful(struct fixture *f)
 {
     struct two_answers a = open_at_two(f);
-    struct rg_segment s = start_data(a.taken.opening);
+    struct rg_segment s = first_data(a.taken.opening);
 
     g_assert_cmpuint(deliver(f, OPENER, &s).token, ==, a.taken.flow);
     return a;
@@ -49,7 +36,7 @@
 static void
 assert_not_misrouted(struct fixture *f, const struct two_answers *a)
 {
-    struct rg_segment s = start_data(a->other.opening);
+    struct rg_segment s = first_data(a->other.opening);
     struct rg_decision d = deliver(f, OTHER, &s);
 
     g_assert_true(d.kind == RG_DECISION_DROP || d.token == a->taken.flow);
@@ -58,7 +45,7 @@
 static void
 assert_found(struct fixture *f, const struct two_answers *a)
 {
-    struct rg_segment s = start_data(a->other.opening);
+    struct rg_segment s = first_data(a->other.opening);
 
     f->now_ms += 400;
     g_assert_cmpuint(deliver(f, OTHER, &s).token, ==, a->taken.flow);
@@ -100,7 +87,7 @@
         f->cut[asking] = true;
         struct two_answers a = open_doubtful(f);
         f->now_ms += FIRST_COPY_MS;
-        struct rg_segment s = start_data(a.other.opening);
+        struct rg_segment s = first_data(a.other.opening);
         g_assert_cmpint(deliver(f, asking, &s).kind, ==, RG_DECISION_DROP);
         f->cut[asking] = false;
     }
@@ -150,7 +137,7 @@
         struct tokens token = open_at(f, OPENER, 0);
         f->cut[away] = true;
         f->now_ms += RTT_MS;
-        struct rg_segment s = start_data(token.opening);
+        struct rg_segment s = first_data(token.opening);
         g_assert_cmpuint(deliver(f, OTHER, &s).token, ==, token.flow);
         f->cut[away] = false;
     }
--- a/test/test_flow_records.c
+++ b/test/test_flow_records.c
@@ -67,20 +67,6 @@
     return send_data(f, instance, a.other.opening, 100, 1000, 100);
 }
 
-/* The first data of a flow comes again, to an instance that did not see it
- * open, with the token of the upstream that the caller did not take. */
-static struct rg_segment
-first_data(uint32_t token)
-{
-    struct rg_segment s = segment_from(CALLER_PORT);
-
-    s.token = token;
-    s.seq = OPENING_SEQ + 1;
-    s.ack = UPSTREAM_SEQ + 1;
-    s.len = 100;
-    return s;
-}
-
 static void
 hold_packets(struct fixture *f)
 {
--- a/test/test_openings.c
+++ b/test/test_openings.c
@@ -102,11 +102,7 @@
         let_homes_listen(f);
         struct tokens token = open_at(f, 0, 0);
         f->now_ms += RTT_MS;
-        struct rg_segment s = segment_from(CALLER_PORT);
-        s.token = token.opening;
-        s.seq = OPENING_SEQ + 1;
-        s.ack = UPSTREAM_SEQ + 1;
-        s.len = 100;
+        struct rg_segment s = first_data(token.opening);
         struct rg_decision d = deliver(f, 1, &s);
         g_assert_cmpuint(d.token, ==, token.flow);
         f->now_ms += RTT_MS;
@@ -241,12 +237,8 @@
     restart_all(f, 1);
     let_homes_listen(f);
     struct two_answers a = open_at_two(f);
-    struct rg_segment s = segment_from(CALLER_PORT);
+    struct rg_segment s = first_data(a.other.opening);
 
-    s.token = a.other.opening;
-    s.seq = OPENING_SEQ + 1;
-    s.ack = UPSTREAM_SEQ + 1;
-    s.len = 100;
     g_assert_cmpuint(deliver(f, 0, &s).token, ==, a.other.flow);
     f->now_ms += RTT_MS;
     g_assert_cmpuint(send_data(f, 0, a.taken.flow, 100, 1000, 0).token, ==,
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -81,7 +81,7 @@
 test_store_client "
 # Programs that take minutes; they begin first.
 long_programs="test_fleet_outliers test_admission test_kept_flows
-test_cold_start test_locality test_peers"
+test_cold_start test_locality test_peers test_home_choice"
 
 lane_of() {
     case $socket_programs in
