balance: no reset for a wait by an instance that stops or has just started

Change: in its first four seconds an instance tells homes every 500 ms of all flows that have arrived, and resets no request for its wait; nor does one that is about to stop, as the fabric hands its flows to others. Requests at upstreams that are gone are reset as before.

Ruled out: that homes lost what they were told (they were not told).

--- a/balance/balancer.c
+++ b/balance/balancer.c
@@ -252,6 +252,12 @@
     rg_bal_tick_homes(b);
 }
 
+void
+rg_balancer_set_leaving(struct rg_balancer *b)
+{
+    b->leaving = true;
+}
+
 void
 rg_balancer_paused(struct rg_balancer *b, uint64_t now_ms)
 {
--- a/balance/balancer.h
+++ b/balance/balancer.h
@@ -171,6 +171,10 @@
 double rg_balancer_limit_per_s(const struct rg_balancer *b, uint32_t service);
 size_t rg_balancer_service_count(const struct rg_balancer *b);
 
+/* This instance is about to stop: the fabric hands its flows to others, so
+ * that an answer which does not pass here says nothing. */
+void rg_balancer_set_leaving(struct rg_balancer *b);
+
 /* The process was suspended for a while: the time that its flows waited
  * meanwhile says nothing about their upstreams. */
 void rg_balancer_paused(struct rg_balancer *b, uint64_t now_ms);
--- a/balance/flow_homes.c
+++ b/balance/flow_homes.c
@@ -1,11 +1,15 @@
 #include "balance/flow_homes.h"
 
+#include <string.h>
+
 #include "balance/priv.h"
 
 /* Source of a sighting that stands for a record which could not be stored. */
 #define UNSTORED 0
 /* Homes are told again of a flow that goes on here after this time. */
 #define TELL_AGAIN_MS 1000
+/* The same for all that have arrived, by an instance that has just started. */
+#define STARTING_TELL_MS 500
 /* An answer is relied on for this long: the flow's next retransmissions. */
 #define ANSWER_VALID_MS 1000
 /* A home that has listened for less may not have been told of a flow at its
@@ -200,6 +204,9 @@
     if (is_alone(b)) {
         return true;
     }
+    if (rg_bal_is_starting(b)) {
+        return false; /* others than its homes may have been asked */
+    }
     for (uint8_t i = 0; asked && i < asked->home_count; i++) {
         const struct rg_home_answer *a = &asked->answers[i];
         if (a->asked_ms <= since_ms) {
@@ -215,30 +222,66 @@
 
 /* --- telling ------------------------------------------------------------- */
 
+static void
+queue_arrival(struct rg_balancer *b, const struct rg_flow_arrival *arrival)
+{
+    struct rg_flow_homes *h = &b->homes;
+
+    if (h->arrival_count == RG_FLOW_ARRIVALS_MAX || h->arrivals_left == 0) {
+        rg_bal_count(b, RG_METRIC_ARRIVALS_OMITTED);
+        return;
+    }
+    h->arrivals_left--;
+    h->arrivals[h->arrival_count++] = *arrival;
+}
+
+static bool
+is_told(const struct rg_balancer *b, const struct rg_flow_arrival *told,
+        const struct rg_segment *s)
+{
+    return told->at_ms != 0 && b->now_ms - told->at_ms < TELL_AGAIN_MS &&
+           told->seq == s->seq &&
+           memcmp(&told->flow, &s->flow, sizeof(s->flow)) == 0;
+}
+
 void
 rg_bal_tell_arrival(struct rg_balancer *b, const struct rg_segment *s)
 {
     struct rg_flow_homes *h = &b->homes;
-    uint32_t hash = rg_flow_hash(&s->flow);
-    struct rg_flow_told *told = &h->told[hash % RG_FLOW_TOLD_MAX];
+    struct rg_flow_arrival *told =
+        &h->told[rg_flow_hash(&s->flow) % RG_FLOW_TOLD_MAX];
 
-    if (is_alone(b) ||
-        (told->at_ms != 0 && told->hash == hash && told->seq == s->seq &&
-         b->now_ms - told->at_ms < TELL_AGAIN_MS))
-    {
+    if (is_told(b, told, s)) {
         return;
     }
-    if (h->arrival_count == RG_FLOW_ARRIVALS_MAX || h->arrivals_left == 0) {
-        rg_bal_count(b, RG_METRIC_ARRIVALS_OMITTED);
+    *told = (struct rg_flow_arrival){s->flow, s->seq, b->now_ms};
+    if (!is_alone(b)) {
+        queue_arrival(b, told);
+    }
+}
+
+/* An instance that has just started does not know all homes, and tells those
+ * that it learns of, too. */
+static void
+tell_arrivals_again(struct rg_balancer *b)
+{
+    struct rg_flow_homes *h = &b->homes;
+
+    if (!rg_bal_is_starting(b) || is_alone(b) ||
+        b->now_ms - h->told_again_ms < STARTING_TELL_MS)
+    {
         return;
     }
-    *told = (struct rg_flow_told){hash, s->seq, b->now_ms};
-    h->arrivals_left--;
-    h->arrivals[h->arrival_count++] = s->flow;
+    h->told_again_ms = b->now_ms;
+    for (size_t i = 0; i < RG_FLOW_TOLD_MAX; i++) {
+        if (h->told[i].at_ms != 0) {
+            queue_arrival(b, &h->told[i]);
+        }
+    }
 }
 
 size_t
-rg_balancer_next_arrivals(struct rg_balancer *b, struct rg_flow_id *out,
+rg_balancer_next_arrivals(struct rg_balancer *b, struct rg_flow_arrival *out,
                           size_t max)
 {
     struct rg_flow_homes *h = &b->homes;
@@ -289,6 +332,7 @@
 rg_bal_tick_homes(struct rg_balancer *b)
 {
     b->homes.arrivals_left = RG_FLOW_ARRIVALS_MAX;
+    tell_arrivals_again(b);
 }
 
 /* --- as a home ----------------------------------------------------------- */
--- a/balance/flow_homes.h
+++ b/balance/flow_homes.h
@@ -57,10 +57,10 @@
     struct rg_home_answer answers[RG_FLOW_HOMES_MAX];
 };
 
-/* A flow of which homes were told that it is here. */
-struct rg_flow_told {
-    uint32_t hash;
-    uint32_t seq;
+/* A flow that has arrived here. */
+struct rg_flow_arrival {
+    struct rg_flow_id flow;
+    uint32_t seq;   /* of its packet */
     uint64_t at_ms; /* 0: the entry is free */
 };
 
@@ -78,11 +78,12 @@
 /* Zero-initialise it. */
 struct rg_flow_homes {
     struct rg_flow_asked asked[RG_FLOW_ASKED_MAX];
-    struct rg_flow_told told[RG_FLOW_TOLD_MAX];
+    struct rg_flow_arrival told[RG_FLOW_TOLD_MAX];
     struct rg_flow_seen seen[RG_FLOW_SEEN_MAX];
-    struct rg_flow_id arrivals[RG_FLOW_ARRIVALS_MAX];
+    struct rg_flow_arrival arrivals[RG_FLOW_ARRIVALS_MAX];
     size_t arrival_count;
-    size_t arrivals_left; /* until the next tick */
+    size_t arrivals_left;   /* until the next tick */
+    uint64_t told_again_ms; /* all arrivals, last */
     struct rg_flow_id records[RG_FLOW_HOME_RECORDS_MAX];
     size_t record_count;
     uint64_t listening_ms; /* nothing was missed since then, 0: the start */
@@ -126,8 +127,8 @@
 
 /* Flows that have arrived here, of which their homes have to be told. Returns
  * their number, at most `max`. */
-size_t rg_balancer_next_arrivals(struct rg_balancer *b, struct rg_flow_id *out,
-                                 size_t max);
+size_t rg_balancer_next_arrivals(struct rg_balancer *b,
+                                 struct rg_flow_arrival *out, size_t max);
 
 /* Flows whose endpoint their homes have to be told of. */
 size_t rg_balancer_next_home_records(struct rg_balancer *b,
--- a/balance/priv.h
+++ b/balance/priv.h
@@ -86,6 +86,7 @@
     uint64_t peer_heard_ms;   /* last message of any peer, 0: none */
     uint64_t now_ms;
     bool held_in_vain; /* the present packet was held, and no peer knows it */
+    bool leaving;      /* this instance is about to stop */
     bool granted;      /* the present opening has waited and found room */
     struct rg_admission_queue *waiting;
 };
--- a/balance/requests.c
+++ b/balance/requests.c
@@ -362,14 +362,18 @@
 
 /* True if the flow's homes have answered a recent question: no other instance
  * has got packets of it since its request came here. Retransmissions show by
- * themselves that it has not moved. */
+ * themselves that it has not moved. An instance that is about to stop gets no
+ * more packets of its flows. */
 static bool
 has_not_moved(const struct rg_balancer *b, const struct rg_tracked_flow *t,
               enum rg_lost why)
 {
     uint64_t asked_after_ms = b->now_ms - ASK_VALID_MS;
 
-    return why != RG_LOST_HUNG ||
+    if (why != RG_LOST_HUNG) {
+        return true;
+    }
+    return !b->leaving &&
            rg_bal_has_stayed(b, &t->flow, t->since_ms, asked_after_ms);
 }
 
--- a/edge/home_gossip.c
+++ b/edge/home_gossip.c
@@ -240,13 +240,18 @@
 
 /* --- news ---------------------------------------------------------------- */
 
+struct told_arrival {
+    struct rg_flow_arrival arrival;
+    uint32_t age_ms;
+};
+
 static void
 put_arrival(struct rg_msg *m, size_t row, const void *rows, size_t flow)
 {
-    const struct rg_flow_id *flows = rows;
+    const struct told_arrival *a = &((const struct told_arrival *)rows)[flow];
 
-    m->u.flow_sightings.sightings[row] =
-        (struct rg_msg_flow_sighting){.flow = rg_flow_encode(&flows[flow])};
+    m->u.flow_sightings.sightings[row] = (struct rg_msg_flow_sighting){
+        .flow = rg_flow_encode(&a->arrival.flow), .age_ms = a->age_ms};
 }
 
 static void
@@ -256,17 +261,22 @@
 }
 
 static void
-tell_arrivals(struct rg_home_gossip *h, const struct rg_flow_id *flows,
+tell_arrivals(struct rg_home_gossip *h, const struct rg_flow_arrival *arrivals,
               size_t count, uint64_t now_ms)
 {
-    struct mailing mail = {.put = put_arrival, .rows = flows};
+    struct told_arrival rows[RG_HOME_GOSSIP_MAX];
+    struct mailing mail = {.put = put_arrival, .rows = rows};
     struct rg_msg m = {.kind = RG_MSG_FLOW_SIGHTINGS};
 
     m.u.flow_sightings.from = h->opts.name;
     for (size_t i = 0; i < count; i++) {
         struct rg_flow_home homes[RG_FLOW_HOMES_MAX];
+        rows[i] = (struct told_arrival){
+            .arrival = arrivals[i],
+            .age_ms = (uint32_t)(now_ms - arrivals[i].at_ms),
+        };
         add_deliveries(&mail, i, homes,
-                       find_homes(h, &flows[i], now_ms, homes));
+                       find_homes(h, &arrivals[i].flow, now_ms, homes));
     }
     counters(h)[RG_METRIC_ARRIVALS_SENT] += mail.count;
     send_mailing(h, &mail, &m, set_arrival_count);
@@ -322,13 +332,14 @@
 void
 rg_home_gossip_tell(struct rg_home_gossip *h, uint64_t now_ms)
 {
+    struct rg_flow_arrival arrivals[RG_HOME_GOSSIP_MAX];
     struct rg_flow_id flows[RG_HOME_GOSSIP_MAX];
     size_t count;
 
-    while ((count = rg_balancer_next_arrivals(h->opts.balancer, flows,
+    while ((count = rg_balancer_next_arrivals(h->opts.balancer, arrivals,
                                               RG_HOME_GOSSIP_MAX)) > 0)
     {
-        tell_arrivals(h, flows, count, now_ms);
+        tell_arrivals(h, arrivals, count, now_ms);
     }
     while ((count = rg_balancer_next_home_records(h->opts.balancer, flows,
                                                   RG_HOME_GOSSIP_MAX)) > 0)
--- a/edge/main.c
+++ b/edge/main.c
@@ -238,6 +238,7 @@
         return;
     }
     e->stop_ms = rg_clock_boottime_ms();
+    rg_balancer_set_leaving(e->balancer);
     if (e->gossip) {
         rg_gossip_leave(e->gossip);
     }
--- a/test/fake_homes.h
+++ b/test/fake_homes.h
@@ -123,13 +123,13 @@
 
 static inline void
 fake_homes_tell_arrival(const struct fake_homes *h, int from, int home,
-                        const struct rg_flow_id *flow, uint64_t now_ms)
+                        const struct rg_flow_arrival *arrival, uint64_t now_ms)
 {
     if (from != home && fake_homes_arrives(h, from, home)) {
-        rg_balancer_keep_sighting(h->balancers[home], flow,
-                                  fake_homes_id(from), now_ms, now_ms);
-        rg_balancer_add_flow_sighting(h->balancers[home], flow, now_ms,
-                                      now_ms);
+        rg_balancer_keep_sighting(h->balancers[home], &arrival->flow,
+                                  fake_homes_id(from), arrival->at_ms, now_ms);
+        rg_balancer_add_flow_sighting(h->balancers[home], &arrival->flow,
+                                      arrival->at_ms, now_ms);
     }
 }
 
@@ -139,12 +139,13 @@
 {
     struct rg_balancer *b = h->balancers[from];
     struct rg_flow_home homes[RG_FLOW_HOMES_MAX];
+    struct rg_flow_arrival arrival;
     struct rg_flow_id flow;
 
-    while (rg_balancer_next_arrivals(b, &flow, 1) > 0) {
-        size_t n = fake_homes_find(h, &flow, homes);
+    while (rg_balancer_next_arrivals(b, &arrival, 1) > 0) {
+        size_t n = fake_homes_find(h, &arrival.flow, homes);
         for (size_t i = 0; i < n; i++) {
-            fake_homes_tell_arrival(h, from, (int)homes[i].id - 1, &flow,
+            fake_homes_tell_arrival(h, from, (int)homes[i].id - 1, &arrival,
                                     now_ms);
         }
     }
--- a/test/test_flow_homes.c
+++ b/test/test_flow_homes.c
@@ -171,7 +171,7 @@
 static void
 test_moved_back(struct fixture *f, gconstpointer unused)
 {
-    struct rg_flow_id flow;
+    struct rg_flow_arrival flow;
 
     (void)unused;
     prepare(f);
@@ -192,6 +192,32 @@
                      ==, 1);
 }
 
+/* Guards against a reset of a flow that has moved to an instance which had
+ * just started, and knew nobody to tell (review-11): it tells those that it
+ * learns of. */
+static void
+test_arrival_while_starting(struct fixture *f, gconstpointer unused)
+{
+    struct rg_fleet alone = {.instances = 1, .opening_tokens = true};
+    struct rg_fleet fleet = {.instances = INSTANCES, .opening_tokens = true};
+    struct rg_flow_arrival arrival;
+
+    (void)unused;
+    prepare(f);
+    struct tokens token = open_at(f, OPENER, 0);
+    restart_instance(f, OTHER, 77);
+    rg_balancer_set_fleet(f->instances[OTHER], &alone);
+    send_data(f, OTHER, token.flow, 100, 1000, 0);
+    g_assert_cmpuint(
+        rg_balancer_next_arrivals(f->instances[OTHER], &arrival, 1), ==, 0);
+    rg_balancer_set_fleet(f->instances[OTHER], &fleet);
+    uint64_t arrived_ms = f->now_ms;
+    tick_until(f, f->now_ms + 600);
+    g_assert_cmpuint(
+        rg_balancer_next_arrivals(f->instances[OTHER], &arrival, 1), ==, 1);
+    g_assert_cmpuint(arrival.at_ms, ==, arrived_ms);
+}
+
 /* Guards against an instance that is told of its own packets as if the flow
  * had moved, and against one that is not told of others'. */
 static void
@@ -311,6 +337,8 @@
     add_case("/flow-homes/two-started-again", test_two_started_again);
     add_case("/flow-homes/one-away", test_one_away);
     add_case("/flow-homes/moved-back", test_moved_back);
+    add_case("/flow-homes/arrival-while-starting",
+             test_arrival_while_starting);
     add_case("/flow-homes/seen-by", test_seen_by);
     add_case("/flow-homes/table-full", test_table_full);
     add_case("/flow-homes/endpoint-not-known", test_endpoint_not_known);
--- a/test/test_moved_flows.c
+++ b/test/test_moved_flows.c
@@ -381,6 +381,32 @@
     }
 }
 
+/* Guards against resets by an instance that is about to stop (review-11): it
+ * gets no more packets of its flows, so that all their requests seem to hang.
+ */
+static void
+test_no_reset_while_leaving(void)
+{
+    for (int leaving = 0; leaving < 2; leaving++) {
+        struct fleet *f = create_busy_fleet();
+        struct flow flows[MOVED_FLOWS];
+
+        send_together(f, flows);
+        for (int i = 0; i < MOVED_FLOWS; i++) {
+            if (flows[i].token != flows[0].token) {
+                acknowledge(f, 0, &flows[i]);
+            }
+        }
+        if (leaving) {
+            rg_balancer_set_leaving(f->balancers[0]);
+        }
+        run(f, DEADLINE_MS / 4);
+        serve_requests(f, 25);
+        g_assert_cmpuint(f->resets, ==, (leaving ? 0 : 2));
+        destroy_fleet(f);
+    }
+}
+
 /* Packets of flows that are not tracked: acknowledgements, after `first` or by
  * themselves, one every `interval_ms`. Returns whether they count as moved. */
 static bool
@@ -522,6 +548,8 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/moved-flows/acknowledged-elsewhere",
                     test_acknowledged_elsewhere);
+    g_test_add_func("/moved-flows/no-reset-while-leaving",
+                    test_no_reset_while_leaving);
     g_test_add_func("/moved-flows/two-flows-moved", test_two_flows_moved);
     g_test_add_func("/moved-flows/retransmitted-here",
                     test_retransmitted_here);
