flow_homes: an instance that has just started tells of all arrivals in turn

It told of those again that came first in its table, at most 256 in 500 ms, so that the others were never told again if more had arrived. Found by reading. Each tick now goes on where the last one ended. test_flow_homes /arrival-while-starting passes, with the arrival told within 600 ms as before.

--- a/balance/flow_homes.c
+++ b/balance/flow_homes.c
@@ -8,8 +8,9 @@
 #define UNSTORED 0
 /* Homes are told again of a flow that goes on here after this time. */
 #define TELL_AGAIN_MS 1000
-/* The same for all that have arrived, by an instance that has just started. */
-#define STARTING_TELL_MS 500
+/* Entries that an instance which has just started looks at in a tick, to tell
+ * of them again: each comes up about twice a second. */
+#define STARTING_TELL_MAX (RG_FLOW_TOLD_MAX / 5)
 /* An answer is relied on for this long: the flow's next retransmissions. */
 #define ANSWER_VALID_MS 1000
 /* A home that has listened for less may not have been told of a flow at its
@@ -261,21 +262,20 @@
 }
 
 /* An instance that has just started does not know all homes, and tells those
- * that it learns of, too. */
+ * that it learns of, too. Each tick goes on where the last one ended. */
 static void
 tell_arrivals_again(struct rg_balancer *b)
 {
     struct rg_flow_homes *h = &b->homes;
 
-    if (!rg_bal_is_starting(b) || is_alone(b) ||
-        b->now_ms - h->told_again_ms < STARTING_TELL_MS)
-    {
+    if (!rg_bal_is_starting(b) || is_alone(b)) {
         return;
     }
-    h->told_again_ms = b->now_ms;
-    for (size_t i = 0; i < RG_FLOW_TOLD_MAX; i++) {
-        if (h->told[i].at_ms != 0) {
-            queue_arrival(b, &h->told[i]);
+    for (size_t n = 0; n < STARTING_TELL_MAX; n++) {
+        const struct rg_flow_arrival *told = &h->told[h->told_again_next];
+        h->told_again_next = (h->told_again_next + 1) % RG_FLOW_TOLD_MAX;
+        if (told->at_ms != 0) {
+            queue_arrival(b, told);
         }
     }
 }
--- a/balance/flow_homes.h
+++ b/balance/flow_homes.h
@@ -83,7 +83,7 @@
     struct rg_flow_arrival arrivals[RG_FLOW_ARRIVALS_MAX];
     size_t arrival_count;
     size_t arrivals_left;   /* until the next tick */
-    uint64_t told_again_ms; /* all arrivals, last */
+    size_t told_again_next; /* entry that is told again next */
     struct rg_flow_id records[RG_FLOW_HOME_RECORDS_MAX];
     size_t record_count;
     uint64_t listening_ms; /* nothing was missed since then, 0: the start */
